--- /dev/null
+++ b/tarragoncleat/peering.py
@@ -0,0 +1,411 @@
+"""Message streams between entries.
+
+Every entry dials each peer of its settings. A connection carries the messages
+of the side that dialled it; the other side sends only its Hello, replies and
+keep-alives on it. A pair of entries thus has two connections, and a link counts
+as up for sending only while the peer's bytes arrive on the dialled one.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+import random
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+from anyio.streams import memory
+import loguru
+
+from tarragoncleat import codec
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import peer_connection
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+
+__all__ = ["PeerLinks", "Received"]
+
+# A link without bytes for this many heartbeats is closed. Keep-alives are sent
+# often enough that three of them must be lost before.
+_SILENT_HEARTBEATS = 5
+_KEEP_ALIVE_HEARTBEATS = 1.5
+_BACKOFF_MIN_S = 0.05
+_BACKOFF_MAX_S = 1.0
+_SUBSCRIBER_MESSAGES = 8_192
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message from another entry.
+
+    Attributes:
+        sender: Entry that sent it.
+        message: The decoded message.
+        reply: Sends the reply of a request; None for a one-way message.
+    """
+
+    sender: ids.EntryId
+    message: Any
+    reply: Callable[[object], None] | None = None
+
+
+class _PendingReply:
+    def __init__(self, connection: peer_connection.Connection) -> None:
+        self.connection = connection
+        self.event = anyio.Event()
+        self.result: object = None
+
+    def finish(self, result: object) -> None:
+        self.result = result
+        self.event.set()
+
+
+class PeerLinks:
+    """The links of this entry to all its peers."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timer_module.TimerService,
+    ) -> None:
+        """Prepares the links; `run` opens them."""
+        self._settings = settings
+        self._timer = timer
+        self._heartbeat_s = settings.membership.heartbeat_ms / _MS_PER_S
+        self._silent_s = _SILENT_HEARTBEATS * self._heartbeat_s
+        self._hello = peer_connection.Hello(
+            settings.entry_id, settings.availability_zone, time.time_ns()
+        )
+        self._counters = {
+            ids.EntryId(peer.entry_id): peer_connection.Counters()
+            for peer in settings.peers
+        }
+        self._strangers = peer_connection.Counters()
+        self._dialled: dict[ids.EntryId, peer_connection.Connection] = {}
+        self._accepted: dict[ids.EntryId, peer_connection.Connection] = {}
+        self._open: set[peer_connection.Connection] = set()
+        self._request_ids = itertools.count(1)
+        self._pending: dict[int, _PendingReply] = {}
+        self._subscribers: dict[
+            type, list[memory.MemoryObjectSendStream[Received]]
+        ] = {}
+        self._ticked_at_s = timer.monotonic_s()
+
+    async def run(self) -> None:
+        """Listens, dials every peer and reconnects until cancelled."""
+        host, port = settings_module.host_and_port(
+            self._settings.entry.peer_address
+        )
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+        self._ticked_at_s = self._timer.monotonic_s()
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch)
+            for peer in self._settings.peers:
+                tasks.start_soon(self._keep_dialled, peer)
+            await listener.serve(self._accept)
+
+    def subscribe(
+        self, *message_types: type
+    ) -> memory.MemoryObjectReceiveStream[Received]:
+        """Returns a bounded stream of the received messages of these types."""
+        sender, receiver = anyio.create_memory_object_stream[Received](
+            _SUBSCRIBER_MESSAGES
+        )
+        for message_type in message_types:
+            self._subscribers.setdefault(message_type, []).append(sender)
+        return receiver
+
+    def send(self, entry_id: ids.EntryId, message: object) -> bool:
+        """Queues a message without blocking; False when it was dropped."""
+        return self._send_body(entry_id, codec.encode(message))
+
+    def broadcast(self, message: object) -> None:
+        """Queues a message for every connected entry."""
+        self.multicast(self._dialled, message)
+
+    def multicast(self, entry_ids: Any, message: object) -> None:
+        """Queues one encoding of a message for several entries."""
+        body = codec.encode(message)
+        for entry_id in tuple(entry_ids):
+            self._send_body(entry_id, body)
+
+    async def request(
+        self, entry_id: ids.EntryId, message: object, timeout_s: float
+    ) -> Any:
+        """Sends a message and waits for its reply.
+
+        Returns:
+            The reply; a `Failure` of kind CUT_OFF when the message was not
+            sent; one of kind DEADLINE_EXCEEDED when the link broke or the time
+            passed, so that the peer may have handled the message.
+        """
+        request_id = next(self._request_ids)
+        body = codec.encode(
+            peer_connection.Request(request_id, codec.encode(message))
+        )
+        connection = self._dialled.get(entry_id)
+        if connection is None or not connection.put(body):
+            return errors.Failure(
+                errors.ErrorKind.CUT_OFF, f"no link to entry {entry_id}"
+            )
+        pending = _PendingReply(connection)
+        self._pending[request_id] = pending
+        try:
+            with anyio.move_on_after(timeout_s):
+                await pending.event.wait()
+                return pending.result
+        finally:
+            del self._pending[request_id]
+        return errors.Failure(
+            errors.ErrorKind.DEADLINE_EXCEEDED,
+            f"entry {entry_id} did not reply within {timeout_s} s",
+        )
+
+    def connected(self) -> frozenset[ids.EntryId]:
+        """Entries that messages can be sent to."""
+        return frozenset(self._dialled)
+
+    def counters(self, entry_id: ids.EntryId) -> peer_connection.Counters:
+        """Traffic counters of one peer."""
+        return self._counters[entry_id]
+
+    def dump(self) -> dict:
+        """Describes the links for the state dump."""
+        now_s = self._timer.monotonic_s()
+        return {
+            "incarnation": self._hello.incarnation,
+            "strangers": dataclasses.asdict(self._strangers),
+            "peers": {
+                entry_id: self._dump_peer(entry_id, counters, now_s)
+                for entry_id, counters in self._counters.items()
+            },
+        }
+
+    def _dump_peer(
+        self,
+        entry_id: ids.EntryId,
+        counters: peer_connection.Counters,
+        now_s: float,
+    ) -> dict:
+        dialled = self._dialled.get(entry_id)
+        accepted = self._accepted.get(entry_id)
+        return {
+            "connected": dialled is not None,
+            "accepted": accepted is not None,
+            "queued_messages": dialled.queued_messages if dialled else 0,
+            "silent_s": now_s - dialled.read_at_s if dialled else None,
+            **dataclasses.asdict(counters),
+        }
+
+    def _send_body(self, entry_id: ids.EntryId, body: bytes) -> bool:
+        connection = self._dialled.get(entry_id)
+        if connection is not None:
+            return connection.put(body)
+        if entry_id in self._counters:
+            self._counters[entry_id].dropped_messages += 1
+        return False
+
+    async def _watch(self) -> None:
+        """Sends keep-alives and closes silent connections."""
+        interval_s = self._heartbeat_s / 2
+        async for now_s in self._timer.subscribe(interval_s):
+            self._ticked_at_s = now_s
+            for connection in tuple(self._open):
+                self._check(connection, now_s)
+
+    def _check(
+        self, connection: peer_connection.Connection, now_s: float
+    ) -> None:
+        idle_s = now_s - connection.written_at_s
+        if idle_s >= _KEEP_ALIVE_HEARTBEATS * self._heartbeat_s:
+            connection.put_keep_alive()
+        if now_s - connection.read_at_s > self._silent_s:
+            connection.count_silent()
+            connection.close()
+
+    async def _keep_dialled(self, peer: settings_module.Peer) -> None:
+        backoff_s = _BACKOFF_MIN_S
+        counters = self._counters[ids.EntryId(peer.entry_id)]
+        while True:
+            connects = counters.connects
+            await self._dial(peer, counters)
+            if counters.connects > connects:
+                backoff_s = _BACKOFF_MIN_S
+            else:
+                counters.failed_dials += 1
+            await self._timer.sleep_s(backoff_s * random.uniform(0.5, 1))
+            backoff_s = min(2 * backoff_s, _BACKOFF_MAX_S)
+
+    async def _dial(
+        self,
+        peer: settings_module.Peer,
+        counters: peer_connection.Counters,
+    ) -> None:
+        host, port = settings_module.host_and_port(peer.address)
+        try:
+            with anyio.fail_after(self._silent_s):
+                stream = await anyio.connect_tcp(host, port)
+        except (OSError, TimeoutError) as error:
+            loguru.logger.debug("dialling {} failed: {}", peer.entry_id, error)
+            return
+        connection = peer_connection.Connection(stream, self._timer, counters)
+        await self._run(connection, ids.EntryId(peer.entry_id))
+
+    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
+        if len(self._open) > 4 * len(self._counters) + 16:
+            await anyio.aclose_forcefully(stream)
+            return
+        connection = peer_connection.Connection(
+            stream, self._timer, self._strangers
+        )
+        await self._run(connection, None)
+
+    async def _run(
+        self,
+        connection: peer_connection.Connection,
+        dialled: ids.EntryId | None,
+    ) -> None:
+        session = _Session(self, connection, dialled)
+        connection.put(codec.encode(self._hello))
+        self._open.add(connection)
+        try:
+            await connection.run(session.receive)
+        finally:
+            self._open.discard(connection)
+            self._forget(connection, session.peer)
+
+    def _forget(
+        self,
+        connection: peer_connection.Connection,
+        entry_id: ids.EntryId | None,
+    ) -> None:
+        if entry_id is None:
+            return
+        for links in (self._dialled, self._accepted):
+            if links.get(entry_id) is connection:
+                del links[entry_id]
+                loguru.logger.info("link with entry {} closed", entry_id)
+        failure = errors.Failure(
+            errors.ErrorKind.DEADLINE_EXCEEDED,
+            f"the link to entry {entry_id} closed before the reply",
+        )
+        for pending in self._pending.values():
+            if pending.connection is connection:
+                pending.finish(failure)
+
+    def _deliver(self, received: Received) -> None:
+        subscribers = self._subscribers.get(type(received.message), ())
+        delivered = bool(subscribers)
+        for subscriber in subscribers:
+            try:
+                subscriber.send_nowait(received)
+            except (
+                anyio.WouldBlock,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                delivered = False
+        if not delivered:
+            self._counters[received.sender].undelivered_messages += 1
+
+
+class _Session:
+    """Handles what arrives on one connection."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        connection: peer_connection.Connection,
+        dialled: ids.EntryId | None,
+    ) -> None:
+        self._links = links
+        self._connection = connection
+        self._dialled = dialled
+        self.peer: ids.EntryId | None = None
+
+    def receive(self, body: bytes) -> None:
+        links = self._links
+        late_s = links._timer.monotonic_s() - links._ticked_at_s
+        if late_s > links._silent_s:
+            # The process was stopped or starved: what the socket buffered
+            # meanwhile may be older than any lease, so it is thrown away.
+            loguru.logger.warning(
+                "closing a link after {:.1f} s without a timer tick", late_s
+            )
+            self._connection.close()
+            return
+        message = codec.decode(body)
+        if isinstance(message, errors.Failure):
+            self._count_damaged(message.reason)
+        elif self.peer is None:
+            self._greet(message)
+        else:
+            self._dispatch(self.peer, message)
+
+    def _count_damaged(self, reason: str) -> None:
+        self._connection.count_decode_error()
+        loguru.logger.warning(
+            "dropped a message from entry {}: {}", self.peer, reason
+        )
+        if self.peer is None:
+            self._connection.close()
+
+    def _greet(self, message: object) -> None:
+        links = self._links
+        if not isinstance(message, peer_connection.Hello):
+            self._refuse("its first message was no Hello")
+            return
+        entry_id = ids.EntryId(message.entry_id)
+        if entry_id not in links._counters:
+            self._refuse(f"entry {entry_id} is not among the peers")
+            return
+        if self._dialled is not None and entry_id != self._dialled:
+            self._refuse(f"entry {entry_id} answered for {self._dialled}")
+            return
+        self.peer = entry_id
+        counters = links._counters[entry_id]
+        self._connection.count_under(counters)
+        if self._dialled is not None:
+            counters.connects += 1
+            links._dialled[entry_id] = self._connection
+            loguru.logger.info("link to entry {} is up", entry_id)
+            return
+        replaced = links._accepted.get(entry_id)
+        links._accepted[entry_id] = self._connection
+        if replaced is not None:
+            replaced.close()
+
+    def _refuse(self, reason: str) -> None:
+        loguru.logger.warning("refused a peer connection: {}", reason)
+        self._connection.close()
+
+    def _dispatch(self, sender: ids.EntryId, message: Any) -> None:
+        links = self._links
+        links._counters[sender].received_messages += 1
+        if isinstance(message, peer_connection.Reply):
+            pending = links._pending.get(message.request_id)
+            if pending is not None:
+                pending.finish(codec.decode(message.body))
+            return
+        if not isinstance(message, peer_connection.Request):
+            links._deliver(Received(sender, message))
+            return
+        inner = codec.decode(message.body)
+        if isinstance(inner, errors.Failure):
+            self._count_damaged(inner.reason)
+            return
+        request_id = message.request_id
+
+        def reply(answer: object) -> None:
+            self._connection.put(
+                codec.encode(
+                    peer_connection.Reply(request_id, codec.encode(answer))
+                )
+            )
+
+        links._deliver(Received(sender, inner, reply))
