--- a/tarragoncleat/candidates.py
+++ b/tarragoncleat/candidates.py
@@ -35,12 +35,10 @@
         self,
         registry: registry_module.Registry,
         view: entry_view.EntryView,
-        own_zone: ids.AvailabilityZone,
     ) -> None:
         """Reads from the registry and the view."""
         self._registry = registry
         self._view = view
-        self._own_zone = own_zone
         self._cached: dict[ids.ServiceId, _Cached] = {}
         self._reported: dict[ids.UpstreamId, int] = {}
         self._probed: dict[ids.UpstreamId, tuple[int, int]] = {}
@@ -82,7 +80,7 @@
                 found.append(held)
             else:
                 del self._reported[upstream_id]
-        for held in self._registry.of_zone(self._own_zone):
+        for held in self._registry.of_zone(self._view.own_zone):
             late = held.live and now_s >= self._suspect_at_s(held)
             if late and not self._is_reported(held):
                 found.append(held)
@@ -133,7 +131,7 @@
         if self._is_reported(held):
             return -math.inf
         zone = held.record.availability_zone
-        if zone != self._own_zone:
+        if zone != self._view.own_zone:
             return self._view.usable_until_s(zone)
         suspect_at_s = self._suspect_at_s(held)
         if now_s >= suspect_at_s and self._is_probed(held):
--- a/tarragoncleat/entry_view.py
+++ b/tarragoncleat/entry_view.py
@@ -45,6 +45,21 @@
             )
         )
 
+    @property
+    def own_id(self) -> ids.EntryId:
+        """This entry."""
+        return self._own_id
+
+    @property
+    def own_zone(self) -> ids.AvailabilityZone:
+        """The zone of this entry."""
+        return self._own_zone
+
+    @property
+    def freshness_s(self) -> float:
+        """How long a zone counts as alive after it was last heard of."""
+        return self._freshness_s
+
     @property
     def mates(self) -> tuple[ids.EntryId, ...]:
         """The other entries of the own zone."""
