--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,9 +3,11 @@
 import pathlib
 from typing import Any
 
+from tarragoncleat import ids
 from tarragoncleat import settings
+from tarragoncleat import upstreams
 
-__all__ = ["build_settings"]
+__all__ = ["build_announcement", "build_settings"]
 
 
 def build_settings(
@@ -25,3 +27,25 @@
     }
     entry.update(sections.pop("entry", {}))
     return settings.Settings.model_validate({"entry": entry, **sections})
+
+
+def build_announcement(
+    upstream_id: str = "upstream-1",
+    availability_zone: str = "fukuoka-a",
+    **fields: Any,
+) -> upstreams.Announcement:
+    """Returns what an upstream of the service "bidding" announces."""
+    values = {
+        "service": ids.ServiceId("bidding"),
+        "host": "127.0.0.1",
+        "port": 7001,
+        "rack": ids.Rack("rack-1"),
+        "slots": 8,
+        "connections": 64,
+        "lease_ms": 3_000,
+    }
+    return upstreams.Announcement(
+        upstream_id=ids.UpstreamId(upstream_id),
+        availability_zone=ids.AvailabilityZone(availability_zone),
+        **{**values, **fields},
+    )
--- /dev/null
+++ b/tests/peer_cluster.py
@@ -0,0 +1,150 @@
+"""Entries with real links through fault proxies, in one process."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+import contextlib
+
+import anyio
+import anyio.abc
+
+from tarragoncleat import ids
+from tarragoncleat import membership
+from tarragoncleat import peering
+from tarragoncleat import timer
+from tests import builders
+from tests import fault_proxy
+
+__all__ = ["Cluster", "Node", "run_cluster", "wait_until"]
+
+_WAIT_S = 10.0
+_POLL_S = 0.01
+
+
+class Node:
+    """One entry: its links and its membership."""
+
+    def __init__(
+        self, index: int, zones: Sequence[str], port: int, direct: bool
+    ) -> None:
+        """Prepares entry number `index`; each peer is dialled at its proxy."""
+        self.entry_id = ids.EntryId(f"entry-{index}")
+        self.zone = zones[index]
+        self.address = f"127.22.0.{index + 1}:{port}"
+        network = f"127.22.{0 if direct else index + 1}"
+        peers = [
+            {
+                "entry_id": f"entry-{other}",
+                "availability_zone": zone,
+                "address": f"{network}.{other + 1}:{port}",
+            }
+            for other, zone in enumerate(zones)
+            if other != index
+        ]
+        self.settings = builders.build_settings(
+            self.entry_id,
+            zones[index],
+            entry={"peer_address": self.address},
+            peers=peers,
+            membership={"max_lease_ms": 5_000},
+        )
+        clock = timer.TimerService()
+        self.links = peering.PeerLinks(self.settings, clock)
+        self.membership = membership.Membership(
+            self.settings, self.links, clock
+        )
+        self._scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Runs the entry until it is killed."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.links.run)
+                await self.membership.run()
+
+    def kill(self) -> None:
+        """Ends the entry at once."""
+        self._scope.cancel()
+
+    def candidates(self) -> set[str]:
+        """Ids of the candidates of the service "bidding"."""
+        found = self.membership.candidates(ids.ServiceId("bidding"))
+        return {candidate.upstream_id for candidate in found}
+
+
+class Cluster:
+    """Entries, and a proxy for each ordered pair of them."""
+
+    def __init__(
+        self, zones: Sequence[str], port: int, direct: bool = False
+    ) -> None:
+        """Prepares one entry for each name in `zones`."""
+        self.nodes = [
+            Node(index, zones, port, direct) for index in range(len(zones))
+        ]
+        self.proxies: dict[tuple[int, int], fault_proxy.FaultProxy] = {}
+        for dialler in range(0 if direct else len(zones)):
+            for target in range(len(zones)):
+                if dialler != target:
+                    self.proxies[dialler, target] = fault_proxy.FaultProxy(
+                        f"127.22.{dialler + 1}.{target + 1}:{port}",
+                        self.nodes[target].address,
+                    )
+
+    def change(
+        self,
+        between: Callable[[int, int], bool],
+        direction: str = "both",
+        **faults: object,
+    ) -> None:
+        """Changes the faults of the links from one entry to another."""
+        for pair, proxy in self.proxies.items():
+            if between(*pair):
+                proxy.change(direction, **faults)
+
+    def cut_zone(self, zone: str, **faults: object) -> None:
+        """Changes the faults of all links between a zone and the others."""
+        inside = {
+            index for index, node in enumerate(self.nodes) if node.zone == zone
+        }
+        self.change(lambda a, b: (a in inside) != (b in inside), **faults)
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts everything and waits until all see each other."""
+        for proxy in self.proxies.values():
+            tasks.start_soon(proxy.run)
+        for node in self.nodes:
+            tasks.start_soon(node.run)
+        count = len(self.nodes)
+        await wait_until(
+            lambda: all(
+                len(node.links.connected()) == count - 1
+                and node.membership.live_entries() == count
+                for node in self.nodes
+            )
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(
+    zones: Sequence[str], port: int, direct: bool = False
+) -> AsyncIterator[Cluster]:
+    """Runs a cluster for the time of the context."""
+    cluster = Cluster(zones, port, direct)
+    async with anyio.create_task_group() as tasks:
+        await cluster.run(tasks)
+        yield cluster
+        tasks.cancel_scope.cancel()
+    # Lets the event loop close the sockets of the cancelled tasks.
+    await anyio.sleep(_POLL_S)
+
+
+async def wait_until(
+    condition: Callable[[], bool], limit_s: float = _WAIT_S
+) -> None:
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: It did not become true within the limit.
+    """
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(_POLL_S)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,182 @@
+"""Tests of membership over real links behind the fault proxy."""
+
+from collections.abc import Awaitable, Callable
+import functools
+import unittest
+
+import anyio
+import loguru
+
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tests import builders
+from tests import peer_cluster
+
+_PORT = 19_102
+# Two entries and more in the first zone: the lowest id is its relay.
+_ZONES = ["a", "a", "a", "b", "b", "c"]
+_UPSTREAM = "upstream-1"
+
+
+def _scenario(
+    test: Callable[..., Awaitable[None]],
+) -> Callable[[unittest.TestCase], None]:
+    """Runs a test in a cluster of `_ZONES`."""
+
+    async def run(case: unittest.TestCase) -> None:
+        async with peer_cluster.run_cluster(_ZONES, _PORT) as cluster:
+            await test(case, cluster)
+
+    @functools.wraps(test)
+    def wrapper(case: unittest.TestCase) -> None:
+        anyio.run(run, case)
+
+    return wrapper
+
+
+def _announce(
+    node: peer_cluster.Node, name: str = _UPSTREAM, lease_ms: int = 5_000
+) -> None:
+    node.membership.announce(
+        builders.build_announcement(name, node.zone, lease_ms=lease_ms)
+    )
+
+
+async def _wait_seen(nodes: list, wanted: set[str]) -> None:
+    await peer_cluster.wait_until(
+        lambda: all(node.candidates() == wanted for node in nodes)
+    )
+
+
+class MembershipTest(unittest.TestCase):
+    """Guards the 2 s bound of a leave and the use of silent upstreams."""
+
+    def setUp(self) -> None:
+        loguru.logger.remove()
+
+    @_scenario
+    async def test_told_entry_dies_at_once(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """A leave must survive when only one entry heard it, no relay."""
+        nodes = cluster.nodes
+        _announce(nodes[1])
+        await _wait_seen(nodes, {_UPSTREAM})
+        # The relay of the zone freezes and the told entry reaches entry 2 only.
+        cluster.change(lambda a, b: 0 in (a, b), hold=True)
+        cluster.change(lambda a, b: a == 1 and b != 2, hold=True)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(nodes[1].membership.leave, _UPSTREAM)
+            await _wait_seen([nodes[2]], set())
+            nodes[1].kill()
+            tasks.cancel_scope.cancel()
+        await _wait_seen(nodes[2:], set())
+
+    @_scenario
+    async def test_leave_is_answered_after_acknowledgement(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """An answered leave must already be in force at reachable entries."""
+        nodes = cluster.nodes
+        cluster.change(lambda a, b: True, delay_ms=10)
+        _announce(nodes[4])
+        await _wait_seen(nodes, {_UPSTREAM})
+        self.assertIsNone(await nodes[4].membership.leave(_UPSTREAM))
+        self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
+        unknown = await nodes[4].membership.leave(ids.UpstreamId("nobody"))
+        self.assertIs(unknown.kind, errors.ErrorKind.NOT_FOUND)
+
+    @_scenario
+    async def test_zone_partition(self, cluster: peer_cluster.Cluster) -> None:
+        """A cut-off zone serves itself; nothing that left there returns."""
+        nodes = cluster.nodes
+        inside, outside = nodes[3:5], [*nodes[:3], nodes[5]]
+        _announce(nodes[0], "outside")
+        _announce(nodes[3], "inside-1")
+        _announce(nodes[4], "inside-2")
+        everything = {"outside", "inside-1", "inside-2"}
+        await _wait_seen(nodes, everything)
+        cluster.cut_zone("b", hold=True)
+        await _wait_seen(outside, {"outside"})
+        await _wait_seen(inside, {"inside-1", "inside-2"})
+        self.assertEqual(inside[0].membership.live_entries(), 2)
+        await nodes[3].membership.leave(ids.UpstreamId("inside-1"))
+        _announce(nodes[3], "inside-3")
+        _announce(nodes[3], "inside-2")
+        _announce(nodes[0], "outside")
+        cluster.cut_zone("b", hold=False)
+        await _wait_seen(nodes, {"outside", "inside-2", "inside-3"})
+
+    @_scenario
+    async def test_silent_upstream_is_dropped(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """Every zone must drop an upstream whose lease ends in its own."""
+        nodes = cluster.nodes
+        _announce(nodes[1], lease_ms=800)
+        await _wait_seen(nodes, {_UPSTREAM})
+        await _wait_seen(nodes, set())
+        record = nodes[5].membership.record(ids.UpstreamId(_UPSTREAM))
+        self.assertEqual(record.state.value, "announced")
+
+    @_scenario
+    async def test_renewals_cross_a_leave(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """Renewals on the way through other entries must not undo a leave."""
+        nodes = cluster.nodes
+        _announce(nodes[0])
+        await _wait_seen(nodes, {_UPSTREAM})
+        cluster.change(lambda a, b: True, delay_ms=30)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(nodes[0].membership.leave, _UPSTREAM)
+            await anyio.sleep(0.01)
+            _announce(nodes[1])
+            _announce(nodes[2])
+        await _wait_seen(nodes, set())
+        await anyio.sleep(0.5)
+        self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
+        _announce(nodes[2])
+        await _wait_seen(nodes, {_UPSTREAM})
+        record = nodes[5].membership.record(ids.UpstreamId(_UPSTREAM))
+        self.assertEqual(record.epoch, 2)
+
+    @_scenario
+    async def test_in_flight_reaches_other_zones(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """Every entry must count the requests of all others, once each."""
+        nodes = cluster.nodes
+        upstream_id = ids.UpstreamId(_UPSTREAM)
+        for node in nodes:
+            node.membership.report_in_flight(upstream_id, 2)
+        await peer_cluster.wait_until(
+            lambda: all(
+                node.membership.in_flight_elsewhere(upstream_id) == 10
+                for node in nodes
+            )
+        )
+        nodes[1].kill()
+        nodes[3].membership.report_in_flight(upstream_id, 0)
+        await peer_cluster.wait_until(
+            lambda: all(
+                node.membership.in_flight_elsewhere(upstream_id) == expected
+                for node, expected in zip(
+                    [nodes[0], *nodes[2:]], [6, 6, 8, 6, 6], strict=True
+                )
+            )
+        )
+
+    @_scenario
+    async def test_lost_update_is_pulled(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """A dropped message must not leave an entry behind for good."""
+        nodes = cluster.nodes
+        cluster.change(lambda a, b: 3 in (a, b), hold=True)
+        await peer_cluster.wait_until(lambda: not nodes[3].links.connected())
+        for index in range(700):
+            _announce(nodes[0], f"upstream-{index:03}")
+        cluster.change(lambda a, b: True, hold=False)
+        wanted = {f"upstream-{index:03}" for index in range(700)}
+        await _wait_seen(nodes, wanted)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,275 @@
+"""Tests of the registry of upstreams and of the candidates made from it."""
+
+import dataclasses
+import random
+import unittest
+import unittest.mock
+
+import hypothesis
+from hypothesis import strategies
+
+from tarragoncleat import candidates
+from tarragoncleat import entry_view
+from tarragoncleat import ids
+from tarragoncleat import registry
+from tarragoncleat import upstreams
+from tests import builders
+
+_ZONE = ids.AvailabilityZone("fukuoka-a")
+_OTHER_ZONE = ids.AvailabilityZone("kagoshima")
+_UPSTREAM = ids.UpstreamId("upstream-1")
+_SERVICE = ids.ServiceId("bidding")
+_KEEP_GONE_S = 60.0
+_ANNOUNCED = upstreams.UpstreamState.ANNOUNCED
+_LEAVING = upstreams.UpstreamState.LEAVING
+
+
+def _record(
+    epoch: int, state: upstreams.UpstreamState, renewal: int, slots: int
+) -> upstreams.UpstreamRecord:
+    fields = dataclasses.asdict(builders.build_announcement(slots=slots))
+    return upstreams.UpstreamRecord(
+        epoch=epoch, state=state, renewal=renewal, **fields
+    )
+
+
+_RECORDS = strategies.builds(
+    _record,
+    epoch=strategies.integers(1, 3),
+    state=strategies.sampled_from(upstreams.UpstreamState),
+    renewal=strategies.integers(1, 3),
+    slots=strategies.sampled_from([4, 8]),
+)
+_COPIES = strategies.builds(
+    upstreams.Copy,
+    record=_RECORDS,
+    remaining_ms=strategies.sampled_from([-9_000, -1, 0, 1, 2_000, 3_000]),
+)
+
+
+def _expected(copies: list[upstreams.Copy]) -> tuple:
+    """The result of merging, worked out without the registry."""
+    record = max((copy.record for copy in copies), key=lambda r: r.version)
+    same = [copy for copy in copies if copy.record == record]
+    lapsed = [copy for copy in same if not copy.live]
+    remaining_ms = min(abs(copy.remaining_ms) for copy in lapsed or same)
+    return record, not lapsed, remaining_ms / 1000
+
+
+class LatticeTest(unittest.TestCase):
+    """Guards against a result that depends on the order of messages."""
+
+    @hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
+    @hypothesis.given(
+        copies=strategies.lists(_COPIES, min_size=1, max_size=8),
+        order=strategies.randoms(use_true_random=False),
+    )
+    def test_merge_in_any_order(
+        self, copies: list[upstreams.Copy], order: random.Random
+    ) -> None:
+        """Commutative, associative, idempotent; a leave is never undone."""
+        received = copies + copies[: len(copies) // 2]
+        order.shuffle(received)
+        found = registry.Registry(_ZONE, _KEEP_GONE_S)
+        for copy in received:
+            found.merge(copy, 0.0)
+        held = found.get(_UPSTREAM)
+        self.assertEqual(
+            (held.record, held.live, held.deadline_s), _expected(copies)
+        )
+        self.assertEqual(found.live_count, int(held.live))
+        self.assertEqual(len(found.of_service(_SERVICE)), int(held.live))
+        self.assertEqual(found.digest(_ZONE) != 0, held.live)
+
+    def test_renewal_after_leave(self) -> None:
+        """A renewal that crosses a leave must not revive the upstream."""
+        left = registry.Registry(_ZONE, _KEEP_GONE_S)
+        other = registry.Registry(_ZONE, _KEEP_GONE_S)
+        announced = left.announce(builders.build_announcement(), 0.0)
+        other.merge(announced, 0.0)
+        left.leave(_UPSTREAM, 0.1)
+        crossing = other.announce(builders.build_announcement(), 0.1)
+        self.assertIs(left.merge(crossing, 0.2), registry.Merge.OUTDATED)
+        self.assertFalse(left.get(_UPSTREAM).live)
+        again = left.announce(builders.build_announcement(), 0.3)
+        self.assertEqual(again.record.epoch, 2)
+        self.assertTrue(left.get(_UPSTREAM).live)
+
+    def test_gone_records_are_forgotten(self) -> None:
+        """Guards against memory that grows with every upstream that left."""
+        found = registry.Registry(_ZONE, _KEEP_GONE_S)
+        for step in range(50):
+            found.announce(builders.build_announcement(), step)
+            found.leave(_UPSTREAM, step)
+        found.announce(builders.build_announcement("upstream-2"), 50.0)
+        lapsed = found.sweep(60.0, ())
+        self.assertEqual(
+            [held.record.upstream_id for held in lapsed], ["upstream-2"]
+        )
+        found.sweep(50.0 + _KEEP_GONE_S, ())
+        self.assertIsNone(found.get(_UPSTREAM))
+        found.sweep(61.0 + _KEEP_GONE_S, ())
+        self.assertEqual(len(found), 0)
+        with unittest.mock.patch.object(registry, "_MAX_GONE", 5):
+            for index in range(20):
+                name = f"upstream-{index}"
+                found.announce(builders.build_announcement(name), 200.0 + index)
+                found.leave(ids.UpstreamId(name), 200.0 + index)
+            found.sweep(230.0, ())
+        self.assertEqual(len(found), 5)
+        self.assertIsNotNone(found.get(ids.UpstreamId("upstream-19")))
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["announce", "leave", "send", "deliver", "wait"]
+        ),
+        strategies.integers(0, 3),
+        strategies.integers(0, 3),
+    ),
+    max_size=40,
+)
+
+
+class _Network:
+    """Registries that exchange pages late, twice, out of order or never."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.registries = [
+            registry.Registry(_ZONE, _KEEP_GONE_S) for _ in range(4)
+        ]
+        self.on_the_way: list[tuple[upstreams.Copy, ...]] = []
+        self.left: set[tuple[str, int]] = set()
+
+    def step(self, action: str, first: int, second: int) -> None:
+        found = self.registries[first]
+        name = f"upstream-{second}"
+        if action == "announce":
+            found.announce(builders.build_announcement(name), self.now_s)
+        elif action == "leave":
+            copy = found.leave(ids.UpstreamId(name), self.now_s)
+            if copy:
+                self.left.add((name, copy.record.epoch))
+        elif action == "send":
+            self.on_the_way.append(self.page(found))
+        elif action == "deliver" and self.on_the_way:
+            index = (first * 4 + second) % len(self.on_the_way)
+            target = self.registries[second]
+            for copy in self.on_the_way[index]:
+                target.merge(copy, self.now_s)
+        elif action == "wait":
+            self.now_s += 0.7
+            for each in self.registries:
+                each.sweep(self.now_s, ())
+
+    def page(self, found: registry.Registry) -> tuple[upstreams.Copy, ...]:
+        return found.page(
+            _ZONE, range(registry.BUCKETS), ids.UpstreamId(""), 100, self.now_s
+        )
+
+    def exchange_all(self) -> None:
+        for _ in range(2):
+            for source in self.registries:
+                for target in self.registries:
+                    for copy in self.page(source):
+                        target.merge(copy, self.now_s)
+
+
+class ConvergenceTest(unittest.TestCase):
+    """Guards against entries that keep different views of the upstreams."""
+
+    @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+    @hypothesis.given(steps=_STEPS)
+    def test_registries_converge(self, steps: list) -> None:
+        network = _Network()
+        for step in steps:
+            network.step(*step)
+        network.exchange_all()
+        self.assertEqual(
+            len({found.digest(_ZONE) for found in network.registries}), 1
+        )
+        for found in network.registries:
+            for held in found.of_zone(_ZONE):
+                version = (held.record.upstream_id, held.record.epoch)
+                if version in network.left:
+                    self.assertIs(held.record.state, _LEAVING)
+        network.now_s += 4.0
+        for found in network.registries:
+            found.sweep(network.now_s, ())
+            self.assertEqual(found.live_count, 0)
+
+
+class CandidatesTest(unittest.TestCase):
+    """Guards against caller traffic to upstreams that may be gone."""
+
+    def setUp(self) -> None:
+        self._registry = registry.Registry(_ZONE, _KEEP_GONE_S)
+        entries = {
+            ids.EntryId("entry-1"): _ZONE,
+            ids.EntryId("entry-2"): _OTHER_ZONE,
+        }
+        self._view = entry_view.EntryView(
+            ids.EntryId("entry-1"), entries, 0.2, 1.5
+        )
+        self._table = candidates.CandidateTable(self._registry, self._view)
+
+    def _ids(self, now_s: float) -> list[str]:
+        found = self._table.get(_SERVICE, now_s)
+        return [candidate.upstream_id for candidate in found]
+
+    def test_late_lease_needs_a_probe(self) -> None:
+        """A cached tuple must end by itself at two thirds of the lease."""
+        self._registry.announce(builders.build_announcement(), 0.0)
+        self.assertEqual(self._ids(1.9), [_UPSTREAM])
+        self.assertIs(
+            self._table.get(_SERVICE, 1.8), self._table.get(_SERVICE, 1.9)
+        )
+        self.assertEqual(self._ids(2.0), [])
+        (suspect,) = self._table.suspects(2.0)
+        self._table.record_probe(suspect, True, 2.1)
+        (candidate,) = self._table.get(_SERVICE, 2.2)
+        self.assertEqual(candidate.returned_at_s, 2.1)
+        self._table.record_probe(suspect, False, 2.3)
+        self.assertEqual(self._ids(2.4), [])
+        self._table.record_probe(suspect, True, 2.5)
+        self.assertEqual(self._ids(2.99), [_UPSTREAM])
+        self.assertEqual(self._ids(3.0), [])
+
+    def test_failed_connect_outlasts_renewals(self) -> None:
+        """A renewal alone must not return an unreachable upstream."""
+        self._registry.announce(builders.build_announcement(), 0.0)
+        self._table.report_suspect(_UPSTREAM)
+        self._registry.announce(builders.build_announcement(), 0.5)
+        self.assertEqual(self._ids(0.6), [])
+        (suspect,) = self._table.suspects(0.6)
+        self._table.record_probe(suspect, True, 0.7)
+        self.assertEqual(self._ids(0.8), [_UPSTREAM])
+
+    def test_silent_zone(self) -> None:
+        """Another zone's upstreams must go when the zone is not heard."""
+        announcement = builders.build_announcement(
+            availability_zone=_OTHER_ZONE
+        )
+        self._registry.announce(announcement, 0.0)
+        self._view.hear_entry(ids.EntryId("entry-2"), 0.0)
+        self.assertEqual(self._ids(1.4), [_UPSTREAM])
+        self.assertEqual(self._ids(1.5), [])
+
+    def test_vouched_zone_outlasts_leases(self) -> None:
+        """Renewals don't cross zones; a vouched zone must stay usable."""
+        announcement = builders.build_announcement(
+            availability_zone=_OTHER_ZONE
+        )
+        copy = self._registry.announce(announcement, 0.0)
+        for now_s in (2.0, 4.0, 6.0):
+            self._view.hear_entry(ids.EntryId("entry-2"), now_s)
+            self._view.vouch(_OTHER_ZONE, now_s)
+            vouched = self._view.vouched_zones(now_s)
+            self.assertEqual(self._registry.sweep(now_s, vouched), [])
+            self.assertEqual(self._ids(now_s), [_UPSTREAM])
+        ended = dataclasses.replace(copy, remaining_ms=-1_000)
+        self._registry.merge(ended, 6.1)
+        self.assertEqual(self._ids(6.1), [])
+        self.assertIs(_ANNOUNCED, self._registry.get(_UPSTREAM).record.state)
