Close both sockets of a proxied connection on cancellation

Cause: the close of the second socket was skipped when the first close was cancelled, so the fault proxy left sockets open.

Change: both sockets are context managers.

--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -115,12 +115,17 @@
 
     async def _serve(self, near: anyio.abc.SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
-        try:
-            far = await anyio.connect_tcp(host, int(port))
-        except OSError:
-            _abort(near)
-            await anyio.aclose_forcefully(near)
-            return
+        async with near:
+            try:
+                far = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                _abort(near)
+                return
+            await self._serve_pair(near, far)
+
+    async def _serve_pair(
+        self, near: anyio.abc.SocketStream, far: anyio.abc.SocketStream
+    ) -> None:
         pair = _Pair(self, near, far)
         self._open.add(pair)
         try:
@@ -154,14 +159,11 @@
             self.reset()
 
     async def run(self) -> None:
-        try:
+        async with self._near, self._far:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._forward, "up", self._near, self._far)
                     await self._forward("down", self._far, self._near)
-        finally:
-            await anyio.aclose_forcefully(self._near)
-            await anyio.aclose_forcefully(self._far)
 
     async def _forward(
         self,
