--- a/tarragoncleat/settings.py
+++ b/tarragoncleat/settings.py
@@ -169,6 +169,7 @@
     """Protection against slow or hostile callers."""
 
     max_header_bytes: int = pydantic.Field(32_768, ge=1_024, le=1_048_576)
+    header_timeout_ms: int = pydantic.Field(5_000, ge=10, le=600_000)
     max_body_bytes: int = pydantic.Field(16_777_216, ge=0, le=2**40)
     body_idle_timeout_ms: int = pydantic.Field(10_000, ge=10, le=600_000)
     max_connections_per_caller: int = pydantic.Field(256, ge=1, le=100_000)
