Add the replicated log with replicas, learners and proposals

Cause: changes need one durable order that survives the loss of a minority of replicas and reaches every entry.

--- /dev/null
+++ b/tarragoncleat/consensus.py
@@ -0,0 +1,632 @@
+"""The replicated log as a pure function of messages and time.
+
+`Consensus` performs no I/O and reads no clock. Its caller passes messages and
+the time in, does the work of `take_output` in the order that
+`consensus_output.Output` states, and reports finished syncs.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import functools
+import random
+
+from tarragoncleat import consensus_leader
+from tarragoncleat import consensus_log
+from tarragoncleat import consensus_messages
+from tarragoncleat import consensus_output
+from tarragoncleat import errors
+from tarragoncleat import ids
+
+__all__ = ["Consensus", "Role", "Saved"]
+
+
+class Role(enum.Enum):
+    """What an entry does in the replicated log."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    LEARNER = "learner"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Saved:
+    """What a replica reads from its disk when it starts.
+
+    `commit_index` is the last index that was known to be committed.
+    """
+
+    term_vote: consensus_messages.TermVote
+    snapshot: consensus_messages.Snapshot
+    records: Sequence[consensus_messages.Record] = ()
+    commit_index: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _ArrivingSnapshot:
+    index: int
+    index_term: int
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class Consensus:
+    """One replica's part in the replicated log."""
+
+    def __init__(
+        self,
+        entry_id: ids.EntryId,
+        times: consensus_output.Times,
+        generator: random.Random,
+        saved: Saved,
+        now: consensus_output.Now,
+    ) -> None:
+        """Starts as a follower from what the disk holds."""
+        self._entry_id = entry_id
+        self._times = times
+        self._random = generator
+        self._term_vote = saved.term_vote
+        self._log = consensus_log.Log(saved.snapshot, saved.records)
+        known = min(saved.commit_index, self._log.last_index)
+        self._commit_index = max(saved.snapshot.index, known)
+        self._role = Role.FOLLOWER
+        self._leader_id: ids.EntryId | None = None
+        self._leader_contact_s: float | None = None
+        self._leader_commit_index = 0
+        self._leadership: consensus_leader.Leadership | None = None
+        self._votes: set[ids.EntryId] = set()
+        self._arriving: _ArrivingSnapshot | None = None
+        self._output = consensus_output.Output()
+        self._election_due_s = 0.0
+        self._heartbeat_due_s = 0.0
+        self._postpone_election(now)
+
+    @property
+    def role(self) -> Role:
+        """Current role."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._term_vote.term
+
+    @property
+    def leader_id(self) -> ids.EntryId | None:
+        """The leader of the current term, when it is known."""
+        return self._leader_id
+
+    @property
+    def commit_index(self) -> int:
+        """Highest index that is known to be committed."""
+        return self._commit_index
+
+    @property
+    def leader_contact_s(self) -> float | None:
+        """When the last message of a leader arrived; None before the first."""
+        return self._leader_contact_s
+
+    @property
+    def leader_commit_index(self) -> int:
+        """Highest index that a leader has reported as committed."""
+        return max(self._commit_index, self._leader_commit_index)
+
+    @property
+    def log(self) -> consensus_log.Log:
+        """The records in memory, for reading."""
+        return self._log
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this entry is in the latest configuration."""
+        return self._entry_id in self._log.replicas
+
+    def take_output(self) -> consensus_output.Output:
+        """Returns the work since the last call and starts a new collection."""
+        taken = self._output
+        self._output = consensus_output.Output()
+        if self._leadership is not None:
+            self._leadership.use_output(self._output)
+        return taken
+
+    def take_early(self) -> list[consensus_output.Envelope]:
+        """Returns the messages that may be sent before any sync."""
+        taken = self._output.early
+        self._output.early = []
+        return taken
+
+    def take_reads(self) -> list[consensus_output.ReadyRead]:
+        """Returns the reads that a majority has confirmed."""
+        taken = self._output.reads
+        self._output.reads = []
+        return taken
+
+    def must_wait(self) -> bool:
+        """Whether `take_output` holds work that needs or follows a sync."""
+        return self._output.must_wait()
+
+    def tick(self, now: consensus_output.Now) -> None:
+        """Sends due heartbeats, and starts an election when one is due."""
+        if self._leadership is not None:
+            self._tick_leader(self._leadership, now)
+        elif now.monotonic_s >= self._election_due_s:
+            self._start_election(now)
+
+    def step(
+        self,
+        message: consensus_messages.CoreMessage,
+        now: consensus_output.Now,
+    ) -> None:
+        """Takes a message from another replica."""
+        _step(message, self, now)
+
+    def propose(
+        self, payloads: Sequence[bytes], now: consensus_output.Now
+    ) -> int | errors.Failure:
+        """Appends commands to the log of the leader.
+
+        Returns:
+            The index of the first one, or a `Failure` of kind NO_LEADER.
+        """
+        leadership = self._leadership
+        if leadership is None:
+            return self._not_leader()
+        first = self._log.last_index + 1
+        for payload in payloads:
+            self._append(consensus_messages.RecordKind.COMMAND, payload, now)
+        leadership.send_news(self._commit_index, now)
+        return first
+
+    def propose_replicas(
+        self, replicas: Sequence[ids.EntryId], now: consensus_output.Now
+    ) -> int | errors.Failure:
+        """Appends a configuration that adds or removes one replica.
+
+        Returns:
+            The index of the record, or a `Failure`: NO_LEADER when this entry
+            does not lead, CONFLICT when an earlier change or the first record
+            of the term is not committed yet, BAD_REQUEST when the change is
+            not one replica.
+        """
+        leadership = self._leadership
+        if leadership is None:
+            return self._not_leader()
+        # Two configurations that differ by one replica share a member in any
+        # pair of majorities, but only when the older one is committed and the
+        # leader has committed a record of its own term.
+        settled = max(leadership.first_index, self._log.configuration_index)
+        if self._commit_index < settled:
+            return errors.Failure(
+                errors.ErrorKind.CONFLICT,
+                "an earlier change of the replicas is not committed yet",
+            )
+        if len(set(replicas) ^ set(self._log.replicas)) != 1 or not replicas:
+            return errors.Failure(
+                errors.ErrorKind.BAD_REQUEST,
+                "a change must add or remove exactly one replica",
+            )
+        index = self._append(
+            consensus_messages.RecordKind.CONFIGURATION,
+            consensus_messages.encode_configuration(replicas),
+            now,
+        )
+        leadership.update_members(now)
+        leadership.send_news(self._commit_index, now)
+        return index
+
+    def request_read(self, token: int, now: consensus_output.Now) -> bool:
+        """Asks for a read index; returns False when this is no leader.
+
+        The answer appears in `Output.reads`; it never does when the
+        leadership is lost first.
+        """
+        leadership = self._leadership
+        if leadership is None:
+            return False
+        leadership.request_read(token, self._commit_index)
+        leadership.send_heartbeats(self._commit_index, now)
+        leadership.release_reads()
+        return True
+
+    def acknowledge_sync(
+        self, index: int, term: int, now: consensus_output.Now
+    ) -> None:
+        """Reports that the log up to the record (index, term) is synced."""
+        leadership = self._leadership
+        if leadership is None or self._log.term_at(index) != term:
+            return
+        leadership.acknowledge_sync(index)
+        self._advance_commit(leadership, now)
+
+    def compact(
+        self, snapshot: consensus_messages.Snapshot, keep_records: int
+    ) -> None:
+        """Drops the records that a saved snapshot covers, but the last ones."""
+        if snapshot.index <= self._commit_index:
+            keep_from = snapshot.index + 1 - keep_records
+            self._log.compact(snapshot, keep_from)
+
+    def resign(self, now: consensus_output.Now) -> None:
+        """Stops leading, for example when the disk is full."""
+        if self._leadership is not None:
+            self._become_follower(self.term, None, now)
+
+    def _not_leader(self) -> errors.Failure:
+        return errors.Failure(
+            errors.ErrorKind.NO_LEADER, "this entry is not the leader"
+        )
+
+    # Roles and elections.
+
+    def _tick_leader(
+        self,
+        leadership: consensus_leader.Leadership,
+        now: consensus_output.Now,
+    ) -> None:
+        if not leadership.has_quorum_contact(now):
+            self._become_follower(self.term, None, now)
+        elif now.monotonic_s >= self._heartbeat_due_s:
+            self._heartbeat_due_s = now.monotonic_s + self._times.heartbeat_s
+            leadership.send_heartbeats(self._commit_index, now)
+            leadership.release_reads()
+
+    def _postpone_election(self, now: consensus_output.Now) -> None:
+        timeout_s = self._random.uniform(
+            self._times.election_min_s, self._times.election_max_s
+        )
+        self._election_due_s = now.monotonic_s + timeout_s
+
+    def _hears_leader(self, now: consensus_output.Now) -> bool:
+        if self._leadership is not None:
+            return True
+        if self._leader_id is None or self._leader_contact_s is None:
+            return False
+        silence_s = now.monotonic_s - self._leader_contact_s
+        return silence_s < self._times.election_min_s
+
+    def _set_term(self, term: int, voted_for: ids.EntryId | None) -> None:
+        vote = consensus_messages.TermVote(term, voted_for)
+        if vote != self._term_vote:
+            self._term_vote = vote
+            self._output.term_vote = vote
+
+    def _become_follower(
+        self,
+        term: int,
+        leader_id: ids.EntryId | None,
+        now: consensus_output.Now,
+    ) -> None:
+        if term > self.term:
+            self._set_term(term, None)
+        self._role = Role.FOLLOWER
+        self._leadership = None
+        self._leader_id = leader_id
+        self._votes = set()
+        self._postpone_election(now)
+
+    def _start_election(self, now: consensus_output.Now) -> None:
+        self._postpone_election(now)
+        self._leader_id = None
+        self._role = Role.FOLLOWER
+        if self.is_member:
+            self._role = Role.PRE_CANDIDATE
+            self._collect_votes(now)
+
+    def _collect_votes(self, now: consensus_output.Now) -> None:
+        pre_vote = self._role is Role.PRE_CANDIDATE
+        self._votes = {self._entry_id}
+        request = consensus_messages.VoteRequest(
+            self.term + 1 if pre_vote else self.term,
+            self._entry_id,
+            self._log.last_index,
+            self._log.last_term,
+            pre_vote,
+        )
+        for member in self._log.replicas:
+            if member != self._entry_id:
+                self._send(member, request)
+        self._count_votes(now)
+
+    def _count_votes(self, now: consensus_output.Now) -> None:
+        granted = self._votes & set(self._log.replicas)
+        if 2 * len(granted) <= len(self._log.replicas):
+            return
+        if self._role is Role.PRE_CANDIDATE:
+            self._role = Role.CANDIDATE
+            self._set_term(self.term + 1, self._entry_id)
+            self._collect_votes(now)
+        else:
+            self._become_leader(now)
+
+    def _become_leader(self, now: consensus_output.Now) -> None:
+        self._role = Role.LEADER
+        self._leader_id = self._entry_id
+        leadership = consensus_leader.Leadership(
+            self._entry_id, self.term, self._log, self._times, now, self._output
+        )
+        self._leadership = leadership
+        self._append(consensus_messages.RecordKind.NO_OP, b"", now)
+        self._heartbeat_due_s = now.monotonic_s + self._times.heartbeat_s
+        leadership.send_heartbeats(self._commit_index, now)
+
+    # Log.
+
+    def _append(
+        self,
+        kind: consensus_messages.RecordKind,
+        payload: bytes,
+        now: consensus_output.Now,
+    ) -> int:
+        record = consensus_messages.Record(
+            self._log.last_index + 1,
+            self.term,
+            max(now.wall_ms, self._log.last_time_ms),
+            kind,
+            payload,
+        )
+        self._log.append(record)
+        self._output.records.append(record)
+        return record.index
+
+    def _advance_commit(
+        self,
+        leadership: consensus_leader.Leadership,
+        now: consensus_output.Now,
+    ) -> None:
+        index = leadership.commit_index()
+        if index <= self._commit_index:
+            return
+        self._commit_index = index
+        settled = self._log.configuration_index <= index
+        if settled and not self.is_member:
+            # Tells the others that the removal is committed before it stops.
+            leadership.send_heartbeats(index, now)
+            self._become_follower(self.term, None, now)
+
+    def _send(
+        self, to: ids.EntryId, message: consensus_messages.CoreMessage
+    ) -> None:
+        self._output.messages.append(consensus_output.Envelope(to, message))
+
+    # Messages; called from `_step` once the term was compared.
+
+    def _on_vote_request(
+        self,
+        request: consensus_messages.VoteRequest,
+        now: consensus_output.Now,
+    ) -> None:
+        # A replica that hears a leader ignores candidates, so that one that
+        # was cut off or removed can't depose a working leader.
+        if self._hears_leader(now):
+            return
+        if request.term > self.term and not request.pre_vote:
+            self._become_follower(request.term, None, now)
+        up_to_date = (request.last_term, request.last_index) >= (
+            self._log.last_term,
+            self._log.last_index,
+        )
+        if request.pre_vote:
+            granted = up_to_date and request.term > self.term
+        else:
+            free = self._term_vote.voted_for in (None, request.candidate)
+            granted = up_to_date and request.term == self.term and free
+            if granted:
+                self._set_term(self.term, request.candidate)
+                self._postpone_election(now)
+        term = request.term if granted else self.term
+        reply = consensus_messages.VoteReply(
+            term, self._entry_id, granted, request.pre_vote
+        )
+        self._send(request.candidate, reply)
+
+    def _on_vote_reply(
+        self, reply: consensus_messages.VoteReply, now: consensus_output.Now
+    ) -> None:
+        if reply.pre_vote and reply.granted:
+            expected = self._role is Role.PRE_CANDIDATE
+            if not expected or reply.term != self.term + 1:
+                return
+        elif reply.term > self.term:
+            self._become_follower(reply.term, None, now)
+            return
+        elif self._role is not Role.CANDIDATE or reply.term != self.term:
+            return
+        if reply.granted:
+            self._votes.add(reply.voter)
+            self._count_votes(now)
+
+    def _accept_leader(
+        self, term: int, leader: ids.EntryId, now: consensus_output.Now
+    ) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term or self._role is not Role.FOLLOWER:
+            self._become_follower(term, leader, now)
+        self._leader_id = leader
+        self._leader_contact_s = now.monotonic_s
+        self._postpone_election(now)
+        return True
+
+    def _on_append_request(
+        self,
+        request: consensus_messages.AppendRequest,
+        now: consensus_output.Now,
+    ) -> None:
+        accepted = self._accept_leader(request.term, request.leader, now)
+        match_index = 0
+        if accepted:
+            self._leader_commit_index = max(
+                self._leader_commit_index, request.commit_index
+            )
+            accepted, match_index = self._store_records(request)
+        if accepted:
+            self._commit_index = max(
+                self._commit_index, min(request.commit_index, match_index)
+            )
+        reply = consensus_messages.AppendReply(
+            self.term,
+            self._entry_id,
+            accepted,
+            match_index,
+            request.sequence,
+        )
+        self._send(request.leader, reply)
+
+    def _store_records(
+        self, request: consensus_messages.AppendRequest
+    ) -> tuple[bool, int]:
+        previous = request.previous_index
+        if previous < self._commit_index:
+            # What is committed equals the leader's log, also when it is no
+            # longer in memory.
+            known = True
+        else:
+            known = self._log.term_at(previous) == request.previous_term
+        if not known:
+            return False, self._last_possible_match(previous)
+        for record in request.records:
+            is_new = record.index > self._commit_index
+            if is_new and self._log.term_at(record.index) != record.term:
+                self._log.append(record)
+                self._output.records.append(record)
+        last = previous + len(request.records)
+        return True, last
+
+    def _last_possible_match(self, previous: int) -> int:
+        index = min(previous - 1, self._log.last_index)
+        if previous <= self._log.last_index:
+            term = self._log.term_at(previous)
+            while index > self._commit_index and (
+                self._log.term_at(index) == term
+            ):
+                index -= 1
+        return max(index, self._commit_index)
+
+    def _on_snapshot_chunk(
+        self,
+        chunk: consensus_messages.SnapshotChunk,
+        now: consensus_output.Now,
+    ) -> None:
+        if not self._accept_leader(chunk.term, chunk.leader, now):
+            self._reply_to_snapshot(chunk, accepted=False, match_index=0)
+            return
+        if chunk.index <= self._commit_index:
+            self._reply_to_snapshot(chunk, True, self._commit_index)
+            return
+        arriving = self._arriving
+        if arriving is None or (arriving.index, arriving.index_term) != (
+            chunk.index,
+            chunk.index_term,
+        ):
+            arriving = _ArrivingSnapshot(chunk.index, chunk.index_term)
+            self._arriving = arriving
+        if chunk.offset == len(arriving.data):
+            arriving.data += chunk.data
+        if len(arriving.data) < chunk.size:
+            reply = consensus_messages.SnapshotReply(
+                self.term,
+                self._entry_id,
+                chunk.index,
+                len(arriving.data),
+                chunk.sequence,
+            )
+            self._send(chunk.leader, reply)
+            return
+        self._install(chunk, bytes(arriving.data))
+        self._reply_to_snapshot(chunk, True, chunk.index)
+
+    def _install(
+        self, chunk: consensus_messages.SnapshotChunk, data: bytes
+    ) -> None:
+        snapshot = consensus_messages.Snapshot(
+            chunk.index, chunk.index_term, chunk.time_ms, chunk.replicas, data
+        )
+        self._arriving = None
+        if self._log.term_at(snapshot.index) != snapshot.term:
+            self._output.reset_log = True
+            self._output.records = []
+        self._log.compact(snapshot, snapshot.index + 1)
+        self._commit_index = snapshot.index
+        self._output.snapshot = snapshot
+
+    def _reply_to_snapshot(
+        self,
+        chunk: consensus_messages.SnapshotChunk,
+        accepted: bool,
+        match_index: int,
+    ) -> None:
+        reply = consensus_messages.AppendReply(
+            self.term, self._entry_id, accepted, match_index, chunk.sequence
+        )
+        self._send(chunk.leader, reply)
+
+    def _on_reply(
+        self,
+        reply: consensus_messages.AppendReply
+        | consensus_messages.SnapshotReply,
+        now: consensus_output.Now,
+    ) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, None, now)
+        leadership = self._leadership
+        if leadership is None or reply.term != self.term:
+            return
+        if isinstance(reply, consensus_messages.SnapshotReply):
+            leadership.on_snapshot_reply(reply, now)
+        else:
+            leadership.on_append_reply(reply, self._commit_index, now)
+            self._advance_commit(leadership, now)
+        if self._leadership is not None:
+            leadership.release_reads()
+
+
+@functools.singledispatch
+def _step(message: object, core: Consensus, now: consensus_output.Now) -> None:
+    raise TypeError(f"not a message of the log: {type(message).__name__}")
+
+
+@_step.register
+def _(
+    message: consensus_messages.VoteRequest,
+    core: Consensus,
+    now: consensus_output.Now,
+) -> None:
+    core._on_vote_request(message, now)
+
+
+@_step.register
+def _(
+    message: consensus_messages.VoteReply,
+    core: Consensus,
+    now: consensus_output.Now,
+) -> None:
+    core._on_vote_reply(message, now)
+
+
+@_step.register
+def _(
+    message: consensus_messages.AppendRequest,
+    core: Consensus,
+    now: consensus_output.Now,
+) -> None:
+    core._on_append_request(message, now)
+
+
+@_step.register
+def _(
+    message: consensus_messages.SnapshotChunk,
+    core: Consensus,
+    now: consensus_output.Now,
+) -> None:
+    core._on_snapshot_chunk(message, now)
+
+
+@_step.register(consensus_messages.AppendReply)
+@_step.register(consensus_messages.SnapshotReply)
+def _(
+    message: consensus_messages.AppendReply | consensus_messages.SnapshotReply,
+    core: Consensus,
+    now: consensus_output.Now,
+) -> None:
+    core._on_reply(message, now)
--- /dev/null
+++ b/tarragoncleat/followers.py
@@ -0,0 +1,239 @@
+"""Learners: entries that follow an up-to-date entry of the log."""
+
+from collections.abc import Iterable, Mapping, Sequence
+import dataclasses
+import zlib
+
+import loguru
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import consensus_messages
+from tarragoncleat import feed
+from tarragoncleat import ids
+from tarragoncleat import replication_messages
+from tarragoncleat import timer as timer_module
+
+__all__ = ["Follower", "rank_sources"]
+
+_MS_PER_S = 1000
+# A source that is silent, or whose own state is older than this, is left.
+_STALE_S = 2.0
+_SUSPECT_S = 5.0
+_ACK_EVERY_RECORDS = 128
+
+
+def rank_sources(
+    entry_id: ids.EntryId,
+    zone_by_entry: Mapping[ids.EntryId, ids.AvailabilityZone],
+    replicas: Iterable[ids.EntryId],
+    connected: Iterable[ids.EntryId],
+) -> Sequence[ids.EntryId]:
+    """Returns the entries to follow, the best first.
+
+    Replicas of the own zone come first, then entries of the own zone with a
+    lower id, so that only the lowest one follows a replica in another zone.
+    The zones are spread over the replicas. Other entries are the last resort.
+    """
+    zone = zone_by_entry[entry_id]
+    replica_ids = frozenset(replicas)
+
+    def rank(other: ids.EntryId) -> tuple[int, int, str]:
+        is_near = zone_by_entry[other] == zone
+        is_replica = other in replica_ids
+        if is_near and is_replica:
+            return 0, 0, other
+        if is_near and other < entry_id:
+            return 1, 0, other
+        if is_replica:
+            spread = zlib.crc32(f"{zone} {other}".encode())
+            return 2, spread, other
+        return 3, 0, other
+
+    known = (other for other in connected if other in zone_by_entry)
+    return sorted((other for other in known if other != entry_id), key=rank)
+
+
+@dataclasses.dataclass(slots=True)
+class _ArrivingSnapshot:
+    index: int
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class Follower:
+    """Follows one source at a time and changes it when it falls behind."""
+
+    def __init__(
+        self,
+        entry_id: ids.EntryId,
+        zone_by_entry: Mapping[ids.EntryId, ids.AvailabilityZone],
+        links: replication_messages.Links,
+        timer: timer_module.TimerService,
+        applier: applier_module.Applier,
+    ) -> None:
+        """Connects the parts; `tick` must be called every follow interval."""
+        self._entry_id = entry_id
+        self._zone_by_entry = zone_by_entry
+        self._links = links
+        self._timer = timer
+        self._applier = applier
+        self._source: ids.EntryId | None = None
+        self._followed_since_s = 0.0
+        self._heard_s: float | None = None
+        self._current_at_s: float | None = None
+        self._source_index = 0
+        self._term = 0
+        self._leader_id: ids.EntryId | None = None
+        self._suspect_until_s: dict[ids.EntryId, float] = {}
+        self._arriving: _ArrivingSnapshot | None = None
+        self._unacked = 0
+
+    @property
+    def source(self) -> ids.EntryId | None:
+        """The entry that this one follows."""
+        return self._source
+
+    @property
+    def term(self) -> int:
+        """The latest term that a source has reported."""
+        return self._term
+
+    @property
+    def leader_id(self) -> ids.EntryId | None:
+        """The leader that the source has reported."""
+        return self._leader_id
+
+    @property
+    def source_index(self) -> int:
+        """Highest applied index that a source has reported."""
+        return self._source_index
+
+    @property
+    def current_at_s(self) -> float | None:
+        """When this entry's state was known to be current, if ever."""
+        return self._current_at_s
+
+    def tick(self, replicas: Iterable[ids.EntryId]) -> None:
+        """Chooses the source and renews the subscription."""
+        now_s = self._timer.monotonic_s()
+        self._leave_stale_source(now_s)
+        ranked = rank_sources(
+            self._entry_id,
+            self._zone_by_entry,
+            replicas,
+            self._links.connected(),
+        )
+        best = self._first_unsuspected(ranked, now_s)
+        if best != self._source:
+            self._follow(best, now_s)
+        elif self._source is not None:
+            is_silent = self._is_silent(now_s, feed.FOLLOW_INTERVAL_S * 1.5)
+            self._request(restart=is_silent)
+
+    def stop(self) -> None:
+        """Forgets the source, for an entry that became a replica."""
+        self._source = None
+
+    def on_batch(
+        self, sender: ids.EntryId, batch: replication_messages.FollowBatch
+    ) -> None:
+        """Applies the records of the source, in order."""
+        if sender != self._source:
+            return
+        now_s = self._timer.monotonic_s()
+        self._heard_s = now_s
+        if batch.previous_index > self._applier.applied_index:
+            self._request(restart=True)
+            return
+        for record in batch.records:
+            self._applier.apply(record)
+        self._learn(batch, now_s)
+        self._unacked += len(batch.records)
+        if self._unacked >= _ACK_EVERY_RECORDS:
+            self._request(restart=False)
+
+    def on_snapshot(
+        self,
+        sender: ids.EntryId,
+        chunk: replication_messages.FollowSnapshot,
+    ) -> None:
+        """Collects a snapshot and restores it when it is complete."""
+        if sender != self._source:
+            return
+        self._heard_s = self._timer.monotonic_s()
+        if chunk.index <= self._applier.applied_index:
+            self._request(restart=True)
+            return
+        if self._arriving is None or self._arriving.index != chunk.index:
+            self._arriving = _ArrivingSnapshot(chunk.index)
+        data = self._arriving.data
+        if chunk.offset == len(data):
+            data += chunk.data
+        if len(data) < chunk.size:
+            self._request(restart=False)
+            return
+        self._arriving = None
+        self._applier.restore(
+            consensus_messages.Snapshot(
+                chunk.index,
+                chunk.index_term,
+                chunk.time_ms,
+                chunk.replicas,
+                bytes(data),
+            )
+        )
+        self._request(restart=True)
+
+    def _learn(
+        self, batch: replication_messages.FollowBatch, now_s: float
+    ) -> None:
+        current_at_s = now_s - batch.age_ms / _MS_PER_S
+        if self._current_at_s is None or current_at_s > self._current_at_s:
+            self._current_at_s = current_at_s
+        self._source_index = max(self._source_index, batch.applied_index)
+        if batch.term >= self._term:
+            self._term = batch.term
+            self._leader_id = batch.leader_id
+
+    def _is_silent(self, now_s: float, limit_s: float) -> bool:
+        heard_s = self._heard_s or self._followed_since_s
+        return now_s - max(heard_s, self._followed_since_s) > limit_s
+
+    def _leave_stale_source(self, now_s: float) -> None:
+        source = self._source
+        if source is None:
+            return
+        current_at_s = self._current_at_s or 0.0
+        is_stale = now_s - max(current_at_s, self._followed_since_s) > _STALE_S
+        if is_stale or self._is_silent(now_s, _STALE_S):
+            self._suspect_until_s[source] = now_s + _SUSPECT_S
+
+    def _first_unsuspected(
+        self, ranked: Sequence[ids.EntryId], now_s: float
+    ) -> ids.EntryId | None:
+        for entry_id in ranked:
+            if self._suspect_until_s.get(entry_id, 0.0) <= now_s:
+                return entry_id
+        return ranked[0] if ranked else None
+
+    def _follow(self, source: ids.EntryId | None, now_s: float) -> None:
+        loguru.logger.debug(
+            "follows another entry", source=source, previous=self._source
+        )
+        self._source = source
+        self._followed_since_s = now_s
+        self._arriving = None
+        self._request(restart=True)
+
+    def _request(self, restart: bool) -> None:
+        if self._source is None:
+            return
+        self._unacked = 0
+        arriving = self._arriving
+        request = replication_messages.FollowRequest(
+            self._applier.applied_index,
+            restart,
+            arriving.index if arriving else 0,
+            len(arriving.data) if arriving else 0,
+        )
+        # A request that the link drops is repeated by the next tick.
+        self._links.send(self._source, request)
--- /dev/null
+++ b/tarragoncleat/log_files.py
@@ -0,0 +1,281 @@
+"""Checked files: whole files that are replaced atomically, and segments.
+
+A segment is a header and frames. A frame holds one record and says which
+write it belongs to and how many frames of that write follow it. This tells a
+write that a crash cut short, which nobody relied on, from damage to records
+that were synced before.
+"""
+
+from collections.abc import Iterator, Sequence
+import dataclasses
+import errno
+import os
+import pathlib
+import struct
+
+import xxhash
+
+from tarragoncleat import errors
+
+__all__ = [
+    "Frame",
+    "Segment",
+    "failure_of",
+    "pack_frames",
+    "pack_segment_header",
+    "read_sealed",
+    "read_segment",
+    "sync_folder",
+    "write_all",
+    "write_sealed",
+]
+
+_SEALED_MAGIC = b"TCFILE1\n"
+_SEALED_HEADER = struct.Struct(">8sQQ")
+_SEGMENT_MAGIC = b"TCLOG01\n"
+_SEGMENT_HEADER = struct.Struct(">8sQQ")
+# 0xc1 never occurs in msgpack outside of binary and text values, so that a
+# search for frames behind damage rarely tries a wrong place.
+_MARKER = b"\xc1\xf7"
+# Marker, length of the body, batch, remaining frames, checksum of the body,
+# and checksum of these fields. A wrong length would otherwise look like a
+# write that was cut short.
+_FRAME_FIELDS = struct.Struct(">2sIQIQ")
+_FIELDS_CHECKSUM = struct.Struct(">I")
+_FRAME_HEADER_BYTES = _FRAME_FIELDS.size + _FIELDS_CHECKSUM.size
+# File systems lose unsynced data in whole sectors, which read as zeros.
+_SECTOR_BYTES = 512
+# Fewer zeros than this at the end of the last sector may belong to a record.
+_MIN_ZERO_TAIL_BYTES = 16
+_FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame that was read, with the write that it belongs to."""
+
+    body: bytes
+    batch: int
+    remaining: int
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Segment:
+    """The content of a segment.
+
+    `torn_at` is the offset where a write was cut short by a crash.
+    """
+
+    first_batch: int
+    frames: Sequence[Frame]
+    torn_at: int | None
+
+    @property
+    def next_batch(self) -> int:
+        """Number of the write that follows the segment."""
+        if self.frames:
+            return self.frames[-1].batch + 1
+        return self.first_batch
+
+
+def failure_of(error: OSError, path: pathlib.Path) -> errors.Failure:
+    """Returns the failure for an error of the operating system."""
+    if error.errno in _FULL_ERRNOS:
+        kind = errors.ErrorKind.DISK_FULL
+    else:
+        kind = errors.ErrorKind.STORAGE
+    return errors.Failure(kind, f"{path}: {error.strerror or error}")
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Makes creations, renames and removals in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Writes all of `data`, however often the system takes only a part."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def write_sealed(path: pathlib.Path, body: bytes) -> None:
+    """Replaces a whole file so that a crash leaves the old or the new one."""
+    checksum = xxhash.xxh3_64_intdigest(body)
+    header = _SEALED_HEADER.pack(_SEALED_MAGIC, len(body), checksum)
+    temporary = path.with_suffix(".tmp")
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    descriptor = os.open(temporary, flags, 0o600)
+    try:
+        write_all(descriptor, header + body)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def read_sealed(path: pathlib.Path) -> bytes | errors.Failure:
+    """Reads a file of `write_sealed`; damage is a Failure of kind STORAGE."""
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        return failure_of(error, path)
+    if len(content) < _SEALED_HEADER.size:
+        return _damage(path, len(content), "the file is too short")
+    magic, length, checksum = _SEALED_HEADER.unpack_from(content)
+    body = content[_SEALED_HEADER.size :]
+    if magic != _SEALED_MAGIC or length != len(body):
+        return _damage(path, 0, "the header does not fit the file")
+    if xxhash.xxh3_64_intdigest(body) != checksum:
+        return _damage(path, _SEALED_HEADER.size, "the checksum is wrong")
+    return body
+
+
+def pack_segment_header(first_batch: int) -> bytes:
+    """Returns the start of a segment."""
+    checksum = xxhash.xxh3_64_intdigest(first_batch.to_bytes(8, "big"))
+    return _SEGMENT_HEADER.pack(_SEGMENT_MAGIC, first_batch, checksum)
+
+
+def pack_frames(bodies: Sequence[bytes], batch: int) -> bytes:
+    """Returns the frames of one write."""
+    parts = []
+    for position, body in enumerate(bodies):
+        remaining = len(bodies) - 1 - position
+        checksum = xxhash.xxh3_64_intdigest(body)
+        fields = _FRAME_FIELDS.pack(
+            _MARKER, len(body), batch, remaining, checksum
+        )
+        parts.append(fields)
+        parts.append(_FIELDS_CHECKSUM.pack(xxhash.xxh32_intdigest(fields)))
+        parts.append(body)
+    return b"".join(parts)
+
+
+def read_segment(path: pathlib.Path, is_last: bool) -> Segment | errors.Failure:
+    """Reads a segment.
+
+    Only the last segment may end in a write that was cut short.
+
+    Returns:
+        The complete writes, or a Failure of kind STORAGE with the offset of
+        the damage.
+    """
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        return failure_of(error, path)
+    first_batch = _read_header(content)
+    if first_batch is None:
+        torn = is_last and _is_torn(content, 0, _SEGMENT_HEADER.size)
+        if torn and len(content) <= _SEGMENT_HEADER.size:
+            return Segment(0, (), 0)
+        return _damage(path, 0, "the header is damaged")
+    frames = list(_valid_frames(content, _SEGMENT_HEADER.size))
+    end = frames[-1].end if frames else _SEGMENT_HEADER.size
+    complete = _complete_writes(frames)
+    complete_end = complete[-1].end if complete else _SEGMENT_HEADER.size
+    segment = Segment(first_batch, complete, None)
+    if complete_end == len(content):
+        return segment
+    if not is_last or not _is_last_write(content, end, segment.next_batch):
+        return _damage(path, end, "a synced record is damaged")
+    return dataclasses.replace(segment, torn_at=complete_end)
+
+
+def _damage(path: pathlib.Path, offset: int, what: str) -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.STORAGE,
+        f"{path}: damaged at offset {offset}: {what}",
+        {"file": str(path), "offset": offset},
+    )
+
+
+def _read_header(content: bytes) -> int | None:
+    if len(content) < _SEGMENT_HEADER.size:
+        return None
+    magic, first_batch, checksum = _SEGMENT_HEADER.unpack_from(content)
+    expected = xxhash.xxh3_64_intdigest(first_batch.to_bytes(8, "big"))
+    if magic != _SEGMENT_MAGIC or checksum != expected:
+        return None
+    return first_batch
+
+
+def _frame_fields(
+    content: bytes, offset: int
+) -> tuple[int, int, int, int] | None:
+    start = offset + _FRAME_HEADER_BYTES
+    if start > len(content):
+        return None
+    fields = content[offset : offset + _FRAME_FIELDS.size]
+    (checksum,) = _FIELDS_CHECKSUM.unpack_from(content, offset + len(fields))
+    marker, *values = _FRAME_FIELDS.unpack(fields)
+    if marker != _MARKER or checksum != xxhash.xxh32_intdigest(fields):
+        return None
+    length, batch, remaining, body_checksum = values
+    return length, batch, remaining, body_checksum
+
+
+def _frame_at(content: bytes, offset: int) -> Frame | None:
+    fields = _frame_fields(content, offset)
+    if fields is None:
+        return None
+    length, batch, remaining, checksum = fields
+    start = offset + _FRAME_HEADER_BYTES
+    body = content[start : start + length]
+    if len(body) < length or xxhash.xxh3_64_intdigest(body) != checksum:
+        return None
+    return Frame(body, batch, remaining, start + length)
+
+
+def _valid_frames(content: bytes, offset: int) -> Iterator[Frame]:
+    while (frame := _frame_at(content, offset)) is not None:
+        yield frame
+        offset = frame.end
+
+
+def _complete_writes(frames: Sequence[Frame]) -> Sequence[Frame]:
+    count = len(frames)
+    while count and frames[count - 1].remaining:
+        count -= 1
+    return frames[:count]
+
+
+def _is_last_write(content: bytes, offset: int, batch: int) -> bool:
+    """Whether only the unsynced write `batch` is damaged at `offset`."""
+    position = content.find(_MARKER, offset + 1)
+    end = len(content)
+    while position >= 0:
+        frame = _frame_at(content, position)
+        if frame is not None:
+            if frame.batch != batch:
+                return False
+            end = min(end, position)
+        position = content.find(_MARKER, position + 1)
+    return _is_torn(content, offset, end)
+
+
+def _is_torn(content: bytes, offset: int, end: int) -> bool:
+    """Whether bytes are missing, rather than changed, from `offset` on."""
+    start = offset + _FRAME_HEADER_BYTES
+    if end == len(content):
+        fields = _frame_fields(content, offset)
+        if start > end or (fields is not None and start + fields[0] > end):
+            return True
+    region = content[offset:end]
+    if not region.strip(b"\0"):
+        return True
+    first = -(-offset // _SECTOR_BYTES) * _SECTOR_BYTES
+    tail_start = end // _SECTOR_BYTES * _SECTOR_BYTES
+    sectors = range(first, max(first, tail_start), _SECTOR_BYTES)
+    zeros = bytes(_SECTOR_BYTES)
+    if any(content[at : at + _SECTOR_BYTES] == zeros for at in sectors):
+        return True
+    tail = content[max(tail_start, offset) : end]
+    return len(tail) >= _MIN_ZERO_TAIL_BYTES and not tail.strip(b"\0")
--- /dev/null
+++ b/tarragoncleat/replication.py
@@ -0,0 +1,427 @@
+"""The replicated log of this entry, as a replica or as a learner."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import anyio
+import loguru
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import consensus
+from tarragoncleat import consensus_messages
+from tarragoncleat import errors
+from tarragoncleat import feed as feed_module
+from tarragoncleat import followers
+from tarragoncleat import ids
+from tarragoncleat import in_force as in_force_module
+from tarragoncleat import log_store
+from tarragoncleat import proposals as proposals_module
+from tarragoncleat import read_index
+from tarragoncleat import replica as replica_module
+from tarragoncleat import replication_messages
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+
+__all__ = ["Applied", "InForce", "Replication", "StateMachine"]
+
+Applied = applier_module.Applied
+InForce = in_force_module.InForce
+StateMachine = applier_module.StateMachine
+
+_MS_PER_S = 1000
+_REPORT_INTERVAL_S = 0.2
+# Rows are sent this rarely per entry, so that the reports of a large fleet
+# stay below a tenth of the 5 KB/s that control may use.
+_REPORT_INTERVAL_PER_ENTRY_S = 0.05
+_MIN_REPORT_INTERVAL_S = 1.0
+_RECEIVED = (
+    consensus_messages.VoteRequest,
+    consensus_messages.VoteReply,
+    consensus_messages.AppendRequest,
+    consensus_messages.AppendReply,
+    consensus_messages.SnapshotChunk,
+    consensus_messages.SnapshotReply,
+    replication_messages.ProposeRequest,
+    replication_messages.ProposeReply,
+    replication_messages.ReadIndexRequest,
+    replication_messages.ReadIndexReply,
+    replication_messages.FollowRequest,
+    replication_messages.FollowBatch,
+    replication_messages.FollowSnapshot,
+    replication_messages.InForceReport,
+)
+
+
+class Replication:
+    """Connects consensus, disk, proposals, reads and learners."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        links: replication_messages.Links,
+        timer: timer_module.TimerService,
+        state_machine: applier_module.StateMachine,
+    ) -> None:
+        """Prepares the log; `run` opens the data folder and starts it."""
+        self._settings = settings
+        self._links = links
+        self._timer = timer
+        self._entry_id = settings.entry_id
+        self._applier = applier_module.Applier(
+            state_machine,
+            settings.replica_ids,
+            settings.consensus.snapshot_every_records,
+        )
+        self._replica: replica_module.Replica | None = None
+        self._follower = followers.Follower(
+            settings.entry_id,
+            settings.zone_by_entry,
+            links,
+            timer,
+            self._applier,
+        )
+        self._feed = feed_module.Feed(
+            links, timer, self._applier, self._leader_view
+        )
+        self._proposals = proposals_module.Proposals(
+            links, timer, self._applier, self
+        )
+        self._reads = read_index.ReadBarriers(
+            links,
+            timer,
+            self._applier,
+            self._request_read,
+            lambda: self.leader_id,
+        )
+        self._in_force = in_force_module.InForceTable(settings.entry_id)
+        self._reported_below: dict[ids.EntryId, tuple[ids.EntryId, ...]] = {}
+        self._reported_version = 0
+        self._reported_s = 0.0
+        self._leader_since_s: float | None = None
+        self._cut_off_after_s = (
+            2 * settings.consensus.election_timeout_max_ms / _MS_PER_S
+        )
+        self._started_s = timer.monotonic_s()
+        self._started_ms = timer.wall_time_ms()
+        self._changed = anyio.Event()
+        self._has_caught_up = False
+        self._is_open = False
+        self._received = links.subscribe(*_RECEIVED)
+        self._owners = self._message_owners()
+
+    def open(self) -> errors.Failure | None:
+        """Reads the data folder of a replica; a learner has none.
+
+        Returns:
+            A Failure of kind STORAGE or DISK_FULL when the entry must not
+            start.
+        """
+        folder = self._settings.entry.data_folder
+        if self._is_open or folder is None:
+            return None
+        store = log_store.LogStore(folder)
+        saved = store.load(self._settings.replica_ids)
+        if isinstance(saved, errors.Failure):
+            return saved
+        self._replica = replica_module.Replica(
+            self._settings,
+            self._links,
+            self._timer,
+            self._applier,
+            store,
+            saved,
+            self._reads.on_ready,
+            self._note_change,
+        )
+        self._is_open = True
+        return None
+
+    async def run(self) -> errors.Failure | None:
+        """Replicates until cancelled.
+
+        Returns:
+            The Failure of `open`, when that was not called before and fails.
+        """
+        failure = self.open()
+        if failure is not None:
+            return failure
+        try:
+            async with anyio.create_task_group() as tasks:
+                if self._replica is not None:
+                    tasks.start_soon(self._replica.run)
+                tasks.start_soon(self._proposals.run)
+                tasks.start_soon(self._feed.run)
+                tasks.start_soon(self._publish)
+                tasks.start_soon(self._report)
+                tasks.start_soon(self._follow)
+                await self._receive()
+        finally:
+            self._received.close()
+            if self._replica is not None:
+                self._replica.close()
+        return None
+
+    # What callers use.
+
+    async def propose(
+        self, payload: bytes, timeout_s: float
+    ) -> applier_module.Applied | errors.Failure:
+        """Replicates a payload and returns the state machine's result.
+
+        Returns:
+            The result, or a `Failure`. NO_LEADER, DISK_FULL, OVERLOADED and
+            TOO_LARGE mean that the payload will never be applied; UNDECIDED
+            means that it may have been, or still may be.
+        """
+        return await self._proposals.propose(payload, timeout_s)
+
+    async def read_barrier(self, timeout_s: float) -> int | errors.Failure:
+        """Waits until the state here includes every earlier commit.
+
+        Returns:
+            An index that is applied here, or a `Failure` of kind NO_LEADER.
+        """
+        return await self._reads.wait(timeout_s)
+
+    async def change_replica(
+        self, entry_id: ids.EntryId, is_replica: bool, timeout_s: float
+    ) -> applier_module.Applied | errors.Failure:
+        """Adds a replica or removes one; only the leader can do it."""
+        if self._replica is None:
+            return errors.Failure(
+                errors.ErrorKind.NO_LEADER, "this entry is not the leader"
+            )
+        replicas = set(self._replica.core.log.replicas)
+        replicas = (
+            replicas | {entry_id} if is_replica else replicas - {entry_id}
+        )
+        index = self._replica.propose_replicas(sorted(replicas))
+        if isinstance(index, errors.Failure):
+            return index
+        waiter = applier_module.Waiter()
+        self._applier.watch(index, self.term, waiter)
+        await waiter.wait(timeout_s)
+        self._applier.forget(index, waiter)
+        return waiter.outcome or errors.Failure(
+            errors.ErrorKind.UNDECIDED,
+            "no majority confirmed the change of the replicas in time",
+        )
+
+    @property
+    def role(self) -> consensus.Role:
+        """What this entry does in the log at present."""
+        core = self._voting_core()
+        return consensus.Role.LEARNER if core is None else core.role
+
+    @property
+    def term(self) -> int:
+        """The latest term that this entry knows."""
+        own = self._replica.core.term if self._replica else 0
+        return max(own, self._follower.term)
+
+    @property
+    def leader_id(self) -> ids.EntryId | None:
+        """The leader that this entry knows of."""
+        core = self._voting_core()
+        return self._follower.leader_id if core is None else core.leader_id
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this entry leads."""
+        return self.role is consensus.Role.LEADER
+
+    @property
+    def leader_since_s(self) -> float | None:
+        """Monotonic time since which this entry leads; None if it doesn't."""
+        return self._leader_since_s if self.is_leader else None
+
+    @property
+    def commit_index(self) -> int:
+        """Highest index that this entry knows to be committed."""
+        known = self._replica.core.leader_commit_index if self._replica else 0
+        return max(
+            known, self._follower.source_index, self._applier.applied_index
+        )
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last applied record; it never decreases."""
+        return self._applier.applied_index
+
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the state here was current at least once since the start.
+
+        An entry that has just started holds an older state than it may have
+        served before, so that it should not serve callers yet.
+        """
+        return self._has_caught_up
+
+    @property
+    def cut_off_since_ms(self) -> int | None:
+        """Wall time since which no leader was heard of; None when in touch."""
+        age_s = self._leader_view().age_s
+        if age_s <= self._cut_off_after_s:
+            return None
+        return self._timer.wall_time_ms() - int(age_s * _MS_PER_S)
+
+    def in_force(self) -> Mapping[ids.EntryId, in_force_module.InForce]:
+        """Returns the applied index of each entry, as last reported."""
+        now_s = self._timer.monotonic_s()
+        self._in_force.record_own(self._applier.applied_index, now_s)
+        return self._in_force.view(now_s)
+
+    def dump(self) -> dict:
+        """Returns the state for people who look into a running process."""
+        return {
+            "role": self.role.value,
+            "term": self.term,
+            "leader_id": self.leader_id,
+            "commit_index": self.commit_index,
+            "applied_index": self.applied_index,
+            "has_caught_up": self._has_caught_up,
+            "cut_off_since_ms": self.cut_off_since_ms,
+            "source": self._follower.source,
+            "subscribers": list(self._feed.subscribers),
+            "proposals": self._proposals.dump(),
+            "replica": self._replica.dump() if self._replica else None,
+        }
+
+    # What proposals ask for.
+
+    def append(self, payloads: Sequence[bytes]) -> int | errors.Failure:
+        """Appends to the own log when this entry leads."""
+        if self._replica is None:
+            return errors.Failure(
+                errors.ErrorKind.NO_LEADER, "this entry is not the leader"
+            )
+        return self._replica.propose(payloads)
+
+    def refusal(self) -> errors.Failure | None:
+        """Returns why a proposal would certainly fail now, if it would."""
+        if self.cut_off_since_ms is not None:
+            return errors.Failure(
+                errors.ErrorKind.NO_LEADER,
+                "this entry has no contact with a leader",
+            )
+        if self._replica is not None and self.leader_id is None:
+            return self._replica.blocked
+        return None
+
+    # Tasks.
+
+    def _voting_core(self) -> consensus.Consensus | None:
+        replica = self._replica
+        if replica is None or replica.blocked is not None:
+            return None
+        return replica.core if replica.core.is_member else None
+
+    def _leader_view(self) -> feed_module.LeaderView:
+        now_s = self._timer.monotonic_s()
+        heard_s = self._follower.current_at_s
+        core = self._voting_core()
+        if core is not None and core.role is consensus.Role.LEADER:
+            heard_s = now_s
+        elif core is not None and core.leader_contact_s is not None:
+            heard_s = max(core.leader_contact_s, heard_s or 0.0)
+        age_s = now_s - (self._started_s if heard_s is None else heard_s)
+        return feed_module.LeaderView(self.term, self.leader_id, age_s)
+
+    def _request_read(self, token: int) -> bool:
+        return self._replica is not None and self._replica.request_read(token)
+
+    def _note_change(self) -> None:
+        self._changed.set()
+
+    async def _publish(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            self._note_leadership()
+            self._feed.push()
+            self._proposals.settle_served()
+
+    def _note_leadership(self) -> None:
+        if not self.is_leader:
+            self._leader_since_s = None
+        elif self._leader_since_s is None:
+            self._leader_since_s = self._timer.monotonic_s()
+            loguru.logger.info("leads the replicated log", term=self.term)
+        if self.leader_id is not None:
+            self._proposals.wake()
+        is_current = self._leader_view().age_s <= self._cut_off_after_s
+        if is_current and self.leader_id is not None:
+            self._has_caught_up |= self.applied_index >= self.commit_index
+
+    async def _receive(self) -> None:
+        async for received in self._received:
+            owner = self._owners.get(type(received.message), self._step)
+            owner(received.sender, received.message)
+            self._changed.set()
+
+    async def _follow(self) -> None:
+        async for _ in self._timer.subscribe(feed_module.FOLLOW_INTERVAL_S):
+            if self._voting_core() is None:
+                self._follower.tick(self._applier.history.replicas)
+            else:
+                self._follower.stop()
+
+    async def _report(self) -> None:
+        async for now_s in self._timer.subscribe(_REPORT_INTERVAL_S):
+            self._in_force.record_own(self._applier.applied_index, now_s)
+            count = len(self._settings.zone_by_entry)
+            interval_s = max(
+                _MIN_REPORT_INTERVAL_S, count * _REPORT_INTERVAL_PER_ENTRY_S
+            )
+            has_news = self._in_force.version != self._reported_version
+            if has_news or now_s - self._reported_s >= interval_s:
+                self._reported_version = self._in_force.version
+                self._reported_s = now_s
+                self._send_reports(now_s)
+
+    def _send_reports(self, now_s: float) -> None:
+        above = self._follower.source or self.leader_id
+        below = set(self._feed.subscribers)
+        core = self._voting_core()
+        if core is not None and core.role is consensus.Role.LEADER:
+            above = None
+            below |= set(core.log.replicas) - {self._entry_id}
+        if above is not None and above != self._entry_id:
+            rows = [self._entry_id]
+            for entry_id in self._feed.subscribers:
+                rows += self._reported_below.get(entry_id, ())
+            self._links.send(above, self._in_force.report(now_s, rows))
+        for entry_id in below:
+            self._links.send(entry_id, self._in_force.report(now_s))
+
+    def _on_report(
+        self,
+        sender: ids.EntryId,
+        report: replication_messages.InForceReport,
+    ) -> None:
+        self._in_force.merge(report, self._timer.monotonic_s())
+        if sender in self._feed.subscribers:
+            below = tuple(row.entry_id for row in report.rows)
+            self._reported_below[sender] = below
+
+    def _message_owners(
+        self,
+    ) -> dict[type, Callable[[ids.EntryId, Any], None]]:
+        messages = replication_messages
+        return {
+            messages.ProposeRequest: self._proposals.on_request,
+            messages.ProposeReply: self._proposals.on_reply,
+            messages.ReadIndexRequest: self._reads.on_request,
+            messages.ReadIndexReply: self._reads.on_reply,
+            messages.FollowRequest: self._feed.on_request,
+            messages.FollowBatch: self._follower.on_batch,
+            messages.FollowSnapshot: self._follower.on_snapshot,
+            messages.InForceReport: self._on_report,
+        }
+
+    def _step(
+        self, sender: ids.EntryId, message: consensus_messages.CoreMessage
+    ) -> None:
+        # A learner may still get messages from before it was removed.
+        if self._replica is not None:
+            self._replica.step(message)
