Add the replicated state machine of the fleet

Cause: configuration, instances, waves, jobs and claims need one deterministic order of effects on every entry.

--- a/tarragoncleat/errors.py
+++ b/tarragoncleat/errors.py
@@ -5,7 +5,14 @@
 import enum
 import types
 
-__all__ = ["ANSWERS", "Answer", "ErrorKind", "Failure", "Outcome"]
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ErrorKind",
+    "Failure",
+    "Outcome",
+    "first_failure",
+]
 
 _SHORT_RETRY_S = 1
 _LONG_RETRY_S = 5
@@ -127,3 +134,11 @@
         ErrorKind.INTERNAL: _unknown(500),
     }
 )
+
+
+def first_failure(*results: Failure | None) -> Failure | None:
+    """Returns the first failure among the results of checks, or None.
+
+    Checks can't be chained with `or`, because a failure is falsy.
+    """
+    return next((item for item in results if item is not None), None)
--- /dev/null
+++ b/tarragoncleat/fleet.py
@@ -0,0 +1,319 @@
+"""The replicated state machine of the fleet.
+
+`Fleet.apply` is deterministic: it performs no I/O and reads no clock, and two
+replicas that applied the same records hold equal states.
+"""
+
+from collections.abc import Collection, Mapping
+import types
+
+import msgpack
+import xxhash
+
+from tarragoncleat import codec
+from tarragoncleat import commands
+from tarragoncleat import errors
+from tarragoncleat import fleet_claims  # noqa: F401  (registers its rules)
+from tarragoncleat import fleet_instances  # noqa: F401  (registers its rules)
+from tarragoncleat import fleet_jobs  # noqa: F401  (registers its rules)
+from tarragoncleat import fleet_profiles  # noqa: F401  (registers its rules)
+from tarragoncleat import fleet_rules
+from tarragoncleat import fleet_snapshot
+from tarragoncleat import fleet_state
+from tarragoncleat import fleet_waves  # noqa: F401  (registers its rules)
+from tarragoncleat import ids
+from tarragoncleat import jobs as job_types
+from tarragoncleat import ledger as ledger_types
+from tarragoncleat import pools as pool_types
+from tarragoncleat import profiles as profile_types
+from tarragoncleat import settings
+from tarragoncleat import waves as wave_types
+
+__all__ = ["Fleet"]
+
+# A resend of a command finds its first result for an hour, unless more
+# commands than this came in between.
+_RESULT_RETENTION_MS = 3_600_000
+_MAX_RESULTS = 20_000
+
+_JOB_COMMANDS: tuple[type, ...] = (commands.SubmitJobs, commands.CancelJobs)
+_OPERATOR_COMMANDS: tuple[type, ...] = (
+    commands.PutProfile,
+    commands.DeleteProfile,
+    commands.PutService,
+    commands.DeleteService,
+    commands.PutTeam,
+    commands.PutPool,
+    commands.DeletePool,
+    commands.PutInstance,
+    commands.RemoveInstance,
+    commands.MoveInstance,
+    commands.ProposeWave,
+    commands.ApproveWave,
+    commands.PauseWave,
+    commands.ResumeWave,
+    commands.CancelWave,
+    *_JOB_COMMANDS,
+)
+# The controller and the entries have none of these roles; they may propose
+# every command.
+_ALLOWED: dict[str, tuple[type, ...]] = {
+    settings.Role.OPERATOR.value: _OPERATOR_COMMANDS,
+    settings.Role.SERVICE.value: _JOB_COMMANDS,
+    settings.Role.AUDITOR.value: (),
+    settings.Role.CALLER.value: (),
+    settings.Role.UPSTREAM.value: (),
+}
+# These have the same effect when they are applied again, because claims are
+# made by request id; the volume of keyed requests would crowd out the results
+# of operators.
+_REPEATABLE = (commands.ClaimKeys, commands.ReleaseClaims)
+
+
+class Fleet:
+    """The state of the fleet.
+
+    The mappings are read-only views of the state in force. After `restore`
+    the properties return views of the restored state.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty fleet."""
+        self._state = fleet_state.State()
+
+    @property
+    def profiles(self) -> Mapping[ids.ProfileId, profile_types.Profile]:
+        """Profiles by id."""
+        return types.MappingProxyType(self._state.profiles)
+
+    @property
+    def services(self) -> Mapping[ids.ServiceId, profile_types.Service]:
+        """Services by id."""
+        return types.MappingProxyType(self._state.services)
+
+    @property
+    def teams(self) -> Mapping[ids.TeamId, profile_types.Team]:
+        """Teams by id."""
+        return types.MappingProxyType(self._state.teams)
+
+    @property
+    def pools(self) -> Mapping[ids.PoolId, pool_types.Pool]:
+        """Pools by id."""
+        return types.MappingProxyType(self._state.pools)
+
+    @property
+    def instances(self) -> Mapping[ids.InstanceId, pool_types.Instance]:
+        """Instances by id."""
+        return types.MappingProxyType(self._state.instances)
+
+    @property
+    def waves(self) -> Mapping[ids.WaveId, wave_types.Wave]:
+        """Waves by id."""
+        return fleet_state.WaveViews(self._state.waves)
+
+    @property
+    def jobs(self) -> Mapping[ids.JobId, job_types.Job]:
+        """Jobs by id; the finished ones are bounded by number."""
+        return types.MappingProxyType(self._state.jobs)
+
+    @property
+    def claims(self) -> Mapping[bytes, fleet_state.ClaimRecord]:
+        """Claims of idempotency keys by digest."""
+        return types.MappingProxyType(self._state.claims)
+
+    @property
+    def ledger(self) -> ledger_types.Ledger:
+        """The ledger."""
+        return self._state.ledger
+
+    @property
+    def revision(self) -> ids.Revision:
+        """Log index of the last configuration change."""
+        return ids.Revision(self._state.revision)
+
+    @property
+    def applied_index(self) -> int:
+        """Log index of the last applied record."""
+        return self._state.applied_index
+
+    @property
+    def time_ms(self) -> int:
+        """Leader's time of the last applied record."""
+        return self._state.time_ms
+
+    def standing_of(self, service_id: ids.ServiceId) -> profile_types.Standing:
+        """Returns the standing of a service; LOW for an unknown one."""
+        service = self._state.services.get(service_id)
+        if service is None:
+            return profile_types.Standing.LOW
+        return self._state.profiles[service.profile_id].standing
+
+    def owner_of(self, service_id: ids.ServiceId) -> ids.FirmId | None:
+        """Returns the firm of a service; None for an unknown one."""
+        service = self._state.services.get(service_id)
+        return None if service is None else service.firm
+
+    def profile_of_pool(
+        self, pool_id: ids.PoolId
+    ) -> profile_types.Profile | None:
+        """Returns the profile that a pool is owed under; None for spare."""
+        return self._state.profile_of_pool(pool_id)
+
+    def instances_of(self, pool_id: ids.PoolId) -> list[pool_types.Instance]:
+        """Returns the instances of a pool."""
+        return self._state.instances_of(pool_id)
+
+    def instances_in(
+        self, state: pool_types.InstanceState
+    ) -> Collection[ids.InstanceId]:
+        """Returns the instances in a state."""
+        return self._state.instances_by_state[state]
+
+    def jobs_in(self, state: job_types.JobState) -> Collection[ids.JobId]:
+        """Returns the jobs in a state."""
+        return self._state.jobs_by_state[state]
+
+    def jobs_on(self, instance_id: ids.InstanceId) -> Collection[ids.JobId]:
+        """Returns the jobs that take room on an instance."""
+        return self._state.jobs_by_instance[instance_id]
+
+    def used_by_instance(
+        self, instance_id: ids.InstanceId
+    ) -> fleet_state.Amount:
+        """Returns what the jobs on an instance take."""
+        return self._state.used_by_instance(instance_id)
+
+    def used_by_team(self, team_id: ids.TeamId) -> fleet_state.Amount:
+        """Returns what the placed jobs of a team take."""
+        return self._state.used_by_team(team_id)
+
+    def result_of(
+        self, firm: ids.FirmId, command_id: ids.CommandId
+    ) -> commands.Result | None:
+        """Returns the result of a command that was applied lately."""
+        stored = self._state.results.get((firm, command_id))
+        return None if stored is None else codec.decode(stored.result)
+
+    def apply(self, index: int, time_ms: int, payload: bytes) -> bytes:
+        """Applies one committed record.
+
+        Args:
+            index: Log index.
+            time_ms: Leader's time of the record; it never decreases.
+            payload: An encoded `commands.Envelope`.
+
+        Returns:
+            An encoded `commands.Result`.
+        """
+        state = self._state
+        state.applied_index = index
+        state.time_ms = max(state.time_ms, time_ms)
+        envelope = codec.decode(payload)
+        if not isinstance(envelope, commands.Envelope):
+            return _encode_failure(_undecodable(envelope), index)
+        failure = _check_role(envelope)
+        if failure is not None:
+            return _encode_failure(failure, index)
+        if isinstance(envelope.command, _REPEATABLE):
+            return self._run(envelope)
+        return self._run_once(envelope, _digest(payload))
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return fleet_snapshot.encode_state(self._state)
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replaces the state by a snapshot taken at a log index.
+
+        Raises:
+            ValueError: The snapshot is damaged or belongs to another index.
+        """
+        state = fleet_snapshot.decode_state(data)
+        if isinstance(state, errors.Failure):
+            raise ValueError(state.reason)
+        if state.applied_index > index:
+            raise ValueError(
+                f"snapshot of index {state.applied_index}, not {index}"
+            )
+        state.applied_index = index
+        self._state = state
+
+    def _run(self, envelope: commands.Envelope) -> bytes:
+        state = self._state
+        change = fleet_rules.Change(
+            state, state.applied_index, state.time_ms, envelope
+        )
+        value = fleet_rules.apply_command(envelope.command, change)
+        if isinstance(value, errors.Failure):
+            return _encode_failure(value, state.applied_index)
+        return codec.encode(
+            commands.Result(True, revision=state.applied_index, value=value)
+        )
+
+    def _run_once(self, envelope: commands.Envelope, digest: bytes) -> bytes:
+        results = self._state.results
+        self._expire_results()
+        key = (envelope.firm, envelope.command_id)
+        stored = results.get(key)
+        if stored is not None and stored.digest == digest:
+            return stored.result
+        if stored is not None:
+            return _encode_failure(
+                errors.Failure(
+                    errors.ErrorKind.KEY_REUSED,
+                    f"Command-Id {envelope.command_id} was used for "
+                    "another command",
+                ),
+                self._state.applied_index,
+            )
+        result = self._run(envelope)
+        results[key] = fleet_state.StoredResult(
+            digest, self._state.time_ms, result
+        )
+        return result
+
+    def _expire_results(self) -> None:
+        results = self._state.results
+        limit_ms = self._state.time_ms - _RESULT_RETENTION_MS
+        while results:
+            key, oldest = next(iter(results.items()))
+            if len(results) < _MAX_RESULTS and oldest.time_ms > limit_ms:
+                return
+            del results[key]
+
+
+def _digest(payload: bytes) -> bytes:
+    """Returns a digest of the command, without who sent it."""
+    fields = msgpack.unpackb(payload)[2]
+    content = msgpack.packb([fields["if_match"], fields["command"]])
+    return xxhash.xxh3_128_digest(content)
+
+
+def _check_role(envelope: commands.Envelope) -> errors.Failure | None:
+    allowed = _ALLOWED.get(envelope.role)
+    if allowed is None or isinstance(envelope.command, allowed):
+        return None
+    return fleet_rules.forbidden(
+        f"role {envelope.role} can't give {envelope.command.kind}"
+    )
+
+
+def _undecodable(decoded: object) -> errors.Failure:
+    if isinstance(decoded, errors.Failure):
+        return decoded
+    return errors.Failure(
+        errors.ErrorKind.DECODE, f"{type(decoded).__name__} is no command"
+    )
+
+
+def _encode_failure(failure: errors.Failure, index: int) -> bytes:
+    revision = failure.detail.get("revision", index)
+    return codec.encode(
+        commands.Result(
+            False,
+            failure.kind,
+            failure.reason,
+            revision if isinstance(revision, int) else index,
+            dict(failure.detail),
+        )
+    )
--- /dev/null
+++ b/tarragoncleat/fleet_snapshot.py
@@ -0,0 +1,181 @@
+"""The fleet as bytes.
+
+Each table is a msgpack list of rows. Rows are taken apart and checked in bulk,
+because the fleet of the target scale has more than 100,000 of them.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import operator
+from typing import Any
+
+import msgpack
+import pydantic
+
+from tarragoncleat import codec
+from tarragoncleat import errors
+from tarragoncleat import fleet_state
+from tarragoncleat import jobs
+from tarragoncleat import ledger
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import waves
+
+__all__ = ["decode_state", "encode_state"]
+
+
+@codec.message("fleet_snapshot")
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Snapshot:
+    applied_index: int
+    time_ms: int
+    revision: int
+    next_sequence: int
+    complete_since_ms: int
+    tables: dict[str, bytes]
+
+
+class _Table:
+    """Rows of one dataclass."""
+
+    def __init__(self, row_class: type) -> None:
+        self._names = [field.name for field in dataclasses.fields(row_class)]
+        self._take_apart = operator.attrgetter(*self._names)
+        # The element type is only known here, so the list type is built.
+        self._adapter: pydantic.TypeAdapter[list[Any]] = pydantic.TypeAdapter(
+            list[row_class]  # type: ignore[valid-type]
+        )
+
+    def encode(self, rows: Iterable[object]) -> bytes:
+        """Encodes rows in order."""
+        parts = list(map(self._take_apart, rows))
+        return msgpack.packb(parts, default=_plain)
+
+    def decode(self, data: bytes) -> list[Any]:
+        """Decodes and checks rows."""
+        names = self._names
+        parts = msgpack.unpackb(data)
+        rows = [dict(zip(names, part, strict=True)) for part in parts]
+        return self._adapter.validate_python(rows)
+
+
+_TABLES = {
+    "profiles": _Table(profiles.Profile),
+    "services": _Table(profiles.Service),
+    "teams": _Table(profiles.Team),
+    "pools": _Table(pools.Pool),
+    "instances": _Table(pools.Instance),
+    "waves": _Table(waves.Wave),
+    "jobs": _Table(jobs.Job),
+    "ledger": _Table(ledger.Entry),
+}
+
+
+def encode_state(state: fleet_state.State) -> bytes:
+    """Encodes the whole state; equal states give equal bytes."""
+    tables = {
+        name: _TABLES[name].encode(rows)
+        for name, rows in (
+            ("profiles", state.profiles.values()),
+            ("services", state.services.values()),
+            ("teams", state.teams.values()),
+            ("pools", state.pools.values()),
+            ("instances", state.instances.values()),
+            ("waves", fleet_state.WaveViews(state.waves).values()),
+            ("jobs", state.jobs.values()),
+            ("ledger", state.ledger),
+        )
+    }
+    claims = [
+        (
+            digest,
+            claim.fingerprint,
+            claim.request_id,
+            claim.entry_id,
+            claim.claimed_at_ms,
+        )
+        for digest, claim in state.claims.items()
+    ]
+    results = [
+        (*key, stored.digest, stored.time_ms, stored.result)
+        for key, stored in state.results.items()
+    ]
+    tables["claims"] = msgpack.packb(claims)
+    tables["results"] = msgpack.packb(results)
+    tables["finished_jobs"] = msgpack.packb(list(state.finished_jobs))
+    tables["ended_waves"] = msgpack.packb(list(state.ended_waves))
+    return codec.encode(
+        _Snapshot(
+            state.applied_index,
+            state.time_ms,
+            state.revision,
+            state.ledger.next_sequence,
+            state.ledger.complete_since_ms,
+            tables,
+        )
+    )
+
+
+def decode_state(data: bytes) -> fleet_state.State | errors.Failure:
+    """Decodes a state.
+
+    Returns:
+        The state, or a `Failure` of kind STORAGE for damaged data.
+    """
+    snapshot = codec.decode(data)
+    if not isinstance(snapshot, _Snapshot):
+        return _damaged(str(getattr(snapshot, "reason", "not a snapshot")))
+    try:
+        return _build(snapshot)
+    except (KeyError, ValueError, msgpack.UnpackException) as error:
+        return _damaged(f"{type(error).__name__}: {error}")
+
+
+def _damaged(reason: str) -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.STORAGE, f"snapshot of the fleet: {reason}"
+    )
+
+
+def _build(snapshot: _Snapshot) -> fleet_state.State:
+    raw = snapshot.tables
+    rows = {name: table.decode(raw[name]) for name, table in _TABLES.items()}
+    state = fleet_state.State()
+    state.applied_index = snapshot.applied_index
+    state.time_ms = snapshot.time_ms
+    state.revision = snapshot.revision
+    state.profiles = {row.profile_id: row for row in rows["profiles"]}
+    for service in rows["services"]:
+        state.put_service(service)
+    state.teams = {row.team_id: row for row in rows["teams"]}
+    state.pools = {row.pool_id: row for row in rows["pools"]}
+    for instance in rows["instances"]:
+        state.put_instance(instance)
+    for wave in rows["waves"]:
+        state.waves[wave.wave_id] = fleet_state.WaveRecord(wave)
+    for job in rows["jobs"]:
+        state.put_job(job)
+    state.ledger.restore(
+        rows["ledger"], snapshot.next_sequence, snapshot.complete_since_ms
+    )
+    for digest, *fields in msgpack.unpackb(raw["claims"]):
+        state.claims[digest] = fleet_state.ClaimRecord(*fields)
+    for firm, command_id, *fields in msgpack.unpackb(raw["results"]):
+        state.results[firm, command_id] = fleet_state.StoredResult(*fields)
+    state.restore_order(
+        msgpack.unpackb(raw["finished_jobs"]),
+        msgpack.unpackb(raw["ended_waves"]),
+    )
+    return state
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if dataclasses.is_dataclass(value):
+        return {
+            field.name: getattr(value, field.name)
+            for field in dataclasses.fields(value)
+        }
+    raise TypeError(f"no encoding for {type(value).__name__}")
--- a/tarragoncleat/jobs.py
+++ b/tarragoncleat/jobs.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import enum
+import math
 
+from tarragoncleat import errors
 from tarragoncleat import ids
 
-__all__ = ["Demand", "Job", "JobState"]
+__all__ = ["Demand", "Job", "JobState", "check_job", "check_transition"]
 
 
 class JobState(enum.Enum):
@@ -21,6 +23,33 @@
     CANCELLED = "cancelled"
     UNPLACEABLE = "unplaceable"
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self in _FINAL
+
+    @property
+    def holds_instance(self) -> bool:
+        """Whether the job takes room on its instance."""
+        return self in _HOLDING
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the job waits to be placed."""
+        return self in _WAITING
+
+
+_FINAL = frozenset(
+    {
+        JobState.SUCCEEDED,
+        JobState.FAILED,
+        JobState.CANCELLED,
+        JobState.UNPLACEABLE,
+    }
+)
+_HOLDING = frozenset({JobState.PLACED, JobState.RUNNING, JobState.THROTTLED})
+_WAITING = frozenset({JobState.QUEUED, JobState.CHECKPOINTED})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -55,3 +84,74 @@
     started_at_ms: int = 0
     reason: str = ""
     revision: ids.Revision = ids.Revision(0)
+
+
+# The transitions that the controller may record. Jobs are placed only by
+# PlaceJobs and cancelled only by CancelJobs.
+_TRANSITIONS: dict[JobState, frozenset[JobState]] = {
+    JobState.QUEUED: frozenset({JobState.UNPLACEABLE}),
+    JobState.CHECKPOINTED: frozenset({JobState.UNPLACEABLE}),
+    JobState.PLACED: frozenset(
+        {
+            JobState.RUNNING,
+            JobState.QUEUED,
+            JobState.CHECKPOINTED,
+            JobState.SUCCEEDED,
+            JobState.FAILED,
+        }
+    ),
+    JobState.RUNNING: frozenset(
+        {
+            JobState.THROTTLED,
+            JobState.QUEUED,
+            JobState.CHECKPOINTED,
+            JobState.SUCCEEDED,
+            JobState.FAILED,
+        }
+    ),
+    JobState.THROTTLED: frozenset(
+        {
+            JobState.RUNNING,
+            JobState.QUEUED,
+            JobState.CHECKPOINTED,
+            JobState.SUCCEEDED,
+            JobState.FAILED,
+        }
+    ),
+}
+
+
+def check_transition(job: Job, state: JobState) -> errors.Failure | None:
+    """Checks that the controller may record a state of a job."""
+    if state in _TRANSITIONS.get(job.state, frozenset()):
+        return None
+    return errors.Failure(
+        errors.ErrorKind.CONFLICT,
+        f"job {job.job_id} can't go from {job.state.value} to {state.value}",
+    )
+
+
+def check_job(job: Job) -> errors.Failure | None:
+    """Checks what a submitted job declares.
+
+    Returns:
+        None, or a `Failure` of kind BAD_REQUEST that names the field.
+    """
+    demand = job.demand
+    if not math.isfinite(demand.cores) or demand.cores <= 0:
+        return _bad(job, f"demand.cores must be above 0, not {demand.cores}")
+    if demand.memory_mb < 0 or demand.accelerators < 0:
+        return _bad(
+            job, "demand.memory_mb and demand.accelerators must be 0 or more"
+        )
+    if not math.isfinite(job.declared_run_s) or job.declared_run_s <= 0:
+        return _bad(
+            job, f"declared_run_s must be above 0, not {job.declared_run_s}"
+        )
+    return None
+
+
+def _bad(job: Job, reason: str) -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.BAD_REQUEST, f"job {job.job_id}: {reason}"
+    )
--- a/tarragoncleat/pools.py
+++ b/tarragoncleat/pools.py
@@ -2,10 +2,19 @@
 
 import dataclasses
 import enum
+import math
 
+from tarragoncleat import errors
 from tarragoncleat import ids
+from tarragoncleat import settings
 
-__all__ = ["Instance", "InstanceState", "Pool"]
+__all__ = [
+    "Instance",
+    "InstanceState",
+    "Pool",
+    "check_instance",
+    "check_transition",
+]
 
 
 class InstanceState(enum.Enum):
@@ -48,3 +57,73 @@
     maintained_at_ms: int = 0
     fence: int = 1
     revision: ids.Revision = ids.Revision(0)
+
+
+# The transitions that the controller may record. Drains start only with a
+# wave step or a move, because both check the availability budget.
+_TRANSITIONS = {
+    InstanceState.IN_SERVICE: {InstanceState.LOST, InstanceState.QUARANTINED},
+    InstanceState.DRAINING: {
+        InstanceState.IN_MAINTENANCE,
+        InstanceState.RETURNING,
+        InstanceState.IN_SERVICE,
+        InstanceState.LOST,
+    },
+    InstanceState.IN_MAINTENANCE: {
+        InstanceState.RETURNING,
+        InstanceState.IN_SERVICE,
+        InstanceState.LOST,
+    },
+    InstanceState.RETURNING: {InstanceState.IN_SERVICE, InstanceState.LOST},
+    InstanceState.LOST: {InstanceState.RETURNING, InstanceState.IN_SERVICE},
+    InstanceState.QUARANTINED: {
+        InstanceState.RETURNING,
+        InstanceState.IN_SERVICE,
+        InstanceState.LOST,
+    },
+}
+
+
+def check_transition(
+    instance: Instance, state: InstanceState
+) -> errors.Failure | None:
+    """Checks that the controller may record a state of an instance."""
+    if state not in _TRANSITIONS[instance.state]:
+        return errors.Failure(
+            errors.ErrorKind.CONFLICT,
+            f"instance {instance.instance_id} can't go from "
+            f"{instance.state.value} to {state.value}",
+            {"revision": instance.revision},
+        )
+    if state is InstanceState.IN_MAINTENANCE and instance.wave_id is None:
+        return errors.Failure(
+            errors.ErrorKind.CONFLICT,
+            f"instance {instance.instance_id} belongs to no wave",
+            {"revision": instance.revision},
+        )
+    return None
+
+
+def check_instance(instance: Instance) -> errors.Failure | None:
+    """Checks the description of an instance.
+
+    Returns:
+        None, or a `Failure` of kind BAD_REQUEST that names the field.
+    """
+    if not math.isfinite(instance.cores) or instance.cores <= 0:
+        return _bad(f"cores must be above 0, not {instance.cores}")
+    if instance.memory_mb <= 0:
+        return _bad(f"memory_mb must be above 0, not {instance.memory_mb}")
+    if instance.accelerators < 0:
+        return _bad(
+            f"accelerators must be 0 or more, not {instance.accelerators}"
+        )
+    try:
+        settings.host_and_port(instance.address)
+    except ValueError as error:
+        return _bad(f"address {instance.address!r}: {error}")
+    return None
+
+
+def _bad(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.BAD_REQUEST, reason)
--- a/tarragoncleat/profiles.py
+++ b/tarragoncleat/profiles.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import enum
+import math
 
+from tarragoncleat import errors
 from tarragoncleat import ids
 
 __all__ = [
@@ -15,6 +17,8 @@
     "Standing",
     "Team",
     "Tolerance",
+    "check_capacity",
+    "check_profile",
 ]
 
 
@@ -119,3 +123,73 @@
     firm: ids.FirmId
     quota: Capacity
     revision: ids.Revision = ids.Revision(0)
+
+
+def check_capacity(capacity: Capacity, what: str) -> errors.Failure | None:
+    """Checks that no part of an amount is negative or not a number."""
+    for field in dataclasses.fields(capacity):
+        value = getattr(capacity, field.name)
+        if not math.isfinite(value) or value < 0:
+            return _bad(f"{what}.{field.name} must be 0 or more, not {value}")
+    return None
+
+
+def check_profile(profile: Profile) -> errors.Failure | None:
+    """Checks that a profile can be kept at all.
+
+    Returns:
+        None, or a `Failure` of kind BAD_REQUEST that names the field.
+    """
+    return errors.first_failure(
+        check_capacity(profile.owed, "owed"),
+        _check_tolerance(profile.tolerance, profile.owed.instances),
+        _check_placement(profile.placement),
+        _check_settling(profile),
+    )
+
+
+def _check_settling(profile: Profile) -> errors.Failure | None:
+    if profile.settle_s < 0:
+        return _bad(f"settle_s must be 0 or more, not {profile.settle_s}")
+    return None
+
+
+def _check_tolerance(tolerance: Tolerance, owed: int) -> errors.Failure | None:
+    count = tolerance.max_out
+    fraction = tolerance.max_out_fraction
+    if (count is None) == (fraction is None):
+        return _bad(
+            "tolerance: exactly one of max_out and max_out_fraction must be set"
+        )
+    if count is not None and not 0 <= count <= owed:
+        return _bad(
+            f"tolerance.max_out must be 0 to owed.instances ({owed}), "
+            f"not {count}"
+        )
+    if fraction is not None and not 0.0 <= fraction <= 1.0:
+        return _bad(
+            f"tolerance.max_out_fraction must be 0 to 1, not {fraction}"
+        )
+    if tolerance.max_out_s <= 0:
+        return _bad(
+            f"tolerance.max_out_s must be above 0, not {tolerance.max_out_s}"
+        )
+    if len(set(tolerance.actions)) != len(tolerance.actions):
+        return _bad("tolerance.actions names an action twice")
+    return None
+
+
+def _check_placement(placement: Placement) -> errors.Failure | None:
+    zones = placement.availability_zones
+    if len(set(zones)) != len(zones):
+        return _bad("placement.availability_zones names a zone twice")
+    if placement.max_per_rack < 0:
+        return _bad(
+            "placement.max_per_rack must be 0 (no limit) or more, "
+            f"not {placement.max_per_rack}"
+        )
+    return None
+
+
+def _bad(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.BAD_REQUEST, reason)
--- a/tarragoncleat/waves.py
+++ b/tarragoncleat/waves.py
@@ -3,9 +3,20 @@
 import dataclasses
 import enum
 
+from tarragoncleat import errors
 from tarragoncleat import ids
 
-__all__ = ["Blocker", "Selection", "Skipped", "Wave", "WaveState"]
+__all__ = [
+    "ACTIONS",
+    "Blocker",
+    "Selection",
+    "Skipped",
+    "Wave",
+    "WaveState",
+    "check_transition",
+]
+
+ACTIONS = frozenset({"reboot"})
 
 
 class WaveState(enum.Enum):
@@ -18,6 +29,16 @@
     CANCELLED = "cancelled"
     FINISHED = "finished"
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the wave takes no instance any more."""
+        return self in (WaveState.CANCELLED, WaveState.FINISHED)
+
+    @property
+    def may_take(self) -> bool:
+        """Whether the wave may take instances now."""
+        return self in (WaveState.APPROVED, WaveState.RUNNING)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Selection:
@@ -62,3 +83,25 @@
     proposed_at_ms: int = 0
     approved_by: str | None = None
     revision: ids.Revision = ids.Revision(0)
+
+
+_TRANSITIONS = {
+    WaveState.PROPOSED: {WaveState.APPROVED, WaveState.CANCELLED},
+    WaveState.APPROVED: {WaveState.PAUSED, WaveState.CANCELLED},
+    WaveState.RUNNING: {WaveState.PAUSED, WaveState.CANCELLED},
+    WaveState.PAUSED: {WaveState.RUNNING, WaveState.CANCELLED},
+    WaveState.CANCELLED: set(),
+    WaveState.FINISHED: set(),
+}
+
+
+def check_transition(wave: Wave, state: WaveState) -> errors.Failure | None:
+    """Checks that an operator may bring a wave into a state."""
+    if state in _TRANSITIONS[wave.state]:
+        return None
+    return errors.Failure(
+        errors.ErrorKind.CONFLICT,
+        f"wave {wave.wave_id} is {wave.state.value}; "
+        f"it can't become {state.value}",
+        {"revision": wave.revision},
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,9 +3,21 @@
 import pathlib
 from typing import Any
 
+from tarragoncleat import codec
+from tarragoncleat import commands
+from tarragoncleat import fleet
+from tarragoncleat import ids
+from tarragoncleat import pools
+from tarragoncleat import profiles
 from tarragoncleat import settings
 
-__all__ = ["build_settings"]
+__all__ = [
+    "FleetDriver",
+    "build_instance",
+    "build_profile",
+    "build_settings",
+    "populate",
+]
 
 
 def build_settings(
@@ -25,3 +37,100 @@
     }
     entry.update(sections.pop("entry", {}))
     return settings.Settings.model_validate({"entry": entry, **sections})
+
+
+def build_profile(name: str = "profile", **fields: Any) -> profiles.Profile:
+    """Returns a profile that owes 4 instances and allows one out."""
+    values: dict[str, Any] = {
+        "firm": ids.FirmId("firm-a"),
+        "owed": profiles.Capacity(instances=4),
+        "settle_s": 0,
+    }
+    return profiles.Profile(ids.ProfileId(name), **{**values, **fields})
+
+
+def build_instance(
+    name: str, pool_id: str = "pool", **fields: Any
+) -> pools.Instance:
+    """Returns an instance of 16 cores and 64 GB."""
+    values: dict[str, Any] = {
+        "availability_zone": ids.AvailabilityZone("fukuoka-a"),
+        "rack": ids.Rack("rack-1"),
+        "cores": 16.0,
+        "memory_mb": 65_536,
+        "accelerators": 0,
+        "address": "127.24.0.1:7000",
+    }
+    return pools.Instance(
+        ids.InstanceId(name), ids.PoolId(pool_id), **{**values, **fields}
+    )
+
+
+class FleetDriver:
+    """Gives commands to a fleet, one record each."""
+
+    def __init__(self) -> None:
+        self.fleet = fleet.Fleet()
+        self.index = 0
+        self.time_ms = 1_000_000
+
+    def give(
+        self,
+        command: Any,
+        firm: str = "*",
+        role: str = commands.CONTROLLER_ROLE,
+        if_match: int | None = None,
+        command_id: str | None = None,
+    ) -> commands.Result:
+        """Applies a command and returns its result."""
+        self.index += 1
+        envelope = commands.Envelope(
+            ids.CommandId(command_id or f"command-{self.index}"),
+            ids.FirmId(firm),
+            "tester",
+            role,
+            if_match,
+            command,
+        )
+        data = self.fleet.apply(
+            self.index, self.time_ms, codec.encode(envelope)
+        )
+        return codec.decode(data)
+
+    def must(self, command: Any, **how: Any) -> commands.Result:
+        """Applies a command that is expected to be carried out."""
+        result = self.give(command, **how)
+        if not result.ok:
+            raise AssertionError(f"{command}: {result.reason}")
+        return result
+
+
+def populate(
+    driver: FleetDriver,
+    instances: int = 6,
+    firm: str = "firm-a",
+    suffix: str = "",
+    **fields: Any,
+) -> None:
+    """Adds a service with its profile, its pool and instances.
+
+    Three instances share a rack; racks alternate between two zones.
+    """
+    owner = ids.FirmId(firm)
+    pool = ids.PoolId(f"pool{suffix}")
+    profile = build_profile(f"profile{suffix}", firm=owner, **fields)
+    driver.must(commands.PutProfile(profile))
+    driver.must(commands.PutPool(pools.Pool(pool, owner)))
+    service = profiles.Service(
+        ids.ServiceId(f"service{suffix}"), profile.profile_id, owner, pool
+    )
+    driver.must(commands.PutService(service))
+    for number in range(instances):
+        rack = number // 3
+        instance = build_instance(
+            f"i{number}{suffix}",
+            pool,
+            rack=ids.Rack(f"rack-{rack}"),
+            availability_zone=ids.AvailabilityZone(f"zone-{rack % 2}"),
+        )
+        driver.must(commands.PutInstance(instance))
