Add the planner, placer, balancer and the controller

Cause: nothing decided about waves, moves and jobs, and nothing talked to the workers.

Change: pure decisions over a grouped view of the fleet (planner, wave choice, placer with preemption and team quotas, balancer, usage model), the bounds on worker leases, visits to workers over HTTP, and the leader's loop that records what it saw and proposes commands. Recording IN_MAINTENANCE raises the fence number of an instance, because the reboot ends its lease and an ended lease is taken again only with a higher number.

--- /dev/null
+++ b/tarragoncleat/controller.py
@@ -0,0 +1,93 @@
+"""The leader's loop over workers, waves, pools and jobs.
+
+A new leader keeps the workers' leases alive from its first moment, because
+their work would stop otherwise. It decides nothing until every lease that its
+predecessor could have granted has ended: the lease length, the margin, and the
+election timeout within which a deposed leader notices.
+"""
+
+import anyio
+import anyio.abc
+
+from tarragoncleat import control_term
+from tarragoncleat import fleet_view
+from tarragoncleat import platform_client
+from tarragoncleat import proposals
+from tarragoncleat import settings
+from tarragoncleat import timer
+
+__all__ = ["Controller"]
+
+_MS_PER_S = 1000
+
+
+class Controller:
+    """Runs the decisions while this process leads."""
+
+    def __init__(
+        self,
+        configuration: settings.Settings,
+        fleet: fleet_view.FleetReader,
+        replication: proposals.Replication,
+        clock: timer.TimerService,
+    ) -> None:
+        """Creates the controller; `run` starts it."""
+        self._settings = configuration
+        self._limits = configuration.controller
+        self._fleet = fleet
+        self._replication = replication
+        self._clock = clock
+        self._client = platform_client.PlatformClient(
+            self._limits.call_timeout_ms / _MS_PER_S,
+            self._limits.parallel_calls,
+        )
+        self._term: control_term.Term | None = None
+
+    async def run(self) -> None:
+        """Runs until it is cancelled."""
+        if not self._limits.enabled:
+            return
+        interval_s = self._limits.interval_ms / _MS_PER_S
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._visit_loop, group, interval_s)
+                async for _ in self._clock.subscribe(interval_s):
+                    term = self._current_term()
+                    if term is not None:
+                        await term.decide(group)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._client.close()
+
+    def dump(self) -> dict:
+        """Returns the state of the loop for the state dump."""
+        term = self._term
+        if term is None:
+            return {"leads": False}
+        return {"leads": True, **term.dump()}
+
+    async def _visit_loop(
+        self, group: anyio.abc.TaskGroup, interval_s: float
+    ) -> None:
+        async for _ in self._clock.subscribe(interval_s):
+            term = self._current_term()
+            if term is not None:
+                term.start_visits(group)
+
+    def _current_term(self) -> control_term.Term | None:
+        if not self._replication.is_leader:
+            self._term = None
+            return None
+        since_s = self._replication.leader_since_s
+        if since_s is None:
+            since_s = self._clock.monotonic_s()
+        if self._term is None or self._term.since_s != since_s:
+            self._term = control_term.Term(
+                self._settings,
+                self._fleet,
+                self._replication,
+                self._clock,
+                self._client,
+                since_s,
+            )
+        return self._term
--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/fleet_instances.py
@@ -195,9 +195,12 @@
 ) -> None:
     state = command.state
     updated = dataclasses.replace(instance, state=state)
+    if state in (_STATE.LOST, _STATE.IN_MAINTENANCE):
+        # The lease ends with the loss or the reboot, and an ended lease is
+        # taken again only with a higher fence number.
+        updated = dataclasses.replace(updated, fence=instance.fence + 1)
     if state is _STATE.LOST:
         fleet_jobs.requeue_all(change, instance.instance_id, "instance lost")
-        updated = dataclasses.replace(updated, fence=instance.fence + 1)
         updated = fleet_waves.lost(change, updated)
     elif instance.state is _STATE.DRAINING and state in _BACK:
         updated = fleet_waves.left_undone(
--- /dev/null
+++ b/tarragoncleat/fleet_view.py
@@ -0,0 +1,295 @@
+"""A grouped view of the fleet for the decisions.
+
+The planner, the placer and the balancer read a `FleetView`. `FleetIndex` keeps
+the groups from one view to the next, so that an unchanged pool keeps the same
+`PoolView` object and a decision can skip it.
+"""
+
+import collections
+from collections.abc import Iterable, Mapping
+import dataclasses
+import types
+from typing import Any, Protocol
+
+from tarragoncleat import ids
+from tarragoncleat import jobs
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import waves
+
+__all__ = [
+    "ACTIVE_JOB_STATES",
+    "FleetIndex",
+    "FleetReader",
+    "FleetView",
+    "PoolView",
+    "WAITING_JOB_STATES",
+]
+
+ACTIVE_JOB_STATES = frozenset(
+    {jobs.JobState.PLACED, jobs.JobState.RUNNING, jobs.JobState.THROTTLED}
+)
+WAITING_JOB_STATES = frozenset(
+    {jobs.JobState.QUEUED, jobs.JobState.CHECKPOINTED}
+)
+
+# The classes below have fields named like the modules that these types are in.
+_Profiles = Mapping[ids.ProfileId, profiles.Profile]
+_Services = Mapping[ids.ServiceId, profiles.Service]
+_Teams = Mapping[ids.TeamId, profiles.Team]
+_Pools = Mapping[ids.PoolId, pools.Pool]
+_Instances = Mapping[ids.InstanceId, pools.Instance]
+_Waves = Mapping[ids.WaveId, waves.Wave]
+_Jobs = Mapping[ids.JobId, jobs.Job]
+_Profile = profiles.Profile
+
+
+class FleetReader(Protocol):
+    """The part of `fleet.Fleet` that the decisions read."""
+
+    @property
+    def profiles(self) -> _Profiles:
+        """Profiles by id."""
+
+    @property
+    def services(self) -> _Services:
+        """Services by id."""
+
+    @property
+    def teams(self) -> _Teams:
+        """Teams by id."""
+
+    @property
+    def pools(self) -> _Pools:
+        """Pools by id."""
+
+    @property
+    def instances(self) -> _Instances:
+        """Instances by id."""
+
+    @property
+    def waves(self) -> _Waves:
+        """Waves by id."""
+
+    @property
+    def jobs(self) -> _Jobs:
+        """Jobs by id."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class PoolView:
+    """One pool with everything that a decision about it needs.
+
+    Attributes:
+        pool: The pool.
+        profile: Profile of its service; None for a spare pool.
+        instances: Its instances in the order of their ids.
+        active: Jobs that hold capacity, by instance.
+        waiting: Jobs that wait for an instance.
+    """
+
+    pool: pools.Pool
+    profile: profiles.Profile | None
+    instances: tuple[pools.Instance, ...]
+    active: Mapping[ids.InstanceId, tuple[jobs.Job, ...]]
+    waiting: tuple[jobs.Job, ...]
+
+    @property
+    def pool_id(self) -> ids.PoolId:
+        """Id of the pool."""
+        return self.pool.pool_id
+
+    def job_count(self, instance_id: ids.InstanceId) -> int:
+        """Returns how many jobs hold capacity of an instance."""
+        return len(self.active.get(instance_id, ()))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class FleetView:
+    """The fleet at one moment, grouped by pool.
+
+    Attributes:
+        pools: Every pool by id.
+        instances: Every instance by id.
+        waves: Every wave by id.
+        services: Every service by id.
+        profiles: Every profile by id.
+        teams: Every team by id.
+    """
+
+    pools: Mapping[ids.PoolId, PoolView]
+    instances: _Instances
+    waves: _Waves
+    services: _Services
+    profiles: _Profiles
+    teams: _Teams
+
+    def profile_of_service(self, service_id: ids.ServiceId) -> _Profile | None:
+        """Returns the profile that a service runs under."""
+        service = self.services.get(service_id)
+        return (
+            None if service is None else self.profiles.get(service.profile_id)
+        )
+
+
+class _Changes:
+    """Finds the objects of a mapping that differ from the last time."""
+
+    def __init__(self) -> None:
+        self._seen: dict[Any, Any] = {}
+
+    def find(self, mapping: Mapping[Any, Any]) -> list[tuple[Any, Any]]:
+        """Returns (old, new) pairs; None stands for a missing object."""
+        seen = self._seen
+        changed = [
+            (key, value)
+            for key, value in mapping.items()
+            if seen.get(key) is not value
+        ]
+        pairs = [(seen.get(key), value) for key, value in changed]
+        seen.update(changed)
+        if len(seen) > len(mapping):
+            gone = [key for key in seen if key not in mapping]
+            pairs.extend((seen.pop(key), None) for key in gone)
+        return pairs
+
+
+class FleetIndex:
+    """Keeps the groups of a `FleetView` up to date.
+
+    `refresh` compares object identities, which costs some tens of nanoseconds
+    for an unchanged object; only the changed pools are grouped again.
+    """
+
+    def __init__(self) -> None:
+        """Starts with an empty fleet."""
+        self._instance_changes = _Changes()
+        self._job_changes = _Changes()
+        self._pool_changes = _Changes()
+        self._rule_changes = (_Changes(), _Changes())
+        self._instances: dict[
+            ids.PoolId, dict[ids.InstanceId, pools.Instance]
+        ] = collections.defaultdict(dict)
+        self._active: dict[ids.InstanceId, dict[ids.JobId, jobs.Job]] = (
+            collections.defaultdict(dict)
+        )
+        self._waiting: dict[ids.ServiceId, dict[ids.JobId, jobs.Job]] = (
+            collections.defaultdict(dict)
+        )
+        self._pools: dict[ids.PoolId, PoolView] = {}
+
+    def refresh(self, fleet: FleetReader) -> FleetView:
+        """Returns a view of the fleet as it is now."""
+        dirty = self._group_instances(fleet)
+        dirty |= self._group_jobs(fleet)
+        rules: tuple[Mapping[Any, Any], ...] = (fleet.services, fleet.profiles)
+        changed = [
+            bool(changes.find(mapping))
+            for changes, mapping in zip(self._rule_changes, rules, strict=True)
+        ]
+        for old, new in self._pool_changes.find(fleet.pools):
+            dirty.add((new or old).pool_id)
+        if any(changed):
+            dirty |= fleet.pools.keys()
+        self._rebuild(fleet, dirty)
+        return FleetView(
+            types.MappingProxyType(dict(self._pools)),
+            fleet.instances,
+            fleet.waves,
+            fleet.services,
+            fleet.profiles,
+            fleet.teams,
+        )
+
+    def _group_instances(self, fleet: FleetReader) -> set[ids.PoolId]:
+        dirty = set()
+        for old, new in self._instance_changes.find(fleet.instances):
+            if old is not None:
+                self._instances[old.pool_id].pop(old.instance_id, None)
+                dirty.add(old.pool_id)
+            if new is not None:
+                self._instances[new.pool_id][new.instance_id] = new
+                dirty.add(new.pool_id)
+        return dirty
+
+    def _group_jobs(self, fleet: FleetReader) -> set[ids.PoolId]:
+        dirty: set[ids.PoolId] = set()
+        for old, new in self._job_changes.find(fleet.jobs):
+            if old is not None:
+                self._waiting[old.service_id].pop(old.job_id, None)
+                if old.instance_id is not None:
+                    self._active[old.instance_id].pop(old.job_id, None)
+                dirty.update(_pools_of_job(fleet, old))
+            if new is not None:
+                self._add_job(new)
+                dirty.update(_pools_of_job(fleet, new))
+        return dirty
+
+    def _add_job(self, job: jobs.Job) -> None:
+        if job.state in WAITING_JOB_STATES:
+            self._waiting[job.service_id][job.job_id] = job
+        elif job.state in ACTIVE_JOB_STATES and job.instance_id is not None:
+            self._active[job.instance_id][job.job_id] = job
+
+    def _rebuild(self, fleet: FleetReader, dirty: set[ids.PoolId]) -> None:
+        services = _services_by_pool(fleet)
+        for pool_id in dirty:
+            pool = fleet.pools.get(pool_id)
+            if pool is None:
+                self._pools.pop(pool_id, None)
+            else:
+                served = services.get(pool_id, ())
+                self._pools[pool_id] = self._build(fleet, pool, served)
+
+    def _build(
+        self,
+        fleet: FleetReader,
+        pool: pools.Pool,
+        served: Iterable[ids.ServiceId],
+    ) -> PoolView:
+        members = self._instances[pool.pool_id]
+        active = {
+            name: tuple(self._active[name].values())
+            for name in members
+            if self._active.get(name)
+        }
+        waiting = tuple(
+            job
+            for service_id in served
+            for job in self._waiting[service_id].values()
+        )
+        return PoolView(
+            pool,
+            _profile_of(fleet, pool),
+            tuple(members[name] for name in sorted(members)),
+            types.MappingProxyType(active),
+            waiting,
+        )
+
+
+def _pools_of_job(fleet: FleetReader, job: jobs.Job) -> list[ids.PoolId]:
+    found = []
+    service = fleet.services.get(job.service_id)
+    if service is not None:
+        found.append(service.pool_id)
+    if job.instance_id is not None and job.instance_id in fleet.instances:
+        found.append(fleet.instances[job.instance_id].pool_id)
+    return found
+
+
+def _services_by_pool(
+    fleet: FleetReader,
+) -> dict[ids.PoolId, list[ids.ServiceId]]:
+    groups: dict[ids.PoolId, list[ids.ServiceId]] = {}
+    for service in fleet.services.values():
+        groups.setdefault(service.pool_id, []).append(service.service_id)
+    return groups
+
+
+def _profile_of(
+    fleet: FleetReader, pool: pools.Pool
+) -> profiles.Profile | None:
+    if pool.service_id is None:
+        return None
+    service = fleet.services.get(pool.service_id)
+    return None if service is None else fleet.profiles.get(service.profile_id)
--- /dev/null
+++ b/tarragoncleat/platform_client.py
@@ -0,0 +1,182 @@
+"""HTTP calls to the workers (the worker interface of docs/design.md).
+
+Every call is safe to repeat. A worker that can't be reached and one that
+answers outside the interface give a `Failure`; a refusal (HTTP 409, for
+example of an old fence number) gives one of kind CONFLICT.
+"""
+
+import json
+from typing import Any, NoReturn
+
+import anyio
+import httpcore
+import pydantic
+
+from tarragoncleat import errors
+from tarragoncleat import jobs
+from tarragoncleat import platform_messages
+from tarragoncleat import profiles
+
+__all__ = ["PlatformClient"]
+
+_MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_IDLE_S = 10.0
+_OK = 200
+_CONFLICT = 409
+_REPORT = pydantic.TypeAdapter(platform_messages.Report)
+_REBOOT = pydantic.TypeAdapter(platform_messages.RebootStatus)
+
+
+class PlatformClient:
+    """Calls workers with a timeout and a bounded number of connections."""
+
+    def __init__(self, timeout_s: float, max_connections: int) -> None:
+        """Creates a client; connections open with the first calls.
+
+        Args:
+            timeout_s: Limit for a whole call.
+            max_connections: Limit over all workers.
+        """
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=_IDLE_S,
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._pool.aclose()
+
+    async def read_report(
+        self, address: str
+    ) -> platform_messages.Report | errors.Failure:
+        """Reads the report of a worker."""
+        body = await self._call("GET", address, "report", None)
+        return _parse(_REPORT, body)
+
+    async def renew_lease(
+        self, address: str, fence: int, lease_until_ms: int
+    ) -> errors.Failure | None:
+        """Takes or renews the lease; the end is in the worker's clock."""
+        content = {"fence": fence, "lease_until_ms": lease_until_ms}
+        return _failure_of(await self._call("PUT", address, "lease", content))
+
+    async def start_task(
+        self,
+        address: str,
+        task_id: str,
+        fence: int,
+        demand: jobs.Demand,
+        command: str,
+    ) -> errors.Failure | None:
+        """Starts a task; starting a known task again has no effect."""
+        content = {
+            "fence": fence,
+            "cores": demand.cores,
+            "memory_mb": demand.memory_mb,
+            "accelerators": demand.accelerators,
+            "command": command,
+        }
+        path = f"tasks/{task_id}"
+        return _failure_of(await self._call("PUT", address, path, content))
+
+    async def interrupt_task(
+        self,
+        address: str,
+        task_id: str,
+        action: profiles.Interruption,
+        action_id: str,
+    ) -> errors.Failure | None:
+        """Checkpoints, throttles or stops a task."""
+        path = f"tasks/{task_id}/{action.value}"
+        content = {"action_id": action_id}
+        return _failure_of(await self._call("PUT", address, path, content))
+
+    async def set_draining(
+        self, address: str, action_id: str, draining: bool
+    ) -> errors.Failure | None:
+        """Starts or ends the drain of a worker."""
+        content = {"action_id": action_id, "draining": draining}
+        return _failure_of(await self._call("PUT", address, "drain", content))
+
+    async def reboot(
+        self, address: str, action_id: str
+    ) -> platform_messages.RebootStatus | errors.Failure:
+        """Reboots a worker once for each action id.
+
+        The answer to a repeated call tells whether that reboot is done.
+        """
+        content = {"action_id": action_id}
+        body = await self._call("PUT", address, "reboot", content)
+        return _parse(_REBOOT, body)
+
+    async def _call(
+        self, method: str, address: str, path: str, content: dict | None
+    ) -> bytes | errors.Failure:
+        url = f"http://{address}/platform/v1/{path}"
+        data = None if content is None else json.dumps(content).encode()
+        headers = [("content-type", "application/json")] if data else []
+        try:
+            with anyio.fail_after(self._timeout_s):
+                async with self._pool.stream(
+                    method, url, headers=headers, content=data
+                ) as response:
+                    body = await _read(response)
+        except _CALL_ERRORS as error:
+            detail = str(error) or type(error).__name__
+            return _unreachable(f"{method} {url}: {detail}")
+        if response.status == _OK:
+            return body
+        text = body[:200].decode(errors="replace")
+        reason = f"{method} {url}: status {response.status}: {text}"
+        if response.status == _CONFLICT:
+            return errors.Failure(errors.ErrorKind.CONFLICT, reason)
+        return _unreachable(reason)
+
+
+class _AnswerTooLargeError(Exception):
+    """A worker sent more than the limit."""
+
+
+_CALL_ERRORS = (
+    TimeoutError,
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    _AnswerTooLargeError,
+)
+
+
+async def _read(response: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > _MAX_ANSWER_BYTES:
+            _refuse_large_answer()
+    return bytes(body)
+
+
+def _refuse_large_answer() -> NoReturn:
+    raise _AnswerTooLargeError(f"answer over {_MAX_ANSWER_BYTES} bytes")
+
+
+def _parse(adapter: pydantic.TypeAdapter, body: bytes | errors.Failure) -> Any:
+    if isinstance(body, errors.Failure):
+        return body
+    try:
+        return adapter.validate_json(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"])
+        return errors.Failure(
+            errors.ErrorKind.DECODE, f"worker answer: {key}: {first['msg']}"
+        )
+
+
+def _failure_of(body: bytes | errors.Failure) -> errors.Failure | None:
+    return body if isinstance(body, errors.Failure) else None
+
+
+def _unreachable(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.UPSTREAM_FAILED, reason)
--- /dev/null
+++ b/tarragoncleat/pool_capacity.py
@@ -0,0 +1,328 @@
+"""Free capacity of one pool while jobs are being placed.
+
+Sizes are the learned ones. Within the failure domains of the pool, a job goes
+to the availability zone, then the rack, with the fewest jobs for its size, and
+there to the instance with the least room that is enough.
+"""
+
+import collections
+from collections.abc import Collection, Iterator
+import dataclasses
+
+from tarragoncleat import fleet_view
+from tarragoncleat import ids
+from tarragoncleat import jobs
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import usage
+
+__all__ = ["THROTTLED_CORE_SHARE", "Host", "PoolCapacity"]
+
+# A throttled task is limited to this share of its processors; its memory and
+# accelerators stay occupied.
+THROTTLED_CORE_SHARE = 0.5
+
+_MS_PER_S = 1000
+# Sums of fractional processors carry rounding errors of this order.
+_EPSILON = 1e-9
+
+_Rack = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """An instance with its free capacity and the jobs that it runs."""
+
+    instance: pools.Instance
+    cores: float
+    memory_mb: int
+    accelerators: int
+    ready: bool
+    active: dict[ids.JobId, jobs.Job]
+
+    def fits(self, demand: jobs.Demand) -> bool:
+        """Tells whether a job of this size fits now."""
+        return (
+            demand.cores <= self.cores + _EPSILON
+            and demand.memory_mb <= self.memory_mb
+            and demand.accelerators <= self.accelerators
+        )
+
+    def take(self, demand: jobs.Demand, sign: int = 1) -> None:
+        """Reserves (or, with sign -1, frees) capacity."""
+        self.cores -= sign * demand.cores
+        self.memory_mb -= sign * demand.memory_mb
+        self.accelerators -= sign * demand.accelerators
+
+
+@dataclasses.dataclass(slots=True)
+class _RackGroup:
+    zone: str
+    hosts: list[Host]
+    jobs: int = 0
+
+
+class PoolCapacity:
+    """The hosts of one pool, grouped by rack."""
+
+    def __init__(
+        self,
+        view: fleet_view.FleetView,
+        pool: fleet_view.PoolView,
+        ready: Collection[ids.InstanceId],
+        model: usage.UsageModel,
+    ) -> None:
+        """Works out the free capacity from the active jobs.
+
+        Args:
+            view: The fleet.
+            pool: The pool.
+            ready: Instances that can start a job now.
+            model: Learned sizes and run times.
+        """
+        self._model = model
+        self._placement = _placement_of(pool)
+        self._zone_jobs: collections.Counter[str] = collections.Counter()
+        self._zone_hosts: collections.Counter[str] = collections.Counter()
+        self._racks: dict[_Rack, _RackGroup] = {}
+        self._hosts: dict[ids.InstanceId, Host] = {}
+        self._allowed = self._allowed_instances(pool)
+        self._largest = _largest(self._allowed)
+        for instance in self._allowed:
+            can_start = (
+                instance.instance_id in ready
+                and instance.state is pools.InstanceState.IN_SERVICE
+                and instance.moving_to is None
+            )
+            active = pool.active.get(instance.instance_id, ())
+            self._add_host(instance, can_start, active)
+
+    @property
+    def ready_hosts(self) -> Iterator[Host]:
+        """Hosts that can start a job now."""
+        return (host for host in self._hosts.values() if host.ready)
+
+    def demand(self, job: jobs.Job) -> jobs.Demand:
+        """Returns the capacity that a job occupies, as learned."""
+        size = self._model.demand(job, self._largest)
+        if job.state is not jobs.JobState.THROTTLED:
+            return size
+        return throttled(size)
+
+    def never_fits(self, job: jobs.Job) -> str | None:
+        """Returns why a job fits no instance of the pool, even an empty one.
+
+        A pool without instances only makes the job wait, because instances
+        can be moved into it.
+        """
+        declared = job.demand
+        if not self._allowed:
+            return None
+        for item in self._allowed:
+            if (
+                declared.cores <= item.cores
+                and declared.memory_mb <= item.memory_mb
+                and declared.accelerators <= item.accelerators
+            ):
+                return None
+        return (
+            f"needs {declared.cores:g} cores, {declared.memory_mb} MB and "
+            f"{declared.accelerators} accelerators; the largest instance of "
+            f"the pool has {self._largest.cores:g} cores, "
+            f"{self._largest.memory_mb} MB and "
+            f"{self._largest.accelerators} accelerators"
+        )
+
+    def choose(
+        self, job: jobs.Job, excluded: ids.InstanceId | None
+    ) -> ids.InstanceId | None:
+        """Returns the best host with room for a job, if there is one."""
+        demand = self.demand(job)
+        best: tuple[tuple[float, float], Host] | None = None
+        for group in self._racks.values():
+            if self._is_rack_full(group):
+                continue
+            order = self._rack_order(group)
+            if best is not None and order >= best[0]:
+                continue
+            host = _tightest(group.hosts, demand, excluded)
+            if host is not None:
+                best = (order, host)
+        return None if best is None else best[1].instance.instance_id
+
+    def occupy(self, job: jobs.Job, instance_id: ids.InstanceId) -> None:
+        """Reserves room for a job that is placed now."""
+        host = self._hosts[instance_id]
+        host.take(self.demand(job))
+        host.active[job.job_id] = job
+        self._count_job(host, 1)
+
+    def interrupt(self, job: jobs.Job, action: profiles.Interruption) -> None:
+        """Frees what the interruption of a running job frees."""
+        assert job.instance_id is not None
+        host = self._hosts[job.instance_id]
+        host.take(self.demand(job), -1)
+        if action is profiles.Interruption.THROTTLE:
+            slowed = dataclasses.replace(job, state=jobs.JobState.THROTTLED)
+            host.active[job.job_id] = slowed
+            host.take(self.demand(slowed))
+            return
+        del host.active[job.job_id]
+        self._count_job(host, -1)
+
+    def can_host(self, host: Host, freed_jobs: int) -> bool:
+        """Tells whether the rack limit admits one more job on a host.
+
+        Args:
+            host: The host.
+            freed_jobs: Jobs of the host that would be gone by then.
+        """
+        limit = self._placement.max_per_rack
+        jobs_then = self._racks[_rack(host.instance)].jobs - freed_jobs
+        return not limit or jobs_then < limit
+
+    def blocked_reason(self, job: jobs.Job) -> str:
+        """Says why a job that fits an empty instance has to wait."""
+        ready = sum(host.ready for host in self._hosts.values())
+        demand = self.demand(job)
+        if not ready:
+            return "the pool has no instance in service"
+        roomy = [h for h in self.ready_hosts if h.fits(demand)]
+        if roomy:
+            return "room is kept for a job ahead, or the rack limit is reached"
+        return (
+            f"no room for {demand.cores:g} cores, {demand.memory_mb} MB and "
+            f"{demand.accelerators} accelerators on {ready} instances"
+        )
+
+    def earliest_room(
+        self, job: jobs.Job, now_ms: int
+    ) -> tuple[ids.InstanceId, float] | None:
+        """Returns where and when room is expected for a waiting job."""
+        demand = self.demand(job)
+        found: list[tuple[float, ids.InstanceId]] = []
+        for host in self.ready_hosts:
+            start_ms = self._room_at(host, demand, now_ms)
+            if start_ms is not None:
+                found.append((start_ms, host.instance.instance_id))
+        if not found:
+            return None
+        start_ms, instance_id = min(found)
+        return instance_id, start_ms
+
+    def _room_at(
+        self, host: Host, demand: jobs.Demand, now_ms: int
+    ) -> float | None:
+        ends = sorted(
+            (
+                (self._end_ms(job, now_ms), key)
+                for key, job in host.active.items()
+            )
+        )
+        free = dataclasses.replace(host, active={})
+        for end_ms, job_id in ends:
+            free.take(self.demand(host.active[job_id]), -1)
+            if free.fits(demand):
+                return end_ms
+        return None
+
+    def _end_ms(self, job: jobs.Job, now_ms: int) -> float:
+        # A job that has overrun its expected end may end at any moment.
+        started_ms = job.started_at_ms or now_ms
+        return max(now_ms, started_ms + self._model.run_s(job) * _MS_PER_S)
+
+    def _allowed_instances(
+        self, pool: fleet_view.PoolView
+    ) -> list[pools.Instance]:
+        zones = self._placement.availability_zones
+        return [
+            item
+            for item in pool.instances
+            if not zones or item.availability_zone in zones
+        ]
+
+    def _add_host(
+        self,
+        instance: pools.Instance,
+        ready: bool,
+        active: Collection[jobs.Job],
+    ) -> None:
+        host = Host(
+            instance,
+            instance.cores,
+            instance.memory_mb,
+            instance.accelerators,
+            ready,
+            {job.job_id: job for job in active},
+        )
+        for job in active:
+            host.take(self.demand(job))
+        rack = _rack(instance)
+        group = self._racks.setdefault(rack, _RackGroup(rack[0], []))
+        group.hosts.append(host)
+        self._hosts[instance.instance_id] = host
+        self._zone_hosts[group.zone] += 1
+        self._count_job(host, len(active))
+
+    def _count_job(self, host: Host, count: int) -> None:
+        group = self._racks[_rack(host.instance)]
+        group.jobs += count
+        self._zone_jobs[group.zone] += count
+
+    def _is_rack_full(self, group: _RackGroup) -> bool:
+        limit = self._placement.max_per_rack
+        return bool(limit) and group.jobs >= limit
+
+    def _rack_order(self, group: _RackGroup) -> tuple[float, float]:
+        zone_load = self._zone_jobs[group.zone] / self._zone_hosts[group.zone]
+        rack_load = group.jobs / len(group.hosts)
+        if self._placement.spread:
+            return zone_load, rack_load
+        return -zone_load, -rack_load
+
+
+def throttled(demand: jobs.Demand) -> jobs.Demand:
+    """Returns what a throttled job still occupies."""
+    cores = demand.cores * THROTTLED_CORE_SHARE
+    return dataclasses.replace(demand, cores=cores)
+
+
+def _placement_of(pool: fleet_view.PoolView) -> profiles.Placement:
+    return (
+        profiles.Placement() if pool.profile is None else pool.profile.placement
+    )
+
+
+def _rack(instance: pools.Instance) -> _Rack:
+    return instance.availability_zone, instance.rack
+
+
+def _largest(instances: Collection[pools.Instance]) -> jobs.Demand:
+    return jobs.Demand(
+        max((item.cores for item in instances), default=0),
+        max((item.memory_mb for item in instances), default=0),
+        max((item.accelerators for item in instances), default=0),
+    )
+
+
+def _tightest(
+    hosts: Collection[Host],
+    demand: jobs.Demand,
+    excluded: ids.InstanceId | None,
+) -> Host | None:
+    fitting = [
+        host
+        for host in hosts
+        if host.ready
+        and host.fits(demand)
+        and host.instance.instance_id != excluded
+    ]
+    return min(
+        fitting,
+        key=lambda host: (
+            host.cores,
+            host.memory_mb,
+            host.instance.instance_id,
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/tarragoncleat/proposals.py
@@ -0,0 +1,75 @@
+"""Proposes commands of the controller to the replicated log."""
+
+from typing import Any, Protocol
+import uuid
+
+import loguru
+
+from tarragoncleat import codec
+from tarragoncleat import commands
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import settings
+
+__all__ = ["Proposer", "Replication"]
+
+_MS_PER_S = 1000
+
+
+class Replication(Protocol):
+    """The part of `replication.Replication` that the controller uses."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this process leads now."""
+
+    @property
+    def leader_since_s(self) -> float | None:
+        """Monotonic time since when it leads, None while it doesn't."""
+
+    async def propose(self, payload: bytes, timeout_s: float) -> Any:
+        """Proposes a record; returns an `Applied` or a `Failure`."""
+
+
+class Proposer:
+    """Wraps commands in envelopes and unwraps their results."""
+
+    def __init__(
+        self, configuration: settings.Settings, replication: Replication
+    ) -> None:
+        """Creates a proposer that acts in the name of this entry."""
+        self._entry_id = configuration.entry_id
+        timeout_ms = configuration.consensus.propose_timeout_ms
+        self._timeout_s = timeout_ms / _MS_PER_S
+        self._replication = replication
+
+    async def propose(self, command: Any) -> commands.Result | errors.Failure:
+        """Proposes a command.
+
+        A result that isn't ok is logged and returned as a `Failure`. The
+        decision is made again from the committed state in the next round.
+        """
+        envelope = commands.Envelope(
+            ids.CommandId(f"controller-{uuid.uuid4().hex}"),
+            commands.ANY_FIRM,
+            self._entry_id,
+            commands.CONTROLLER_ROLE,
+            None,
+            command,
+        )
+        payload = codec.encode(envelope)
+        applied = await self._replication.propose(payload, self._timeout_s)
+        if isinstance(applied, errors.Failure):
+            loguru.logger.warning(
+                "{} was not committed: {}", command.kind, applied.reason
+            )
+            return applied
+        result = codec.decode(applied.result)
+        if isinstance(result, errors.Failure):
+            return result
+        if not result.ok:
+            loguru.logger.info(
+                "{} was refused: {}", command.kind, result.reason
+            )
+            return result.to_failure()
+        return result
--- /dev/null
+++ b/tarragoncleat/stuck_pools.py
@@ -0,0 +1,46 @@
+"""Pools in which a wave can't go on without another instance."""
+
+from collections.abc import Collection, Mapping
+
+from tarragoncleat import ids
+from tarragoncleat import planner
+from tarragoncleat import settings
+
+__all__ = ["StuckPools"]
+
+# How long a wave may be stuck before a spare instance is moved in, times the
+# share of the weights buffer and moves: both speak against it.
+_MAX_PATIENCE_MS = 300_000
+
+
+class StuckPools:
+    """Remembers since when pools have been stuck."""
+
+    def __init__(self, objectives: settings.ObjectiveSettings) -> None:
+        """Works out the patience from the operators' weights."""
+        total = objectives.roll_out + objectives.buffer + objectives.moves
+        against = objectives.buffer + objectives.moves
+        share = against / total if total else 1.0
+        self._patience_ms = share * _MAX_PATIENCE_MS
+        self._since_ms: dict[ids.WaveId, dict[ids.PoolId, int]] = {}
+
+    def note(self, step: planner.WaveStep, now_ms: int) -> None:
+        """Takes over which pools a wave is stuck in."""
+        known = self._since_ms.get(step.wave_id, {})
+        self._since_ms[step.wave_id] = {
+            pool_id: known.get(pool_id, now_ms) for pool_id in step.stuck_pools
+        }
+
+    def keep_only(self, wave_ids: Collection[ids.WaveId]) -> None:
+        """Drops waves that don't step any more."""
+        for wave_id in self._since_ms.keys() - set(wave_ids):
+            del self._since_ms[wave_id]
+
+    def wanted(self, now_ms: int) -> Mapping[ids.PoolId, int]:
+        """Returns the pools that one more instance is wanted for."""
+        return {
+            pool_id: 1
+            for pools in self._since_ms.values()
+            for pool_id, since_ms in pools.items()
+            if now_ms - since_ms >= self._patience_ms
+        }
--- /dev/null
+++ b/tarragoncleat/wave_choice.py
@@ -0,0 +1,242 @@
+"""Chooses which instances of one pool a wave takes.
+
+`budget` says how many a pool can give up; this module orders the candidates
+and takes as many of them as the budget allows together.
+"""
+
+import collections
+from collections.abc import Collection, Iterable, Sequence
+import heapq
+
+from tarragoncleat import budget
+from tarragoncleat import fleet_view
+from tarragoncleat import ids
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import settings
+
+__all__ = ["PoolChoice"]
+
+# A spare pool owes nothing, but taking all of it at once would leave no
+# replacement for a failure.
+_SPARE_POOL_SHARE = 0.5
+
+_Candidate = tuple[int, ids.InstanceId, pools.Instance]
+
+_IDLE_STATES = frozenset(
+    {pools.InstanceState.IN_SERVICE, pools.InstanceState.QUARANTINED}
+)
+
+
+class PoolChoice:
+    """Chooses instances of one pool for one wave after another."""
+
+    def __init__(
+        self,
+        pool: fleet_view.PoolView,
+        objectives: settings.ObjectiveSettings,
+        now_ms: int,
+    ) -> None:
+        """Starts with nothing taken from the pool in this round."""
+        self._pool = pool
+        self._objectives = objectives
+        self._now_ms = now_ms
+        self._by_id = {item.instance_id: item for item in pool.instances}
+        self._taken: list[ids.InstanceId] = []
+
+    def choose(
+        self, candidates: Iterable[ids.InstanceId]
+    ) -> list[ids.InstanceId]:
+        """Returns as much of the best order as the budget allows."""
+        idle = [
+            self._by_id[name]
+            for name in candidates
+            if self._can_go(self._by_id[name])
+        ]
+        free = [item for item in idle if not self._is_settled(item)]
+        limit = self._limit() + len(free)
+        if not idle or limit == 0:
+            return []
+        order = self._order(idle, free, limit)
+        chosen = order[: self._longest_allowed(order)]
+        self._taken.extend(chosen)
+        return chosen
+
+    def blocked_reason(self, candidates: Collection[ids.InstanceId]) -> str:
+        """Says why no instance could be taken."""
+        idle = [n for n in candidates if self._can_go(self._by_id[n])]
+        if not idle:
+            return _states_reason([self._by_id[name] for name in candidates])
+        profile = self._pool.profile
+        if profile is None:
+            return "half of the spare pool is out already"
+        first = (*self._taken, idle[0])
+        failure = budget.allows(
+            profile, self._pool.instances, first, self._now_ms
+        )
+        return "" if failure is None else failure.reason
+
+    def _can_go(self, instance: pools.Instance) -> bool:
+        return (
+            instance.state in _IDLE_STATES
+            and instance.moving_to is None
+            and instance.wave_id is None
+            and instance.instance_id not in self._taken
+        )
+
+    def _is_settled(self, instance: pools.Instance) -> bool:
+        profile = self._pool.profile
+        if profile is None:
+            return instance.state is pools.InstanceState.IN_SERVICE
+        return budget.is_settled(instance, profile, self._now_ms)
+
+    def _limit(self) -> int:
+        profile = self._pool.profile
+        if profile is None:
+            return self._spare_limit()
+        room = budget.spendable(profile, self._pool.instances, self._now_ms)
+        return room.allowed
+
+    def _spare_limit(self) -> int:
+        members = self._pool.instances
+        idle = sum(item.state in _IDLE_STATES for item in members)
+        away = len(members) - idle
+        share = max(1, int(len(members) * _SPARE_POOL_SHARE))
+        return max(0, share - away - len(self._taken))
+
+    def _longest_allowed(self, order: Sequence[ids.InstanceId]) -> int:
+        """Finds by bisection how many of the order the budget allows.
+
+        Each further instance lowers the settled count by one and the reserve
+        by at most one, so that an allowed length implies all shorter ones.
+        """
+        if self._pool.profile is None:
+            return min(len(order), self._spare_limit())
+        if self._allows(order):
+            return len(order)
+        low, high = 0, len(order) - 1
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self._allows(order[:middle]):
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+    def _allows(self, further: Sequence[ids.InstanceId]) -> bool:
+        profile = self._pool.profile
+        assert profile is not None
+        step = (*self._taken, *further)
+        members = self._pool.instances
+        return budget.allows(profile, members, step, self._now_ms) is None
+
+    def _order(
+        self,
+        idle: Sequence[pools.Instance],
+        free: Sequence[pools.Instance],
+        limit: int,
+    ) -> list[ids.InstanceId]:
+        """Orders candidates: those that cost no settled capacity come first."""
+        order = [item.instance_id for item in free]
+        ranking = _RackRanking(self._pool, self._objectives, self._taken)
+        settled = [item for item in idle if self._is_settled(item)]
+        order.extend(ranking.first(settled, limit - len(order)))
+        return order
+
+
+class _RackRanking:
+    """Orders the settled candidates of a pool, rack by rack.
+
+    Taking from the largest failure domain lowers the reserve, and emptying one
+    rack before the next keeps a later rack loss from hitting more instances
+    than are out already. Fewer running jobs mean fewer moves and less time to
+    drain.
+    """
+
+    def __init__(
+        self,
+        pool: fleet_view.PoolView,
+        objectives: settings.ObjectiveSettings,
+        taken: Collection[ids.InstanceId],
+    ) -> None:
+        self._pool = pool
+        self._weights = objectives
+        remaining = [
+            item
+            for item in pool.instances
+            if item.state is pools.InstanceState.IN_SERVICE
+            and item.instance_id not in taken
+        ]
+        self._sizes = collections.Counter(
+            self._domain(item) for item in remaining
+        )
+        self._largest = max(self._sizes.values(), default=1)
+        self._out = collections.Counter(
+            _rack(item)
+            for item in pool.instances
+            if item.state not in _IDLE_STATES or item.instance_id in taken
+        )
+        self._most_jobs = max(
+            (pool.job_count(item.instance_id) for item in remaining), default=0
+        )
+
+    def first(
+        self, candidates: Iterable[pools.Instance], count: int
+    ) -> list[ids.InstanceId]:
+        """Returns the best `count` candidates in order."""
+        racks = self._group(candidates)
+        order: list[ids.InstanceId] = []
+        while racks and len(order) < count:
+            best = max(racks, key=lambda rack: self._score(racks[rack][0]))
+            _, name, instance = heapq.heappop(racks[best])
+            if not racks[best]:
+                del racks[best]
+            order.append(name)
+            self._sizes[self._domain(instance)] -= 1
+            self._out[best] += 1
+        return order
+
+    def _group(
+        self, candidates: Iterable[pools.Instance]
+    ) -> dict[tuple[str, str], list[_Candidate]]:
+        racks: dict[tuple[str, str], list[_Candidate]] = {}
+        for item in candidates:
+            jobs = self._pool.job_count(item.instance_id)
+            entry = (jobs, item.instance_id, item)
+            racks.setdefault(_rack(item), []).append(entry)
+        for group in racks.values():
+            heapq.heapify(group)
+        return racks
+
+    def _score(self, candidate: _Candidate) -> tuple[float, bool, str]:
+        jobs, name, instance = candidate
+        size = self._sizes[self._domain(instance)] / self._largest
+        busy = jobs / self._most_jobs if self._most_jobs else 0.0
+        weights = self._weights
+        score = (weights.roll_out + weights.buffer) * size
+        score -= weights.moves * busy
+        return score, self._out[_rack(instance)] > 0, name
+
+    def _domain(self, instance: pools.Instance) -> tuple[str, ...]:
+        profile = self._pool.profile
+        if profile is None:
+            return _rack(instance)
+        domain = profile.tolerance.failure_reserve
+        if domain is profiles.FailureDomain.RACK:
+            return _rack(instance)
+        if domain is profiles.FailureDomain.AVAILABILITY_ZONE:
+            return (instance.availability_zone,)
+        return ()
+
+
+def _rack(instance: pools.Instance) -> tuple[str, str]:
+    return instance.availability_zone, instance.rack
+
+
+def _states_reason(instances: Collection[pools.Instance]) -> str:
+    states = collections.Counter(
+        "moving" if item.moving_to is not None else item.state.value
+        for item in instances
+    )
+    listed = ", ".join(f"{count} {name}" for name, count in states.items())
+    return f"no remaining instance can be taken: {listed}"
--- /dev/null
+++ b/tarragoncleat/worker_visits.py
@@ -0,0 +1,309 @@
+"""Visits to workers: read the report, renew the lease, repeat the actions.
+
+Visits run beside each other with a limit; one worker is never visited twice at
+the same time. What a visit found is kept as a `WorkerStatus`.
+"""
+
+from collections.abc import Callable, Collection, Iterator, Mapping
+import dataclasses
+import functools
+
+import anyio
+import anyio.abc
+import loguru
+
+from tarragoncleat import errors
+from tarragoncleat import fleet_view
+from tarragoncleat import ids
+from tarragoncleat import jobs
+from tarragoncleat import platform_client
+from tarragoncleat import platform_messages
+from tarragoncleat import pools
+from tarragoncleat import settings
+from tarragoncleat import timer
+from tarragoncleat import worker_actions
+from tarragoncleat import worker_leases
+
+__all__ = ["WorkerStatus", "WorkerVisits"]
+
+_MS_PER_S = 1000
+# Two visits may fail before a lease ends.
+_VISITS_PER_LEASE = 3
+_LOST_VISIT_INTERVAL_LEASES = 1
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerStatus:
+    """What this leader knows about a worker.
+
+    Attributes:
+        instance: The committed instance when the last visit began.
+        active: Jobs placed on it at that time.
+        report: The last report, or None.
+        reported_s: Monotonic time at which that report arrived.
+        started: Tasks that were started after the report.
+        reboot_done: Action id of a reboot that the worker reported done.
+        due_s: When the next visit is due.
+        is_busy: Whether a visit is under way.
+        is_new: Whether the last visit was not examined yet.
+    """
+
+    instance: pools.Instance | None = None
+    active: tuple[jobs.Job, ...] = ()
+    report: platform_messages.Report | None = None
+    reported_s: float = 0.0
+    started: tuple[str, ...] = ()
+    reboot_done: str | None = None
+    due_s: float = 0.0
+    is_busy: bool = False
+    is_new: bool = False
+
+    def active_tasks(self) -> Iterator[str]:
+        """Yields the tasks that may take capacity of the worker."""
+        yield from self.started
+        if self.report is not None:
+            for task in self.report.tasks:
+                if task.state.is_active:
+                    yield task.task_id
+
+
+class WorkerVisits:
+    """Visits every worker of the fleet in turn."""
+
+    def __init__(
+        self,
+        limits: settings.ControllerSettings,
+        client: platform_client.PlatformClient,
+        clock: timer.TimerService,
+        leases: worker_leases.WorkerLeases,
+        is_leader: Callable[[], bool],
+    ) -> None:
+        """Creates the visits of one leader's term.
+
+        Args:
+            limits: Lease length, intervals and parallelism.
+            client: Calls the workers.
+            clock: Monotonic time.
+            leases: Counts the leases.
+            is_leader: Asked before every call, so that a deposed leader
+                stops at once.
+        """
+        self._client = client
+        self._clock = clock
+        self._leases = leases
+        self._is_leader = is_leader
+        self._limiter = anyio.CapacityLimiter(limits.parallel_calls)
+        lease_s = limits.lease_ms / _MS_PER_S
+        self._interval_s = lease_s / _VISITS_PER_LEASE
+        self._lost_interval_s = lease_s * _LOST_VISIT_INTERVAL_LEASES
+        self._statuses: dict[ids.InstanceId, WorkerStatus] = {}
+        self._jobs: Mapping[ids.JobId, jobs.Job] = {}
+
+    @property
+    def statuses(self) -> Mapping[ids.InstanceId, WorkerStatus]:
+        """What is known about each worker."""
+        return self._statuses
+
+    def wake(self, instance_ids: Collection[ids.InstanceId]) -> None:
+        """Makes workers due now, because something about them was recorded."""
+        for name in instance_ids:
+            if name in self._statuses:
+                self._statuses[name].due_s = 0.0
+
+    def start_due(
+        self,
+        group: anyio.abc.TaskGroup,
+        view: fleet_view.FleetView,
+        known_jobs: Mapping[ids.JobId, jobs.Job],
+    ) -> None:
+        """Starts the visits that are due."""
+        self._jobs = known_jobs
+        self._forget_removed(view)
+        now_s = self._clock.monotonic_s()
+        for name, instance in view.instances.items():
+            status = self._statuses.get(name)
+            if status is None:
+                status = self._statuses[name] = WorkerStatus()
+            if status.is_busy or status.due_s > now_s:
+                continue
+            status.is_busy = True
+            active = view.pools[instance.pool_id].active.get(name, ())
+            group.start_soon(self._visit, status, instance, active)
+
+    def _forget_removed(self, view: fleet_view.FleetView) -> None:
+        if len(self._statuses) <= len(view.instances):
+            return
+        for name in self._statuses.keys() - view.instances.keys():
+            del self._statuses[name]
+            self._leases.forget(name)
+
+    async def _visit(
+        self,
+        status: WorkerStatus,
+        instance: pools.Instance,
+        active: tuple[jobs.Job, ...],
+    ) -> None:
+        started_s = self._clock.monotonic_s()
+        interval_s = self._interval_s
+        if instance.state is pools.InstanceState.LOST:
+            interval_s = self._lost_interval_s
+        status.due_s = started_s + interval_s
+        try:
+            async with self._limiter:
+                await self._visit_now(status, instance, active)
+        finally:
+            status.is_busy = False
+
+    async def _visit_now(
+        self,
+        status: WorkerStatus,
+        instance: pools.Instance,
+        active: tuple[jobs.Job, ...],
+    ) -> None:
+        requested_s = self._clock.monotonic_s()
+        report = await self._client.read_report(instance.address)
+        if isinstance(report, errors.Failure):
+            self._log_failure(instance, "report", report)
+            return
+        if report.instance_id != instance.instance_id:
+            loguru.logger.warning(
+                "worker at {} answers as {}, not as {}",
+                instance.address,
+                report.instance_id,
+                instance.instance_id,
+            )
+            return
+        received_s = self._clock.monotonic_s()
+        if worker_actions.wants_lease(instance, report):
+            await self._renew(instance, report, requested_s, received_s)
+        status.started = ()
+        status.instance = instance
+        status.active = active
+        status.report = report
+        status.reported_s = received_s
+        status.is_new = True
+        await self._act(status, instance, active, report)
+
+    async def _renew(
+        self,
+        instance: pools.Instance,
+        report: platform_messages.Report,
+        requested_s: float,
+        received_s: float,
+    ) -> None:
+        if not self._is_leader() or report.lease_has_ended(instance.fence):
+            return
+        name = instance.instance_id
+        until_ms = self._leases.begin_renewal(name, report.clock_ms, received_s)
+        failure = await self._client.renew_lease(
+            instance.address, instance.fence, until_ms
+        )
+        if failure is None:
+            self._leases.confirm_renewal(name, requested_s, instance.fence)
+        else:
+            self._log_failure(instance, "lease", failure)
+
+    async def _act(
+        self,
+        status: WorkerStatus,
+        instance: pools.Instance,
+        active: tuple[jobs.Job, ...],
+        report: platform_messages.Report,
+    ) -> None:
+        for call in worker_actions.calls(instance, active, self._jobs, report):
+            if not self._is_leader():
+                return
+            if isinstance(call, worker_actions.StartTask):
+                now_s = self._clock.monotonic_s()
+                if not self._leases.is_held(
+                    instance.instance_id, instance.fence, now_s
+                ):
+                    continue
+                status.started = (*status.started, call.task_id)
+            failure = await _perform(call, self._client, instance, status)
+            if failure is not None:
+                self._log_failure(instance, type(call).__name__, failure)
+                return
+
+    def _log_failure(
+        self, instance: pools.Instance, what: str, failure: errors.Failure
+    ) -> None:
+        # A lost worker fails every visit; its loss was logged already.
+        level = (
+            "DEBUG"
+            if instance.state is pools.InstanceState.LOST
+            or failure.kind is errors.ErrorKind.UPSTREAM_FAILED
+            else "WARNING"
+        )
+        loguru.logger.log(
+            level,
+            "{} call to worker {} failed: {}",
+            what,
+            instance.instance_id,
+            failure.reason,
+        )
+
+
+@functools.singledispatch
+async def _perform(
+    call: worker_actions.Call,
+    client: platform_client.PlatformClient,
+    instance: pools.Instance,
+    status: WorkerStatus,
+) -> errors.Failure | None:
+    raise NotImplementedError(type(call))
+
+
+@_perform.register
+async def _start_task(
+    call: worker_actions.StartTask,
+    client: platform_client.PlatformClient,
+    instance: pools.Instance,
+    status: WorkerStatus,
+) -> errors.Failure | None:
+    return await client.start_task(
+        instance.address,
+        call.task_id,
+        instance.fence,
+        call.demand,
+        call.command,
+    )
+
+
+@_perform.register
+async def _interrupt_task(
+    call: worker_actions.InterruptTask,
+    client: platform_client.PlatformClient,
+    instance: pools.Instance,
+    status: WorkerStatus,
+) -> errors.Failure | None:
+    return await client.interrupt_task(
+        instance.address, call.task_id, call.action, call.action_id
+    )
+
+
+@_perform.register
+async def _set_draining(
+    call: worker_actions.SetDraining,
+    client: platform_client.PlatformClient,
+    instance: pools.Instance,
+    status: WorkerStatus,
+) -> errors.Failure | None:
+    return await client.set_draining(
+        instance.address, call.action_id, call.draining
+    )
+
+
+@_perform.register
+async def _reboot(
+    call: worker_actions.Reboot,
+    client: platform_client.PlatformClient,
+    instance: pools.Instance,
+    status: WorkerStatus,
+) -> errors.Failure | None:
+    answer = await client.reboot(instance.address, call.action_id)
+    if isinstance(answer, errors.Failure):
+        return answer
+    if answer.done:
+        status.reboot_done = answer.action_id
+    return None
