--- /dev/null
+++ b/tarragoncleat/answers.py
@@ -0,0 +1,64 @@
+"""Answers that the system makes itself, and those that it stores."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import json
+from typing import Any
+
+from tarragoncleat import caller_requests
+from tarragoncleat import errors
+from tarragoncleat import ids
+
+__all__ = ["CompleteAnswer", "Send", "build_error", "send_complete"]
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompleteAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: caller_requests.Headers
+    body: bytes
+
+
+def build_error(
+    failure: errors.Failure,
+    outcome: errors.Outcome,
+    request_id: ids.RequestId,
+) -> CompleteAnswer:
+    """Returns the answer for a failure, with the outcome of the request."""
+    answer = errors.ANSWERS[failure.kind]
+    body = json.dumps(
+        {
+            "error": failure.kind.value,
+            "reason": failure.reason,
+            "request_id": request_id,
+        }
+    ).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+        (b"tarragoncleat-outcome", outcome.value.encode()),
+        (caller_requests.REQUEST_ID, request_id.encode()),
+    ]
+    if answer.retry_after_s is not None:
+        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
+    return CompleteAnswer(answer.status, headers, body)
+
+
+async def send_complete(
+    send: Send,
+    answer: CompleteAnswer,
+    extra_headers: caller_requests.Headers,
+) -> None:
+    """Sends a whole answer to the caller."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": answer.headers + extra_headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": answer.body})
--- /dev/null
+++ b/tarragoncleat/caller_api.py
@@ -0,0 +1,395 @@
+"""ASGI handler of the callers' requests."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+from typing import Any, Protocol
+
+import anyio
+
+from tarragoncleat import answers
+from tarragoncleat import caller_requests
+from tarragoncleat import claims as claims_module
+from tarragoncleat import dispatching
+from tarragoncleat import errors
+from tarragoncleat import exchanges
+from tarragoncleat import forwarding
+from tarragoncleat import ids
+from tarragoncleat import limits
+from tarragoncleat import metrics as metrics_module
+from tarragoncleat import profiles
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+from tarragoncleat import upstream_connections
+
+__all__ = ["Authenticate", "CallerApi", "ClaimStore", "ServiceDirectory"]
+
+_MAINTENANCE_INTERVAL_S = 0.05
+# A refused request with at most this much unread body keeps its connection.
+_MAX_SKIPPED_BODY_BYTES = 65_536
+# How long and how much a refused long body is read before closing.
+_LINGER_S = 1.0
+_MAX_LINGER_BYTES = 4_194_304
+_CLOSE = (b"connection", b"close")
+_CALLER_ROLES = frozenset(
+    {
+        settings_module.Role.CALLER,
+        settings_module.Role.SERVICE,
+        settings_module.Role.OPERATOR,
+    }
+)
+
+Authenticate = Callable[
+    [caller_requests.Headers],
+    settings_module.Token | errors.Failure | None,
+]
+
+
+class ServiceDirectory(Protocol):
+    """The part of the fleet that the request path reads."""
+
+    def standing_of(self, service: ids.ServiceId) -> profiles.Standing:
+        """Returns the standing of a service's profile."""
+
+    def owner_of(self, service: ids.ServiceId) -> ids.FirmId | None:
+        """Returns the firm that a service belongs to."""
+
+
+class ClaimStore(Protocol):
+    """Claims of idempotency keys; implemented by `claims.Claims`."""
+
+    async def claim(
+        self, request: claims_module.ClaimRequest
+    ) -> claims_module.Granted | claims_module.Held | errors.Failure:
+        """Claims a key."""
+
+    async def release(self, request: claims_module.ClaimRequest) -> None:
+        """Gives up the claim of a request that did not run."""
+
+    def store(
+        self,
+        request: claims_module.ClaimRequest,
+        answer: answers.CompleteAnswer,
+    ) -> None:
+        """Keeps the answer for resends."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Visit:
+    """One request as it came in."""
+
+    request: caller_requests.CallerRequest
+    body: caller_requests.CallerBody
+    send: answers.Send
+    progress: exchanges.Progress
+    firm: str
+
+
+class CallerApi:
+    """Serves `/services/{service}/{path}`, `/healthz` and `/readyz`."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timer_module.TimerService,
+        metrics: metrics_module.Metrics,
+        membership: dispatching.UpstreamSource,
+        fleet: ServiceDirectory,
+        claims: ClaimStore,
+        authenticate: Authenticate,
+    ):
+        """Creates a handler without requests in flight."""
+        self._settings = settings
+        self._timer = timer
+        self._metrics = metrics
+        self._fleet = fleet
+        self._claims = claims
+        self._authenticate = authenticate
+        self._pool = upstream_connections.ConnectionPool(
+            settings.routing, timer
+        )
+        self._dispatcher = dispatching.Dispatcher(
+            settings, timer, metrics, membership
+        )
+        self._forwarder = forwarding.Forwarder(
+            settings, timer, metrics, self._dispatcher, self._pool
+        )
+        self._callers = limits.CallerCounter(
+            settings.callers.max_connections_per_caller,
+            settings.callers.max_connections,
+        )
+        self._requests: dict[ids.RequestId, ids.ServiceId] = {}
+        self._leaving = False
+
+    @property
+    def in_flight(self) -> Mapping[ids.RequestId, ids.ServiceId]:
+        """Requests that are not answered yet, with their service."""
+        return self._requests
+
+    def start_leaving(self) -> None:
+        """Makes readyz fail and asks callers to close their connections."""
+        self._leaving = True
+
+    async def run(self) -> None:
+        """Serves waiting requests and expires idle connections."""
+        try:
+            async for _ in self._timer.subscribe(_MAINTENANCE_INTERVAL_S):
+                self._dispatcher.serve_waiting()
+                self._dispatcher.forget_gone()
+                self._pool.close_expired()
+        finally:
+            self._pool.close_all()
+
+    def dump(self) -> dict:
+        """Returns the state for the state dump."""
+        return {
+            "leaving": self._leaving,
+            "requests": len(self._requests),
+            "callers": len(self._callers),
+            "idle_connections": len(self._pool),
+            "dispatcher": self._dispatcher.dump(),
+        }
+
+    async def __call__(
+        self,
+        scope: caller_requests.Scope,
+        receive: caller_requests.Receive,
+        send: answers.Send,
+    ) -> None:
+        """Answers one request."""
+        if scope["type"] != "http":
+            raise ValueError(f"scope type {scope['type']} is not served")
+        if scope["raw_path"] in (b"/healthz", b"/readyz"):
+            await self._send_health(scope["raw_path"], send)
+            return
+        request_id = caller_requests.new_request_id()
+        progress = exchanges.Progress()
+        try:
+            failure = await self._admit(
+                scope, receive, send, request_id, progress
+            )
+        except Exception:
+            if not progress.answering:
+                failure = errors.Failure(
+                    errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
+                )
+                await self._send_failure(
+                    scope, send, request_id, failure, progress
+                )
+            raise
+        if failure is None or progress.answering:
+            # An answer that has begun but is not complete makes the server
+            # abort the caller's connection.
+            return
+        if _has_long_body(scope):
+            send = _LingeringSend(receive, send)
+        await self._send_failure(scope, send, request_id, failure, progress)
+
+    async def _send_health(self, path: bytes, send: answers.Send) -> None:
+        ready = path == b"/healthz" or not self._leaving
+        body = b"ok\n" if ready else b"leaving\n"
+        headers = [(b"content-length", b"%d" % len(body))]
+        answer = answers.CompleteAnswer(200 if ready else 503, headers, body)
+        await answers.send_complete(send, answer, [])
+
+    async def _send_failure(
+        self,
+        scope: caller_requests.Scope,
+        send: answers.Send,
+        request_id: ids.RequestId,
+        failure: errors.Failure,
+        progress: exchanges.Progress,
+    ) -> None:
+        unknown = progress.sent or (
+            failure.kind is errors.ErrorKind.DUPLICATE_REQUEST
+        )
+        outcome = errors.Outcome.UNKNOWN if unknown else errors.Outcome.NOT_RUN
+        answer = answers.build_error(failure, outcome, request_id)
+        extra = [_CLOSE] if self._leaving or _has_long_body(scope) else []
+        await answers.send_complete(send, answer, extra)
+
+    async def _admit(
+        self,
+        scope: caller_requests.Scope,
+        receive: caller_requests.Receive,
+        send: answers.Send,
+        request_id: ids.RequestId,
+        progress: exchanges.Progress,
+    ) -> errors.Failure | None:
+        request = caller_requests.parse(scope, request_id, self._settings)
+        if isinstance(request, errors.Failure):
+            return request
+        token = self._authenticate(scope["headers"])
+        if isinstance(token, errors.Failure):
+            return token
+        owner = self._fleet.owner_of(request.service)
+        if token is not None and not _is_allowed(token, request.service, owner):
+            return errors.Failure(
+                errors.ErrorKind.FORBIDDEN,
+                f"the token does not allow {request.service}",
+            )
+        visit = _Visit(
+            request,
+            caller_requests.CallerBody(
+                receive, request.content_length, self._settings.callers
+            ),
+            send,
+            progress,
+            owner or "" if token is None else token.firm,
+        )
+        callers = [f"address {(scope.get('client') or ('',))[0]}"]
+        if token is not None:
+            callers.append(f"token {token.name}")
+        return await self._count(visit, callers)
+
+    async def _count(
+        self, visit: _Visit, callers: list[str]
+    ) -> errors.Failure | None:
+        entered = [name for name in callers if self._callers.enter(name)]
+        request = visit.request
+        self._requests[request.request_id] = request.service
+        try:
+            if len(entered) < len(callers):
+                failure: errors.Failure | None = errors.Failure(
+                    errors.ErrorKind.TOO_MANY_CONNECTIONS,
+                    "the caller has too many requests in flight",
+                )
+            else:
+                failure = await self._run(visit)
+        finally:
+            del self._requests[request.request_id]
+            for name in entered:
+                self._callers.leave(name)
+        outcome = "answered" if failure is None else failure.kind.value
+        self._metrics.count_request(request.service, outcome)
+        return failure
+
+    async def _run(self, visit: _Visit) -> errors.Failure | None:
+        failure: errors.Failure | None = None
+        with anyio.move_on_after(visit.request.deadline_s) as scope:
+            failure = await self._prepare(visit)
+        if not scope.cancelled_caught:
+            return failure
+        if visit.progress.sent:
+            return errors.Failure(
+                errors.ErrorKind.DEADLINE_EXCEEDED,
+                "the answer did not arrive before the deadline",
+            )
+        return errors.Failure(
+            errors.ErrorKind.QUEUE_TIMEOUT,
+            "the request was not sent before its deadline",
+        )
+
+    async def _prepare(self, visit: _Visit) -> errors.Failure | None:
+        body = visit.body
+        failure = await body.read_ahead(
+            self._settings.routing.replay_body_bytes
+        )
+        if failure is not None:
+            return failure
+        head = caller_requests.build_head(
+            visit.request, len(body.buffered) if body.complete else None
+        )
+        if isinstance(head, errors.Failure):
+            return head
+        job = forwarding.Job(
+            visit.request,
+            head,
+            body,
+            self._fleet.standing_of(visit.request.service),
+            visit.send,
+            visit.progress,
+            [_CLOSE] if self._leaving else [],
+        )
+        if visit.request.key is not None:
+            return await self._forward_once(visit, job)
+        result = await self._forwarder.forward(job)
+        return result if isinstance(result, errors.Failure) else None
+
+    async def _forward_once(
+        self, visit: _Visit, job: forwarding.Job
+    ) -> errors.Failure | None:
+        replay_bytes = self._settings.routing.replay_body_bytes
+        claim = claims_module.build_request(
+            visit.firm, visit.request, visit.body.buffered[:replay_bytes]
+        )
+        verdict = await self._claims.claim(claim)
+        if isinstance(verdict, errors.Failure):
+            return verdict
+        if isinstance(verdict, claims_module.Held):
+            return await self._answer_resend(visit, job, verdict)
+        try:
+            result = await self._forwarder.forward(job)
+        finally:
+            if not visit.progress.sent:
+                with anyio.CancelScope(shield=True):
+                    await self._claims.release(claim)
+        if isinstance(result, errors.Failure):
+            return result
+        if result is not None:
+            self._claims.store(claim, result)
+        return None
+
+    async def _answer_resend(
+        self, visit: _Visit, job: forwarding.Job, held: claims_module.Held
+    ) -> errors.Failure | None:
+        if held.answer is None:
+            return errors.Failure(
+                errors.ErrorKind.DUPLICATE_REQUEST,
+                "the key was used by a request whose answer is not known",
+            )
+        visit.progress.answering = True
+        await answers.send_complete(visit.send, held.answer, job.extra_headers)
+        return None
+
+
+def _is_allowed(
+    token: settings_module.Token,
+    service: ids.ServiceId,
+    owner: ids.FirmId | None,
+) -> bool:
+    if token.role not in _CALLER_ROLES:
+        return False
+    if token.services and service not in token.services:
+        return False
+    return token.firm in ("*", owner) or (
+        owner is None and service in token.services
+    )
+
+
+class _LingeringSend:
+    """Reads some more of the body before the connection is closed.
+
+    Closing a socket with unread data resets the connection, and the caller
+    could lose the answer.
+    """
+
+    def __init__(
+        self, receive: caller_requests.Receive, send: answers.Send
+    ) -> None:
+        self._receive = receive
+        self._send = send
+
+    async def __call__(self, message: dict[str, Any]) -> None:
+        if message["type"] != "http.response.body":
+            await self._send(message)
+            return
+        await self._send(message | {"more_body": True})
+        with anyio.move_on_after(_LINGER_S):
+            await self._skip_body()
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def _skip_body(self) -> None:
+        skipped = 0
+        while skipped < _MAX_LINGER_BYTES:
+            message = await self._receive()
+            skipped += len(message.get("body", b""))
+            if not message.get("more_body", False):
+                return
+
+
+def _has_long_body(scope: caller_requests.Scope) -> bool:
+    by_name = dict(scope["headers"])
+    if b"transfer-encoding" in by_name:
+        return True
+    length = by_name.get(b"content-length", b"0")
+    return not length.isdigit() or int(length) > _MAX_SKIPPED_BODY_BYTES
--- /dev/null
+++ b/tarragoncleat/caller_requests.py
@@ -0,0 +1,306 @@
+"""Reading of a caller's request: head, body, and the fields of the contract."""
+
+from collections.abc import Awaitable, Callable, Iterable
+import dataclasses
+import re
+import secrets
+from typing import Any
+
+import anyio
+import h11
+
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import settings as settings_module
+
+__all__ = [
+    "REQUEST_ID",
+    "CallerBody",
+    "CallerRequest",
+    "Headers",
+    "Receive",
+    "Scope",
+    "build_head",
+    "end_to_end_headers",
+    "new_request_id",
+    "parse",
+]
+
+Headers = list[tuple[bytes, bytes]]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Scope = dict[str, Any]
+
+REQUEST_ID = b"tarragoncleat-request-id"
+
+_MS_PER_S = 1000
+_IDEMPOTENT_METHODS = frozenset(
+    {"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"}
+)
+_SERVICE = re.compile(rb"^/services/([A-Za-z0-9][A-Za-z0-9._-]{0,62})(/.*)?$")
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# The entry answers Expect itself, and the request id is the entry's own.
+_NOT_FORWARDED = _HOP_BY_HOP | {b"expect", REQUEST_ID}
+# Name, colon, space and line end around each header.
+_HEADER_OVERHEAD_BYTES = 4
+_MAX_KEY_BYTES = 255
+_MAX_DEADLINE_MS = 3_600_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """The head of a request to a service.
+
+    Attributes:
+        request_id: Unique id that the entry gives to the request.
+        service: Service that is called.
+        method: HTTP method.
+        target: Path and query for the upstream.
+        headers: End-to-end headers for the upstream.
+        idempotent: Whether it may run more than once.
+        key: Idempotency-Key, if the caller sent one.
+        deadline_s: Longest duration of the whole request.
+        content_length: Declared length of the body, None when it is chunked.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceId
+    method: str
+    target: bytes
+    headers: Headers
+    idempotent: bool
+    key: str | None
+    deadline_s: float
+    content_length: int | None
+
+
+def new_request_id() -> ids.RequestId:
+    """Returns an id that no other request has."""
+    return ids.RequestId(secrets.token_hex(16))
+
+
+def end_to_end_headers(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> Headers:
+    """Returns headers without those of the connection and those in `dropped`.
+
+    Names must be in lower case.
+    """
+    kept = [pair for pair in headers if pair[0] not in dropped]
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(item.strip().lower() for item in value.split(b","))
+    if named - {b"close", b"keep-alive"}:
+        kept = [pair for pair in kept if pair[0] not in named]
+    return kept
+
+
+def parse(
+    scope: Scope,
+    request_id: ids.RequestId,
+    settings: settings_module.Settings,
+) -> CallerRequest | errors.Failure:
+    """Reads the head of a request, or says what is wrong with it."""
+    match = _SERVICE.match(scope["raw_path"])
+    if match is None:
+        return errors.Failure(
+            errors.ErrorKind.NOT_FOUND, "the path is not /services/NAME/PATH"
+        )
+    if scope["http_version"] == "1.0":
+        return _bad("HTTP/1.1 is required")
+    headers: Headers = scope["headers"]
+    limits = settings.callers
+    size = sum(len(name) + len(value) for name, value in headers)
+    size += _HEADER_OVERHEAD_BYTES * len(headers)
+    if size > limits.max_header_bytes:
+        return errors.Failure(
+            errors.ErrorKind.HEADERS_TOO_LARGE,
+            f"headers may have at most {limits.max_header_bytes} bytes",
+        )
+    by_name = dict(headers)
+    length = _content_length(by_name)
+    deadline_ms = _deadline_ms(by_name, settings.routing.default_deadline_ms)
+    idempotent = _idempotent(by_name, scope["method"])
+    key = _key(by_name)
+    for value in (length, deadline_ms, idempotent, key):
+        if isinstance(value, errors.Failure):
+            return value
+    assert not isinstance(length, errors.Failure)
+    assert not isinstance(deadline_ms, errors.Failure)
+    assert not isinstance(idempotent, errors.Failure)
+    assert not isinstance(key, errors.Failure)
+    if length is not None and length > limits.max_body_bytes:
+        return errors.Failure(
+            errors.ErrorKind.TOO_LARGE,
+            f"the body may have at most {limits.max_body_bytes} bytes",
+        )
+    query = scope["query_string"]
+    path = match.group(2) or b"/"
+    return CallerRequest(
+        request_id=request_id,
+        service=ids.ServiceId(match.group(1).decode("ascii")),
+        method=scope["method"],
+        target=path + b"?" + query if query else path,
+        headers=end_to_end_headers(headers, _NOT_FORWARDED),
+        idempotent=idempotent,
+        key=key,
+        deadline_s=deadline_ms / _MS_PER_S,
+        content_length=length,
+    )
+
+
+def build_head(
+    request: CallerRequest, known_length: int | None
+) -> h11.Request | errors.Failure:
+    """Returns the head for the upstream.
+
+    Args:
+        request: The caller's request.
+        known_length: Length of the body if all of it was read ahead.
+    """
+    headers = list(request.headers)
+    if request.content_length is None:
+        if known_length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        else:
+            headers.append((b"content-length", b"%d" % known_length))
+    headers.append((REQUEST_ID, request.request_id.encode()))
+    try:
+        return h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+    except h11.LocalProtocolError as error:
+        return _bad(f"the request is malformed: {error}")
+
+
+def _bad(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.BAD_REQUEST, reason)
+
+
+def _content_length(
+    by_name: dict[bytes, bytes],
+) -> int | None | errors.Failure:
+    if b"transfer-encoding" in by_name:
+        return None
+    value = by_name.get(b"content-length", b"0")
+    return int(value) if value.isdigit() else _bad("Content-Length is invalid")
+
+
+def _deadline_ms(
+    by_name: dict[bytes, bytes], default_ms: int
+) -> int | errors.Failure:
+    value = by_name.get(b"tarragoncleat-deadline-ms")
+    if value is None:
+        return default_ms
+    if not value.isdigit() or not 0 < int(value) <= _MAX_DEADLINE_MS:
+        return _bad(
+            f"Tarragoncleat-Deadline-Ms must be 1 to {_MAX_DEADLINE_MS}"
+        )
+    return int(value)
+
+
+def _idempotent(
+    by_name: dict[bytes, bytes], method: str
+) -> bool | errors.Failure:
+    value = by_name.get(b"tarragoncleat-idempotent")
+    if value is None:
+        return method in _IDEMPOTENT_METHODS
+    if value not in (b"true", b"false"):
+        return _bad("Tarragoncleat-Idempotent must be true or false")
+    return value == b"true"
+
+
+def _key(by_name: dict[bytes, bytes]) -> str | None | errors.Failure:
+    value = by_name.get(b"idempotency-key")
+    if value is None:
+        return None
+    if not 0 < len(value) <= _MAX_KEY_BYTES:
+        return _bad(f"Idempotency-Key must have 1 to {_MAX_KEY_BYTES} bytes")
+    return value.decode("latin-1")
+
+
+class CallerBody:
+    """The body of a request, of which a bounded part is kept for resending."""
+
+    def __init__(
+        self,
+        receive: Receive,
+        content_length: int | None,
+        limits: settings_module.CallerLimits,
+    ):
+        """Starts a body that has `content_length` bytes, None if unknown."""
+        self._receive = receive
+        self._max_bytes = limits.max_body_bytes
+        self._idle_timeout_s = limits.body_idle_timeout_ms / _MS_PER_S
+        self._buffered = bytearray()
+        self._received = 0
+        self._complete = content_length == 0
+        self._disconnected = False
+
+    @property
+    def buffered(self) -> bytes:
+        """The start of the body as far as it was read ahead."""
+        return bytes(self._buffered)
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole body has been received."""
+        return self._complete
+
+    @property
+    def replayable(self) -> bool:
+        """Whether everything that was received is still buffered."""
+        return self._received == len(self._buffered)
+
+    @property
+    def disconnected(self) -> bool:
+        """Whether the caller went away."""
+        return self._disconnected
+
+    async def read_ahead(self, max_bytes: int) -> errors.Failure | None:
+        """Buffers the body up to the first chunk that passes `max_bytes`."""
+        while not self._complete and len(self._buffered) <= max_bytes:
+            chunk = await self.next_chunk()
+            if isinstance(chunk, errors.Failure):
+                return chunk
+            self._buffered += chunk
+        return None
+
+    async def next_chunk(self) -> bytes | errors.Failure:
+        """Returns the next part of a body that is not complete."""
+        with anyio.move_on_after(self._idle_timeout_s) as scope:
+            message = await self._receive()
+        if scope.cancelled_caught:
+            return errors.Failure(
+                errors.ErrorKind.SLOW_REQUEST, "the body arrived too slowly"
+            )
+        if message["type"] == "http.disconnect":
+            self._disconnected = True
+            return _bad("the caller disconnected before the end of the body")
+        chunk = message.get("body", b"")
+        self._received += len(chunk)
+        if self._received > self._max_bytes:
+            return errors.Failure(
+                errors.ErrorKind.TOO_LARGE,
+                f"the body may have at most {self._max_bytes} bytes",
+            )
+        self._complete = not message.get("more_body", False)
+        return chunk
+
+    async def wait_disconnect(self) -> None:
+        """Returns when the caller goes away, once the body is complete."""
+        while not self._disconnected:
+            message = await self._receive()
+            self._disconnected = message["type"] == "http.disconnect"
--- /dev/null
+++ b/tarragoncleat/claims.py
@@ -0,0 +1,390 @@
+"""Claims of idempotency keys in the replicated log, sent in batches."""
+
+from collections.abc import AsyncIterable
+import dataclasses
+import hashlib
+from typing import Any, Protocol
+import uuid
+
+import anyio
+import loguru
+
+from tarragoncleat import answers
+from tarragoncleat import caller_requests
+from tarragoncleat import codec
+from tarragoncleat import commands
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import settings as settings_module
+from tarragoncleat import stored_answers
+from tarragoncleat import timer as timer_module
+
+__all__ = [
+    "ClaimRequest",
+    "Claims",
+    "Granted",
+    "Held",
+    "Links",
+    "Log",
+    "build_request",
+]
+
+_MS_PER_S = 1000
+_DIGEST_BYTES = 16
+_MAX_BATCH = 500
+# Batches that wait for the log at the same time.
+_MAX_PROPOSALS = 8
+_RELEASE_RETRY_S = 1.0
+_MAX_RELEASES = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """A request that wants to be the only one to run under its key.
+
+    Attributes:
+        firm: Firm of the caller.
+        service: Service that is called.
+        key: Idempotency-Key.
+        fingerprint: Digest of what the caller asks for.
+        request_id: Id of this request.
+    """
+
+    firm: str
+    service: ids.ServiceId
+    key: str
+    fingerprint: bytes
+    request_id: ids.RequestId
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of firm, service and key."""
+        return _digest(
+            self.firm.encode(), self.service.encode(), self.key.encode()
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The request may run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Another request holds the key; `answer` is its answer if known."""
+
+    request_id: ids.RequestId
+    entry_id: ids.EntryId
+    answer: answers.CompleteAnswer | None
+
+
+_Verdict = Granted | Held | errors.Failure
+
+
+class Log(Protocol):
+    """The part of the replication that claims use."""
+
+    @property
+    def cut_off_since_ms(self) -> int | None:
+        """Since when no majority is reachable, or None."""
+
+    async def propose(self, payload: bytes, timeout_s: float) -> Any:
+        """Returns the applied result, or a `Failure`."""
+
+
+class Links(Protocol):
+    """The part of the peer links that claims use."""
+
+    def subscribe(self, *message_types: type) -> AsyncIterable[Any]:
+        """Returns the received messages of these types."""
+
+    async def request(
+        self, entry_id: ids.EntryId, message: object, timeout_s: float
+    ) -> Any:
+        """Returns the reply, or a `Failure`."""
+
+
+def _digest(*parts: bytes) -> bytes:
+    hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in parts:
+        hasher.update(len(part).to_bytes(8))
+        hasher.update(part)
+    return hasher.digest()
+
+
+def build_request(
+    firm: str, request: caller_requests.CallerRequest, body_start: bytes
+) -> ClaimRequest:
+    """Returns the claim for a request with a key.
+
+    Args:
+        firm: Firm of the caller.
+        request: Head of the request.
+        body_start: The body, or a start of it that has a fixed length, so
+            that a resend has the same fingerprint.
+    """
+    length = request.content_length
+    fingerprint = _digest(
+        request.method.encode(),
+        request.target,
+        b"" if length is None else b"%d" % length,
+        body_start,
+    )
+    return ClaimRequest(
+        firm,
+        request.service,
+        request.key or "",
+        fingerprint,
+        request.request_id,
+    )
+
+
+class _Pending:
+    """A claim or a release that is on its way to the log."""
+
+    __slots__ = ("event", "record", "result", "started_s", "waited_for")
+
+    def __init__(self, record: commands.Claim, started_s: float):
+        self.record = record
+        self.started_s = started_s
+        self.event = anyio.Event()
+        self.result: tuple | errors.Failure | None = None
+        self.waited_for = True
+
+    def settle(self, result: tuple | errors.Failure | None) -> None:
+        self.result = result
+        self.event.set()
+
+
+class Claims:
+    """Claims keys for the requests of this entry and keeps their answers."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timer_module.TimerService,
+        replication: Log,
+        links: Links,
+    ):
+        """Creates a store without claims; `run` must be running."""
+        self._settings = settings.claims
+        self._entry_id = settings.entry_id
+        self._timeout_s = settings.claims.timeout_ms / _MS_PER_S
+        self._timer = timer
+        self._replication = replication
+        self._links = links
+        self._received = links.subscribe(stored_answers.StoredAnswerRequest)
+        self._stored = stored_answers.StoredAnswers(
+            settings.claims.stored_answers
+        )
+        self._claims: list[_Pending] = []
+        self._releases: list[_Pending] = []
+        self._work = anyio.Event()
+        self._proposals = anyio.Semaphore(_MAX_PROPOSALS)
+
+    async def run(self) -> None:
+        """Sends batches to the log and answers other entries."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._answer_entries)
+            group.start_soon(self._retry_releases)
+            while True:
+                await self._work.wait()
+                await self._timer.sleep_s(
+                    self._settings.batch_interval_ms / _MS_PER_S
+                )
+                await self._proposals.acquire()
+                batch = self._claims[:_MAX_BATCH]
+                del self._claims[:_MAX_BATCH]
+                if not self._claims:
+                    self._work = anyio.Event()
+                group.start_soon(self._propose_claims, batch)
+
+    async def claim(self, request: ClaimRequest) -> _Verdict:
+        """Claims the key of a request.
+
+        Returns:
+            `Granted`; `Held` when another request has the key; or a `Failure`,
+            after which the request must not run.
+        """
+        if self._replication.cut_off_since_ms is not None:
+            return errors.Failure(
+                errors.ErrorKind.CUT_OFF,
+                "keys can't be claimed while the entry is cut off",
+            )
+        pending = self._pend(request)
+        self._claims.append(pending)
+        self._work.set()
+        try:
+            await pending.event.wait()
+        except anyio.get_cancelled_exc_class():
+            pending.waited_for = False
+            if self._was_granted(pending):
+                self._release_later(pending.record)
+            raise
+        return await self._judge(request, pending)
+
+    async def release(self, request: ClaimRequest) -> None:
+        """Gives up a claim of a request that certainly did not run.
+
+        Returns after the first try; a try that fails is repeated later.
+        """
+        pending = self._release_later(self._record(request))
+        with anyio.move_on_after(self._timeout_s):
+            await self._propose_releases()
+            await pending.event.wait()
+
+    def store(
+        self, request: ClaimRequest, answer: answers.CompleteAnswer
+    ) -> None:
+        """Keeps the answer of a granted request for resends."""
+        self._stored.put(
+            request.digest, request.fingerprint, request.request_id, answer
+        )
+
+    def dump(self) -> dict:
+        """Returns the state for the state dump."""
+        return {
+            "waiting_claims": len(self._claims),
+            "waiting_releases": len(self._releases),
+            "stored_answers": len(self._stored),
+        }
+
+    def _record(self, request: ClaimRequest) -> commands.Claim:
+        return commands.Claim(
+            request.digest,
+            request.fingerprint,
+            request.request_id,
+            self._entry_id,
+        )
+
+    def _pend(self, request: ClaimRequest) -> _Pending:
+        return _Pending(self._record(request), self._timer.monotonic_s())
+
+    def _was_granted(self, pending: _Pending) -> bool:
+        result = pending.result
+        return isinstance(result, tuple) and result[0] == "granted"
+
+    async def _judge(
+        self, request: ClaimRequest, pending: _Pending
+    ) -> _Verdict:
+        if not isinstance(pending.result, tuple):
+            return pending.result or errors.Failure(
+                errors.ErrorKind.UNDECIDED, "the claim was not decided"
+            )
+        outcome, holder, entry_id = pending.result
+        if outcome == "granted":
+            return Granted()
+        if outcome == "full":
+            return errors.Failure(
+                errors.ErrorKind.CLAIMS_FULL, "no further key can be claimed"
+            )
+        if outcome == "key_reused":
+            return errors.Failure(
+                errors.ErrorKind.KEY_REUSED,
+                "the key was used for a different request",
+            )
+        answer = await self._find_answer(request.digest, holder, entry_id)
+        return Held(holder, entry_id, answer)
+
+    async def _find_answer(
+        self, digest: bytes, holder: ids.RequestId, entry_id: ids.EntryId
+    ) -> answers.CompleteAnswer | None:
+        if entry_id == self._entry_id:
+            return self._stored.find(digest, holder)
+        reply = await self._links.request(
+            entry_id,
+            stored_answers.StoredAnswerRequest(digest, holder),
+            self._timeout_s,
+        )
+        if isinstance(reply, stored_answers.StoredAnswerReply):
+            return reply.to_answer()
+        return None
+
+    async def _answer_entries(self) -> None:
+        async for received in self._received:
+            if received.reply is not None:
+                received.reply(self._stored.reply_to(received.message))
+
+    async def _propose_claims(self, batch: list[_Pending]) -> None:
+        try:
+            values = await self._propose(
+                commands.ClaimKeys(
+                    tuple(pending.record for pending in batch),
+                    self._settings.retention_s,
+                    self._settings.max_entries,
+                )
+            )
+        finally:
+            self._proposals.release()
+        for position, pending in enumerate(batch):
+            if isinstance(values, errors.Failure):
+                pending.settle(values)
+            else:
+                pending.settle(tuple(values[position]))
+            undecided = isinstance(values, errors.Failure) and (
+                values.kind is errors.ErrorKind.UNDECIDED
+            )
+            abandoned = not pending.waited_for and self._was_granted(pending)
+            if undecided or abandoned:
+                self._release_later(pending.record)
+
+    async def _propose(
+        self, command: commands.ClaimKeys | commands.ReleaseClaims
+    ) -> list | errors.Failure:
+        envelope = commands.Envelope(
+            command_id=ids.CommandId(uuid.uuid4().hex),
+            firm=commands.ANY_FIRM,
+            actor=self._entry_id,
+            role=commands.ENTRY_ROLE,
+            if_match=None,
+            command=command,
+        )
+        applied = await self._replication.propose(
+            codec.encode(envelope), self._timeout_s
+        )
+        if isinstance(applied, errors.Failure):
+            return applied
+        result = codec.decode(applied.result)
+        if isinstance(result, errors.Failure):
+            return result
+        return result.value or [] if result.ok else result.to_failure()
+
+    def _release_later(self, record: commands.Claim) -> _Pending:
+        pending = _Pending(record, self._timer.monotonic_s())
+        if len(self._releases) < _MAX_RELEASES:
+            self._releases.append(pending)
+        else:
+            loguru.logger.warning(
+                "too many releases wait; a claim stays until its retention"
+            )
+        return pending
+
+    async def _retry_releases(self) -> None:
+        async for now_s in self._timer.subscribe(_RELEASE_RETRY_S):
+            oldest_s = now_s - self._settings.retention_s
+            self._releases = [
+                pending
+                for pending in self._releases
+                if pending.started_s >= oldest_s
+            ]
+            await self._propose_releases()
+
+    async def _propose_releases(self) -> None:
+        batch = self._releases[:_MAX_BATCH]
+        if not batch:
+            return
+        del self._releases[:_MAX_BATCH]
+        result: list | errors.Failure = errors.Failure(
+            errors.ErrorKind.UNDECIDED, "the release was interrupted"
+        )
+        try:
+            result = await self._propose(
+                commands.ReleaseClaims(
+                    tuple(pending.record for pending in batch)
+                )
+            )
+        finally:
+            if isinstance(result, errors.Failure):
+                self._releases.extend(batch)
+            for pending in batch:
+                pending.settle(None)
--- /dev/null
+++ b/tarragoncleat/forwarding.py
@@ -0,0 +1,191 @@
+"""Forwarding of a request: attempts, retries and what became of them."""
+
+import dataclasses
+
+import h11
+
+from tarragoncleat import answers
+from tarragoncleat import caller_requests
+from tarragoncleat import dispatching
+from tarragoncleat import errors
+from tarragoncleat import exchanges
+from tarragoncleat import limits
+from tarragoncleat import metrics as metrics_module
+from tarragoncleat import profiles
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+from tarragoncleat import upstream_connections
+
+__all__ = ["Forwarder", "Job"]
+
+# Failures of the upstream; all others are the caller's.
+_RETRIABLE = frozenset(
+    {errors.ErrorKind.UPSTREAM_FAILED, errors.ErrorKind.UPSTREAM_REFUSED}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A request that is ready to be forwarded.
+
+    Attributes:
+        request: What the caller asks for.
+        head: Head of the request for the upstream.
+        body: Its body, read ahead up to the replay limit.
+        standing: Standing of the service.
+        send: ASGI send function of the caller.
+        progress: Filled in while the request runs.
+        extra_headers: Headers to add to the answer.
+    """
+
+    request: caller_requests.CallerRequest
+    head: h11.Request
+    body: caller_requests.CallerBody
+    standing: profiles.Standing
+    send: answers.Send
+    progress: exchanges.Progress
+    extra_headers: caller_requests.Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """What became of one attempt.
+
+    Attributes:
+        failure: None when the caller has the whole answer.
+        answer: The answer, if it is complete and small.
+        retry_free: Whether nothing can have reached the upstream.
+        retry_paid: Whether a retry is safe but counts on the budget.
+    """
+
+    failure: errors.Failure | None
+    answer: answers.CompleteAnswer | None = None
+    retry_free: bool = False
+    retry_paid: bool = False
+
+
+class Forwarder:
+    """Sends requests to upstreams until one answers."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timer_module.TimerService,
+        metrics: metrics_module.Metrics,
+        dispatcher: dispatching.Dispatcher,
+        pool: upstream_connections.ConnectionPool,
+    ):
+        """Creates a forwarder with a full retry budget."""
+        self._timer = timer
+        self._metrics = metrics
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._replay_bytes = settings.routing.replay_body_bytes
+        self._keep_bytes = settings.claims.stored_answer_bytes
+        self._budget = limits.RetryBudget(
+            settings.routing.retry_fraction,
+            settings.routing.retry_floor_per_s,
+            timer.monotonic_s(),
+        )
+
+    async def forward(
+        self, job: Job
+    ) -> answers.CompleteAnswer | errors.Failure | None:
+        """Forwards a request and its answer.
+
+        Returns:
+            A failure that the caller has to be told, unless `job.progress`
+            says that the answer has begun; otherwise the answer if the request
+            has a key and the answer is small, or None.
+        """
+        self._budget.add_fresh()
+        service = job.request.service
+        demand = dispatching.Demand(service, job.standing)
+        last: errors.Failure | None = None
+        while True:
+            lease = await self._dispatcher.acquire(demand)
+            if isinstance(lease, errors.Failure):
+                return lease if last is None else last
+            try:
+                attempt = await self._attempt(job, lease)
+            finally:
+                self._dispatcher.release(lease)
+            if attempt.failure is None:
+                return attempt.answer
+            last = attempt.failure
+            if not self._may_retry(job, attempt):
+                return last
+            self._metrics.count_retry(service)
+            demand = dataclasses.replace(
+                demand,
+                excluded=demand.excluded | {lease.upstream.upstream_id},
+            )
+
+    def _may_retry(self, job: Job, attempt: _Attempt) -> bool:
+        replayable = job.body.replayable and not job.body.disconnected
+        if job.progress.answering or not replayable:
+            return False
+        if attempt.failure is None or attempt.failure.kind not in _RETRIABLE:
+            return False
+        if attempt.retry_free:
+            return True
+        return attempt.retry_paid and self._budget.take(
+            self._timer.monotonic_s()
+        )
+
+    async def _attempt(self, job: Job, lease: dispatching.Lease) -> _Attempt:
+        idempotent = job.request.idempotent
+        connection = await self._pool.check_out(
+            lease.upstream, fresh=not idempotent
+        )
+        if isinstance(connection, errors.Failure):
+            self._note_failure(lease)
+            return _Attempt(connection, retry_free=True)
+        exchange = exchanges.Exchange(
+            connection,
+            job.request,
+            job.head,
+            job.body,
+            job.send,
+            job.progress,
+            self._keep_bytes if job.request.key is not None else 0,
+            job.extra_headers,
+        )
+        ended = False
+        try:
+            failure = await exchange.run()
+            ended = failure is None or exchange.refused
+        finally:
+            if connection.wrote and not exchange.refused:
+                job.progress.sent = True
+            if ended:
+                self._pool.check_in(connection)
+            else:
+                connection.close()
+        if failure is None:
+            self._dispatcher.record_success(lease)
+            return _Attempt(None, exchange.take_answer())
+        self._judge(lease, connection, failure)
+        return _Attempt(
+            failure,
+            retry_free=not connection.wrote,
+            retry_paid=idempotent or exchange.refused,
+        )
+
+    def _judge(
+        self,
+        lease: dispatching.Lease,
+        connection: upstream_connections.Connection,
+        failure: errors.Failure,
+    ) -> None:
+        if failure.kind not in _RETRIABLE:
+            return
+        if connection.reused and not connection.read:
+            # An upstream may close an idle connection at any time.
+            self._pool.close_idle(lease.upstream)
+            return
+        self._note_failure(lease)
+
+    def _note_failure(self, lease: dispatching.Lease) -> None:
+        self._pool.close_idle(lease.upstream)
+        self._dispatcher.record_failure(lease)
--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -44,6 +44,7 @@
     header_timer: asyncio.TimerHandle | None = None
     header_bytes: int = 0
     closing_after_request: bool = False
+    message_open: bool = False
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
@@ -71,6 +72,14 @@
         if self.header_timer is not None:
             self._check_header_size()
 
+    def on_message_begin(self) -> None:
+        self.message_open = True
+        super().on_message_begin()
+
+    def on_message_complete(self) -> None:
+        self.message_open = False
+        super().on_message_complete()
+
     def on_headers_complete(self) -> None:
         self._stop_header_timer()
         super().on_headers_complete()
@@ -86,6 +95,9 @@
         super().shutdown()
 
     def _between_requests(self) -> bool:
+        # The rest of a body may still arrive after its answer is complete.
+        if self.message_open:
+            return False
         return self.cycle is None or self.cycle.response_complete
 
     def _start_header_timer(self) -> None:
--- a/tarragoncleat/settings.py
+++ b/tarragoncleat/settings.py
@@ -136,13 +136,19 @@
 
 
 class RoutingSettings(_Section):
-    """Upstream choice, queues and retries."""
+    """Upstream choice, queues and retries.
+
+    `max_in_flight` and `max_queued` bound the whole entry; `queue_length`
+    bounds the waiting requests of one service.
+    """
 
     zone_spill_load: float = pydantic.Field(0.8, gt=0, le=1)
     eject_after_failures: int = pydantic.Field(3, ge=1, le=100)
     eject_min_ms: int = pydantic.Field(1_000, ge=10, le=600_000)
     eject_max_ms: int = pydantic.Field(60_000, ge=10, le=3_600_000)
     slow_start_ms: int = pydantic.Field(5_000, ge=0, le=600_000)
+    max_in_flight: int = pydantic.Field(512, ge=1, le=100_000)
+    max_queued: int = pydantic.Field(1_024, ge=0, le=1_000_000)
     queue_length: int = pydantic.Field(256, ge=0, le=100_000)
     queue_timeout_ms: int = pydantic.Field(1_000, ge=1, le=60_000)
     default_deadline_ms: int = pydantic.Field(30_000, ge=1, le=3_600_000)
--- /dev/null
+++ b/tarragoncleat/upstream_connections.py
@@ -0,0 +1,278 @@
+"""HTTP/1.1 connections to upstreams: h11 over non-blocking sockets.
+
+Sockets are used directly, with anyio only waiting for them, because a
+transport's write buffer would hide whether a byte of a request was written.
+"""
+
+import errno
+import os
+import socket
+
+import anyio
+import h11
+
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import routing
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+
+__all__ = ["Connection", "ConnectionPool", "open_connection"]
+
+_READ_BYTES = 65_536
+_MAX_HEAD_BYTES = 131_072
+_MS_PER_S = 1000
+
+_EVENTS = (
+    h11.Response,
+    h11.InformationalResponse,
+    h11.Data,
+    h11.EndOfMessage,
+)
+
+Event = h11.Response | h11.InformationalResponse | h11.Data | h11.EndOfMessage
+
+
+class Connection:
+    """One connection; the task that checked it out owns it."""
+
+    def __init__(self, upstream: routing.Upstream, sock: socket.socket):
+        """Wraps a connected non-blocking socket."""
+        self.key = _key(upstream)
+        self.idle_since_s = 0.0
+        self.reused = False
+        self._socket = sock
+        self._codec = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._wrote = False
+        self._writing = False
+        self._read = False
+
+    @property
+    def wrote(self) -> bool:
+        """Whether a byte of the current request may have left."""
+        return self._wrote
+
+    @property
+    def read(self) -> bool:
+        """Whether a byte of the current answer has arrived."""
+        return self._read
+
+    @property
+    def reusable(self) -> bool:
+        """Whether both sides finished the exchange and agree to go on."""
+        codec = self._codec
+        return (
+            not self._writing
+            and codec.our_state is h11.DONE
+            and codec.their_state is h11.DONE
+            and not codec.trailing_data[0]
+        )
+
+    def start_next_cycle(self) -> None:
+        """Prepares for the next request."""
+        self._codec.start_next_cycle()
+        self._wrote = False
+        self._read = False
+        self.reused = True
+
+    def is_quiet(self) -> bool:
+        """Whether the peer has neither sent anything nor closed."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+    async def send(
+        self, *events: h11.Request | h11.Data | h11.EndOfMessage
+    ) -> errors.Failure | None:
+        """Writes events, in as few system calls as possible."""
+        try:
+            data = b"".join(
+                piece for event in events if (piece := self._codec.send(event))
+            )
+        except h11.LocalProtocolError as error:
+            return _failed(f"the request can't be sent: {error}")
+        return await self._write(data)
+
+    async def _write(self, data: bytes) -> errors.Failure | None:
+        rest = memoryview(data)
+        # Stays set when the task is cancelled or the peer resets: the codec
+        # counts a request as sent once it is encoded.
+        self._writing = True
+        while rest:
+            try:
+                sent = self._socket.send(rest)
+            except BlockingIOError:
+                await anyio.wait_writable(self._socket)
+                continue
+            except OSError as error:
+                return _failed(f"sending failed: {_name(error)}")
+            self._wrote = True
+            rest = rest[sent:]
+        self._writing = False
+        return None
+
+    async def receive(self) -> Event | errors.Failure:
+        """Returns the next event of the answer."""
+        while True:
+            try:
+                event = self._codec.next_event()
+            except h11.RemoteProtocolError as error:
+                return _failed(f"the answer is malformed: {error}")
+            if event is h11.NEED_DATA:
+                failure = await self._read_more()
+                if failure is not None:
+                    return failure
+            elif isinstance(event, h11.ConnectionClosed):
+                return _failed("the upstream closed the connection")
+            elif isinstance(event, _EVENTS):
+                return event
+            else:
+                return _failed("the upstream sent more than one answer")
+
+    async def _read_more(self) -> errors.Failure | None:
+        while True:
+            await anyio.wait_readable(self._socket)
+            try:
+                data = self._socket.recv(_READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                return _failed(f"receiving failed: {_name(error)}")
+            self._read = self._read or bool(data)
+            self._codec.receive_data(data)
+            return None
+
+
+def _failed(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.UPSTREAM_FAILED, reason)
+
+
+def _name(error: OSError) -> str:
+    return errno.errorcode.get(error.errno or 0, "unknown error")
+
+
+def _key(upstream: routing.Upstream) -> tuple[ids.UpstreamId, str, int]:
+    return upstream.upstream_id, upstream.host, upstream.port
+
+
+async def open_connection(
+    upstream: routing.Upstream, timeout_s: float
+) -> Connection | errors.Failure:
+    """Connects to an upstream."""
+    family = socket.AF_INET6 if ":" in upstream.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    failure: errors.Failure | None = _failed("connecting was cancelled")
+    try:
+        failure = await _connect(
+            sock, (upstream.host, upstream.port), timeout_s
+        )
+    finally:
+        if failure is not None:
+            sock.close()
+    return Connection(upstream, sock) if failure is None else failure
+
+
+async def _connect(
+    sock: socket.socket, address: tuple[str, int], timeout_s: float
+) -> errors.Failure | None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        with anyio.move_on_after(timeout_s) as scope:
+            await anyio.wait_writable(sock)
+        if scope.cancelled_caught:
+            return _failed("connecting timed out")
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        return _failed(f"connecting failed: {os.strerror(code)}")
+    return None
+
+
+class ConnectionPool:
+    """Idle connections by upstream, the most recently used first."""
+
+    def __init__(
+        self,
+        routing_settings: settings_module.RoutingSettings,
+        timer: timer_module.TimerService,
+    ):
+        """Creates an empty pool."""
+        self._idle_s = routing_settings.idle_connection_ms / _MS_PER_S
+        self._fresh_s = routing_settings.fresh_connection_ms / _MS_PER_S
+        self._connect_timeout_s = (
+            routing_settings.connect_timeout_ms / _MS_PER_S
+        )
+        self._timer = timer
+        self._idle: dict[tuple[ids.UpstreamId, str, int], list[Connection]]
+        self._idle = {}
+
+    def __len__(self) -> int:
+        return sum(len(idle) for idle in self._idle.values())
+
+    async def check_out(
+        self, upstream: routing.Upstream, fresh: bool
+    ) -> Connection | errors.Failure:
+        """Returns an idle connection or a new one.
+
+        Args:
+            upstream: Where to connect.
+            fresh: Whether the connection must have been used just now. An
+                upstream that closes an idle connection while a request is
+                under way leaves unknown whether it ran.
+        """
+        limit_s = min(self._fresh_s, self._idle_s) if fresh else self._idle_s
+        idle = self._idle.get(_key(upstream))
+        oldest_s = self._timer.monotonic_s() - limit_s
+        while idle and idle[-1].idle_since_s >= oldest_s:
+            connection = idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        return await open_connection(upstream, self._connect_timeout_s)
+
+    def check_in(self, connection: Connection) -> None:
+        """Keeps a connection for later, or closes one that is not reusable."""
+        if not connection.reusable:
+            connection.close()
+            return
+        connection.start_next_cycle()
+        connection.idle_since_s = self._timer.monotonic_s()
+        self._idle.setdefault(connection.key, []).append(connection)
+
+    def close_idle(self, upstream: routing.Upstream) -> None:
+        """Closes the idle connections of an upstream that failed."""
+        for connection in self._idle.pop(_key(upstream), []):
+            connection.close()
+
+    def close_expired(self) -> None:
+        """Closes connections that were idle for too long."""
+        oldest_s = self._timer.monotonic_s() - self._idle_s
+        for key in list(self._idle):
+            kept = []
+            for connection in self._idle[key]:
+                if connection.idle_since_s >= oldest_s:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+    def close_all(self) -> None:
+        """Closes every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/tests/request_path_rig.py
@@ -0,0 +1,247 @@
+"""A caller API on a real listener, with a static list of upstreams."""
+
+from collections.abc import AsyncIterator, Iterator, Sequence
+import contextlib
+import dataclasses
+import json
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import anyio
+import h11
+
+from tarragoncleat import caller_api
+from tarragoncleat import claims
+from tarragoncleat import http_server
+from tarragoncleat import ids
+from tarragoncleat import metrics
+from tarragoncleat import profiles
+from tarragoncleat import timer
+from tests import builders
+
+__all__ = ["Caller", "Directory", "Reply", "Upstreams", "entry", "standin"]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """An upstream as the membership gives it."""
+
+    upstream_id: ids.UpstreamId
+    host: str
+    port: int
+    availability_zone: ids.AvailabilityZone = ids.AvailabilityZone("fukuoka-a")
+    slots: int = 8
+    connections: int = 64
+    returned_at_s: float = float("-inf")
+
+
+class Upstreams:
+    """Static upstreams of services."""
+
+    def __init__(self) -> None:
+        self.by_service: dict[str, list[Candidate]] = {}
+        self.reported: dict[str, int] = {}
+
+    def add(self, service: str, name: str, address: str, **more: Any) -> None:
+        host, _, port = address.rpartition(":")
+        candidate = Candidate(ids.UpstreamId(name), host, int(port), **more)
+        self.by_service.setdefault(service, []).append(candidate)
+
+    def candidates(self, service: ids.ServiceId) -> Sequence[Candidate]:
+        return self.by_service.get(service, ())
+
+    def report_in_flight(
+        self, upstream_id: ids.UpstreamId, in_flight: int
+    ) -> None:
+        self.reported[upstream_id] = in_flight
+
+    def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
+        return 0
+
+    def live_entries(self) -> int:
+        return 1
+
+
+class Directory:
+    """Services with their standing; every service belongs to one firm."""
+
+    def __init__(self) -> None:
+        self.standings: dict[str, profiles.Standing] = {}
+
+    def standing_of(self, service: ids.ServiceId) -> profiles.Standing:
+        return self.standings.get(service, profiles.Standing.NORMAL)
+
+    def owner_of(self, service: ids.ServiceId) -> ids.FirmId | None:
+        return ids.FirmId("hakata")
+
+
+class NoClaims:
+    """Claims of an entry that can't reach the log."""
+
+    async def claim(self, request: claims.ClaimRequest) -> Any:
+        raise AssertionError("no request of this test has a key")
+
+    async def release(self, request: claims.ClaimRequest) -> None:
+        raise AssertionError("no request of this test has a key")
+
+    def store(self, request: claims.ClaimRequest, answer: Any) -> None:
+        raise AssertionError("no request of this test has a key")
+
+
+@contextlib.asynccontextmanager
+async def entry(
+    address: str,
+    upstreams: Upstreams,
+    claim_store: caller_api.ClaimStore | None = None,
+    directory: Directory | None = None,
+    authenticate: caller_api.Authenticate = lambda headers: None,
+    **sections: Any,
+) -> AsyncIterator[caller_api.CallerApi]:
+    """Runs the request path on `address`."""
+    settings = builders.build_settings(
+        entry={"http_address": address}, **sections
+    )
+    real_timer = timer.TimerService()
+    api = caller_api.CallerApi(
+        settings,
+        real_timer,
+        metrics.Metrics(),
+        upstreams,
+        directory or Directory(),
+        claim_store or NoClaims(),
+        authenticate,
+    )
+    server = http_server.HttpServer(settings, api, real_timer)
+    async with anyio.create_task_group() as group:
+        group.start_soon(api.run)
+        group.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(0.005)
+        try:
+            yield api
+        finally:
+            server.stop()
+            with anyio.move_on_after(3):
+                while server.counts.connections:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+
+@contextlib.contextmanager
+def standin(*arguments: str) -> Iterator[subprocess.Popen]:
+    """Runs a stand-in upstream as a process of its own."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tests.standin_upstream", *arguments],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"ready\n"
+        yield process
+    finally:
+        process.terminate()
+        process.wait(10)
+        if process.stdout is not None:
+            process.stdout.close()
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller received; `broken` when the answer was cut off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    broken: bool = False
+
+    @property
+    def outcome(self) -> str | None:
+        return self.headers.get("tarragoncleat-outcome")
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+class Caller:
+    """A caller with one connection."""
+
+    def __init__(self, address: str) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._stream: Any = None
+        self._codec = h11.Connection(h11.CLIENT)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Reply:
+        """Sends a request and reads the whole answer."""
+        await self.send_request(method, target, headers or {}, body)
+        return await self.read_reply()
+
+    async def send_request(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Connects if needed and sends a request."""
+        if self._stream is None:
+            self._stream = await anyio.connect_tcp(self._host, self._port)
+        fields = [("Host", "entry"), *headers.items()]
+        if body:
+            fields.append(("Content-Length", str(len(body))))
+        data = self._codec.send(
+            h11.Request(method=method, target=target, headers=fields)
+        )
+        data += self._codec.send(h11.Data(data=body)) if body else b""
+        data += self._codec.send(h11.EndOfMessage())
+        await self._stream.send(data)
+
+    async def read_reply(self) -> Reply:
+        """Reads an answer."""
+        status, headers, body = 0, {}, b""
+        try:
+            while True:
+                event = await self._next()
+                if isinstance(event, h11.Response):
+                    status = event.status_code
+                    headers = {k.decode(): v.decode() for k, v in event.headers}
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise h11.RemoteProtocolError("closed")
+        except (h11.RemoteProtocolError, anyio.BrokenResourceError):
+            await self.close()
+            return Reply(status, headers, body, broken=True)
+        if self._codec.their_state is h11.DONE:
+            self._codec.start_next_cycle()
+        else:
+            await self.close()
+        return Reply(status, headers, body)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        if self._stream is not None:
+            await self._stream.aclose()
+        self._stream = None
+        self._codec = h11.Connection(h11.CLIENT)
+
+    async def _next(self) -> Any:
+        while True:
+            event = self._codec.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive()
+            except anyio.EndOfStream:
+                data = b""
+            self._codec.receive_data(data)
