Test the request path against real upstream processes

Cause: the promises to callers were not proved.

Change: fifteen tests with stand-in upstreams in processes of their own and their run logs. A retry for which only ejected upstreams are left no longer waits in the queue; it held its answer back for the queue timeout.

Figures: none measured.

--- a/tarragoncleat/dispatching.py
+++ b/tarragoncleat/dispatching.py
@@ -113,7 +113,7 @@
     async def acquire(self, demand: Demand) -> Lease | errors.Failure:
         """Returns a lease, waiting for it in the queue if necessary."""
         candidates = self._upstreams.candidates(demand.service)
-        if not any(c.upstream_id not in demand.excluded for c in candidates):
+        if not candidates or not self._has_other(demand, candidates):
             return errors.Failure(
                 errors.ErrorKind.NO_UPSTREAM,
                 f"no upstream of {demand.service} is available",
@@ -178,15 +178,27 @@
             },
         }
 
+    def _router(self, service: ids.ServiceId) -> routing.ServiceRouter:
+        router = self._routers.get(service)
+        if router is None:
+            router = routing.ServiceRouter(self._routing, self._zone)
+            self._routers[service] = router
+        return router
+
+    def _has_other(
+        self, demand: Demand, candidates: Sequence[routing.Upstream]
+    ) -> bool:
+        # A retry doesn't wait for an upstream that is ejected.
+        return not demand.excluded or self._router(demand.service).has_other(
+            candidates, self._timer.monotonic_s(), demand.excluded
+        )
+
     def _try_lease(
         self, demand: Demand, candidates: Sequence[routing.Upstream]
     ) -> Lease | None:
         if self._in_flight >= self._routing.max_in_flight:
             return None
-        router = self._routers.get(demand.service)
-        if router is None:
-            router = routing.ServiceRouter(self._routing, self._zone)
-            self._routers[demand.service] = router
+        router = self._router(demand.service)
         elsewhere: Callable[[ids.UpstreamId], int]
         elsewhere = self._upstreams.in_flight_elsewhere
         upstream = router.choose(
--- a/tarragoncleat/routing.py
+++ b/tarragoncleat/routing.py
@@ -154,6 +154,16 @@
         ends.sort(reverse=True)
         return frozenset(name for _, name in ends[: len(candidates) // 2])
 
+    def has_other(
+        self,
+        candidates: Sequence[Upstream],
+        now_s: float,
+        excluded: frozenset[ids.UpstreamId],
+    ) -> bool:
+        """Returns whether an upstream is left, be it free or busy."""
+        tried = excluded | self.ejected(candidates, now_s)
+        return any(c.upstream_id not in tried for c in candidates)
+
     def take(self, upstream_id: ids.UpstreamId) -> int:
         """Counts a request as in flight and returns how many there are."""
         use = self._use(upstream_id)
--- a/tests/request_path_rig.py
+++ b/tests/request_path_rig.py
@@ -102,6 +102,7 @@
     **sections: Any,
 ) -> AsyncIterator[caller_api.CallerApi]:
     """Runs the request path on `address`."""
+    sections.setdefault("stop", {"in_flight_limit_ms": 1_000})
     settings = builders.build_settings(
         entry={"http_address": address}, **sections
     )
@@ -118,17 +119,15 @@
     server = http_server.HttpServer(settings, api, real_timer)
     async with anyio.create_task_group() as group:
         group.start_soon(api.run)
-        group.start_soon(server.serve)
-        while not server.started:
-            await anyio.sleep(0.005)
-        try:
-            yield api
-        finally:
-            server.stop()
-            with anyio.move_on_after(3):
-                while server.counts.connections:
-                    await anyio.sleep(0.01)
-            group.cancel_scope.cancel()
+        async with anyio.create_task_group() as serving:
+            serving.start_soon(server.serve)
+            while not server.started:
+                await anyio.sleep(0.005)
+            try:
+                yield api
+            finally:
+                server.stop()
+        group.cancel_scope.cancel()
 
 
 @contextlib.contextmanager
@@ -145,7 +144,11 @@
         yield process
     finally:
         process.terminate()
-        process.wait(10)
+        try:
+            process.wait(1)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
         if process.stdout is not None:
             process.stdout.close()
 
@@ -206,7 +209,7 @@
 
     async def read_reply(self) -> Reply:
         """Reads an answer."""
-        status, headers, body = 0, {}, b""
+        status, headers, parts = 0, {}, []
         try:
             while True:
                 event = await self._next()
@@ -214,21 +217,21 @@
                     status = event.status_code
                     headers = {k.decode(): v.decode() for k, v in event.headers}
                 elif isinstance(event, h11.Data):
-                    body += event.data
+                    parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 elif isinstance(event, h11.ConnectionClosed):
                     raise h11.RemoteProtocolError("closed")
         except (h11.RemoteProtocolError, anyio.BrokenResourceError):
-            await self.close()
-            return Reply(status, headers, body, broken=True)
+            await self.aclose()
+            return Reply(status, headers, b"".join(parts), broken=True)
         if self._codec.their_state is h11.DONE:
             self._codec.start_next_cycle()
         else:
-            await self.close()
-        return Reply(status, headers, body)
+            await self.aclose()
+        return Reply(status, headers, b"".join(parts))
 
-    async def close(self) -> None:
+    async def aclose(self) -> None:
         """Closes the connection."""
         if self._stream is not None:
             await self._stream.aclose()
--- a/tests/standin_upstream.py
+++ b/tests/standin_upstream.py
@@ -39,9 +39,11 @@
     "early-answer",
     "crash",
     "refuse",
+    "slow-read",
 )
 _PIECE_BYTES = 65_536
 _READ_BYTES = 65_536
+_SLOW_READ_S = 2.0
 _RENEWALS_PER_LEASE = 3
 _RESET = struct.pack("ii", 1, 0)
 
@@ -185,6 +187,8 @@
         only = headers.get("x-standin-only", options.upstream_id)
         if only != options.upstream_id:
             fault = options.fault
+        if fault == "slow-read":
+            await anyio.sleep(_SLOW_READ_S)
         early = fault == "early-answer"
         length, digest = (0, "") if early else await self._read_body()
         facts = {
@@ -241,6 +245,7 @@
         for start in range(0, len(body), _PIECE_BYTES):
             await self._send(h11.Data(data=body[start : start + _PIECE_BYTES]))
         await self._send(h11.EndOfMessage())
+        self._upstream.record(event="answered", answer_bytes=len(body))
         if fault == "extra-answer":
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nWRONG"
             await self._stream.send(extra)
--- /dev/null
+++ b/tests/test_request_path.py
@@ -0,0 +1,387 @@
+"""Tests of the request path against real upstream processes."""
+
+from collections.abc import Awaitable, Callable, Iterator
+import contextlib
+import json
+import pathlib
+import tempfile
+from typing import Any
+import unittest
+
+import anyio
+
+from tarragoncleat import profiles
+from tests import request_path_rig as rig
+
+_ENTRY = "127.21.1.1:9100"
+_ADDRESSES = {"up-1": "127.21.1.1:9101", "up-2": "127.21.1.1:9102"}
+_NOBODY = "127.21.1.1:9199"
+_URL = "/services/bidding/"
+_BIG = 67_108_864
+
+
+class RequestPathTest(unittest.TestCase):
+    """Guards against lost, repeated, mixed and truncated answers."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls._log_file = pathlib.Path(folder) / "runs"
+        for name, address in _ADDRESSES.items():
+            arguments = ["--upstream-id", name, "--address", address]
+            arguments += ["--service", "bidding"]
+            arguments += ["--log-file", str(cls._log_file)]
+            cls.enterClassContext(rig.standin(*arguments))
+
+    def setUp(self) -> None:
+        self._upstreams = rig.Upstreams()
+        for name, address in _ADDRESSES.items():
+            self._upstreams.add("bidding", name, address)
+
+    def _run(self, test: Callable[[Any], Awaitable], **options: Any) -> None:
+        async def run() -> None:
+            with anyio.fail_after(30):
+                async with rig.entry(_ENTRY, self._upstreams, **options) as api:
+                    await test(api)
+
+        anyio.run(run)
+
+    def _runs(self, reply: rig.Reply) -> list[str]:
+        request_id = reply.headers["tarragoncleat-request-id"]
+        return [
+            line["upstream"]
+            for line in self._log("run")
+            if line["request_id"] == request_id
+        ]
+
+    def _log(self, event: str) -> Iterator[dict]:
+        for line in self._log_file.read_text().splitlines():
+            fields = json.loads(line)
+            if fields["event"] == event:
+                yield fields
+
+    async def _get(self, **headers: str) -> rig.Reply:
+        return await self._call("GET", **headers)
+
+    async def _call(
+        self, method: str, body: bytes = b"", **headers: str
+    ) -> rig.Reply:
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        caller = rig.Caller(_ENTRY)
+        async with contextlib.aclosing(caller):
+            return await caller.request(method, _URL, named, body)
+
+    def test_bid_is_sent_once_whatever_the_upstream_does(self) -> None:
+        """Guards against running a non-idempotent request twice."""
+
+        async def check(api: Any) -> None:
+            for fault in (
+                "reset-before-answer",
+                "reset-midway",
+                "close-midway",
+            ):
+                reply = await self._call("POST", b"1", x_standin_fault=fault)
+                self.assertEqual(
+                    (reply.status, reply.outcome), (502, "unknown")
+                )
+                self.assertEqual(len(self._runs(reply)), 1, fault)
+
+        self._run(check)
+
+    def test_dead_upstream_costs_no_request(self) -> None:
+        """Guards against losing a bid that was never sent."""
+        self._upstreams.add("bidding", "up-0", _NOBODY)
+
+        async def check(api: Any) -> None:
+            for _ in range(30):
+                reply = await self._call("POST", b"1")
+                self.assertEqual(reply.status, 200)
+                self.assertEqual(len(self._runs(reply)), 1)
+
+        self._run(check)
+
+    def test_idempotent_request_moves_to_another_upstream(self) -> None:
+        """Guards against giving up after a reset or a refusal."""
+
+        async def check(api: Any) -> None:
+            for fault in ("reset-before-answer", "reset-midway", "refuse"):
+                for only in _ADDRESSES:
+                    for _ in range(2):
+                        reply = await self._get(
+                            x_standin_fault=fault, x_standin_only=only
+                        )
+                        self.assertEqual(reply.status, 200)
+                        self.assertNotEqual(reply.json["upstream"], only)
+
+        self._run(check, routing={"eject_after_failures": 100})
+
+    def test_refused_bid_is_reported_as_not_run(self) -> None:
+        """Guards against `not-run` for a request that ran."""
+
+        async def check(api: Any) -> None:
+            reply = await self._call("POST", b"1", x_standin_fault="refuse")
+            self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+            self.assertEqual(self._runs(reply), [])
+            self.assertIn("retry-after", reply.headers)
+
+        self._run(check)
+
+    def test_answers_are_never_mixed(self) -> None:
+        """Guards against a late or extra answer reaching another caller."""
+
+        async def call(number: int) -> None:
+            headers = {"X-Standin-Delay-Ms": str(number * 37 % 50)}
+            if number % 3 == 0:
+                headers["Tarragoncleat-Deadline-Ms"] = "20"
+            if number % 5 == 0:
+                headers["X-Standin-Fault"] = "extra-answer"
+            caller = rig.Caller(_ENTRY)
+            async with contextlib.aclosing(caller):
+                for turn in range(5):
+                    target = f"{_URL}{number}/{turn}?q={number}"
+                    reply = await caller.request("GET", target, headers)
+                    if reply.status == 200:
+                        expected = f"/{number}/{turn}?q={number}"
+                        self.assertEqual(reply.json["target"], expected)
+                    else:
+                        self.assertEqual(reply.status, 504)
+                        self.assertEqual(reply.outcome, "unknown")
+
+        async def check(api: Any) -> None:
+            async with anyio.create_task_group() as group:
+                for number in range(16):
+                    group.start_soon(call, number)
+
+        self._run(check)
+
+    def test_answer_that_breaks_off_is_seen_as_broken(self) -> None:
+        """Guards against presenting a part of an answer as the whole."""
+
+        async def check(api: Any) -> None:
+            for fault in ("reset-midway", "close-midway"):
+                for more in ({}, {"x_standin_chunked": "1"}):
+                    reply = await self._call(
+                        "POST",
+                        b"1",
+                        x_standin_fault=fault,
+                        x_standin_answer_bytes="1000000",
+                        **more,
+                    )
+                    self.assertTrue(reply.broken, (fault, more))
+
+        self._run(check)
+
+    def test_failing_upstreams_cause_no_retry_storm(self) -> None:
+        """Guards against retries that multiply the load of failures."""
+
+        async def check(api: Any) -> None:
+            for _ in range(200):
+                reply = await self._get(x_standin_fault="reset-before-answer")
+                self.assertEqual(
+                    (reply.status, reply.outcome), (502, "unknown")
+                )
+            before = len(list(self._log("run")))
+            for _ in range(200):
+                await self._get(x_standin_fault="reset-before-answer")
+            # The budget of 0.1 of 200 requests, no floor.
+            added = len(list(self._log("run"))) - before
+            self.assertLessEqual(added, 220)
+
+        self._run(check, routing={"retry_floor_per_s": 0})
+
+    def test_slow_upstreams_cause_no_retries(self) -> None:
+        """Guards against retries of requests that timed out."""
+
+        async def call() -> None:
+            reply = await self._get(
+                x_standin_delay_ms="400", tarragoncleat_deadline_ms="100"
+            )
+            self.assertIn(reply.status, (503, 504))
+            expected = "unknown" if reply.status == 504 else "not-run"
+            self.assertEqual(reply.outcome, expected)
+            self.assertEqual(len(self._runs(reply)), int(reply.status == 504))
+
+        async def check(api: Any) -> None:
+            async with anyio.create_task_group() as group:
+                for _ in range(40):
+                    group.start_soon(call)
+
+        self._run(check)
+
+    def test_overload_refuses_the_lowest_standing_first(self) -> None:
+        """Guards against refusing urgent work while other work is queued."""
+        directory = rig.Directory()
+        for standing in profiles.Standing:
+            directory.standings[standing.value] = standing
+            self._upstreams.add(standing.value, "up-1", _ADDRESSES["up-1"])
+        replies: dict[str, list[rig.Reply]] = {}
+
+        async def call(service: str) -> None:
+            caller = rig.Caller(_ENTRY)
+            async with contextlib.aclosing(caller):
+                headers = {"X-Standin-Delay-Ms": "300"}
+                reply = await caller.request(
+                    "POST", f"/services/{service}/", headers, b"1"
+                )
+                replies.setdefault(service, []).append(reply)
+
+        async def check(api: Any) -> None:
+            async with anyio.create_task_group() as group:
+                for service in ("low", "normal", "urgent"):
+                    for _ in range(4):
+                        group.start_soon(call, service)
+                    await anyio.sleep(0.05)
+
+        limits = {"max_in_flight": 2, "max_queued": 6}
+        self._run(check, routing=limits, directory=directory)
+        refused = {
+            service: [reply for reply in got if reply.status == 503]
+            for service, got in replies.items()
+        }
+        # 8 of 12 fit: the refused ones are LOW (the 2 in flight run on) and,
+        # once no LOW is left in the queue, NORMAL.
+        counts = {name: len(found) for name, found in refused.items()}
+        self.assertEqual(counts, {"low": 2, "normal": 2, "urgent": 0})
+        for reply in refused["low"] + refused["normal"]:
+            self.assertEqual(reply.outcome, "not-run")
+            self.assertEqual(self._runs(reply), [])
+            self.assertIn("retry-after", reply.headers)
+
+    def test_every_shape_of_message_arrives_whole(self) -> None:
+        """Guards against framing errors on either side."""
+
+        async def check(api: Any) -> None:
+            reply = await self._call("HEAD")
+            self.assertEqual((reply.status, reply.body), (200, b""))
+            for status in (204, 304):
+                reply = await self._get(x_standin_status=str(status))
+                self.assertEqual((reply.status, reply.body), (status, b""))
+            for size in (0, 5, 65_536, 3_000_000):
+                for more in ({}, {"x_standin_chunked": "1"}):
+                    reply = await self._get(
+                        x_standin_answer_bytes=str(size), **more
+                    )
+                    self.assertEqual(len(reply.body), size)
+                reply = await self._call("PUT", b"x" * size)
+                self.assertEqual(reply.json["body_bytes"], size)
+            for _ in range(3):
+                reply = await self._call("POST", x_standin_fault="close-after")
+                self.assertEqual(reply.status, 200)
+
+        self._run(check)
+
+    def test_expect_continue_and_chunked_body(self) -> None:
+        """Guards against a caller that waits for 100 Continue for ever."""
+
+        async def check(api: Any) -> None:
+            host, _, port = _ENTRY.rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(
+                    b"POST /services/bidding/a HTTP/1.1\r\nHost: entry\r\n"
+                    b"Expect: 100-continue\r\nConnection: close\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n"
+                )
+                interim = await stream.receive()
+                self.assertTrue(interim.startswith(b"HTTP/1.1 100"), interim)
+                await stream.send(b"3\r\nabc\r\n0\r\n\r\n")
+                answer = b""
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        answer += await stream.receive()
+                self.assertIn(b'"body_bytes": 3', answer)
+
+        self._run(check)
+
+    def test_disconnect_cancels_an_idempotent_request(self) -> None:
+        """Guards against work for callers that have gone away."""
+
+        async def check(api: Any) -> None:
+            caller = rig.Caller(_ENTRY)
+            headers = {"X-Standin-Delay-Ms": "60000"}
+            await caller.send_request("GET", _URL, headers, b"")
+            while not self._upstreams.reported.get("up-1"):
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.1)
+            await caller.aclose()
+            while api.in_flight:
+                await anyio.sleep(0.01)
+            self.assertEqual(api.dump()["idle_connections"], 0)
+            self.assertEqual(self._upstreams.reported["up-1"], 0)
+
+        self._run(check)
+
+    def test_slow_reader_holds_the_upstream_back(self) -> None:
+        """Guards against buffering an answer that the caller does not read."""
+
+        async def check(api: Any) -> None:
+            caller = rig.Caller(_ENTRY)
+            headers = {"X-Standin-Answer-Bytes": str(_BIG)}
+            await caller.send_request("GET", _URL, headers, b"")
+            await anyio.sleep(1)
+            unread = len(list(self._log("answered")))
+            reply = await caller.read_reply()
+            self.assertEqual(len(reply.body), _BIG)
+            await anyio.sleep(0.1)
+            answered = [
+                line
+                for line in list(self._log("answered"))[unread:]
+                if line["answer_bytes"] == _BIG
+            ]
+            self.assertEqual(len(answered), 1)
+            await caller.aclose()
+
+        self._run(check)
+
+    def test_slow_upstream_holds_the_caller_back(self) -> None:
+        """Guards against buffering a body that the upstream does not read."""
+
+        async def check(api: Any) -> None:
+            caller = rig.Caller(_ENTRY)
+            headers = {"X-Standin-Fault": "slow-read"}
+            done = False
+            with anyio.move_on_after(1):
+                await caller.send_request("PUT", _URL, headers, bytes(_BIG))
+                done = True
+            self.assertFalse(done)
+            await caller.aclose()
+
+        self._run(check, callers={"max_body_bytes": _BIG})
+
+    def test_limits_of_the_caller(self) -> None:
+        """Guards against callers that send too much, too slowly, too often."""
+
+        async def check(api: Any) -> None:
+            reply = await self._call("POST", bytes(200_000))
+            self.assertEqual((reply.status, reply.outcome), (413, "not-run"))
+            reply = await self._get(x_padding="x" * 2_000)
+            self.assertEqual((reply.status, reply.outcome), (431, "not-run"))
+            host, _, port = _ENTRY.rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(
+                    b"POST /services/bidding/a HTTP/1.1\r\nHost: entry\r\n"
+                    b"Content-Length: 10\r\n\r\nabc"
+                )
+                answer = await stream.receive()
+                self.assertIn(b" 408 ", answer.partition(b"\r\n")[0])
+            statuses = []
+
+            async def call() -> None:
+                reply = await self._get(x_standin_delay_ms="300")
+                statuses.append(reply.status)
+
+            async with anyio.create_task_group() as group:
+                for _ in range(6):
+                    group.start_soon(call)
+            self.assertEqual(sorted(statuses), [200] * 4 + [429] * 2)
+
+        limits = {
+            "max_body_bytes": 100_000,
+            "max_header_bytes": 1_500,
+            "body_idle_timeout_ms": 100,
+            "max_connections_per_caller": 4,
+        }
+        self._run(check, callers=limits)
+
+
+if __name__ == "__main__":
+    unittest.main()
