Add the administration API, its client, the command line and reports

Cause: operators need to edit profiles, approve waves and read what happened; firms that share a platform must not see each other.

Objects of requests refuse unknown fields. Instances move between two firms only through a pool of the platform, because the target pool is visible in the instance.

Conclusion: the daemon can serve operators.

--- /dev/null
+++ b/tarragoncleat/admin_client.py
@@ -0,0 +1,189 @@
+"""Client of the administration API."""
+
+from collections.abc import Mapping, Sequence
+import dataclasses
+import json
+import pathlib
+import ssl
+from typing import Any
+import urllib.parse
+import uuid
+
+import httpcore
+
+from tarragoncleat import errors
+
+__all__ = ["AdminClient", "Reply"]
+
+_PREFIX = "/admin/v1/"
+# No byte of the request was written.
+_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_LOST_ANSWER = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A successful answer."""
+
+    status: int
+    body: Any
+
+
+class AdminClient:
+    """Calls the administration API of one of several entries.
+
+    A call whose answer was lost is sent again to the next entry. Commands are
+    sent again with the same Command-Id, so that they have one effect.
+    """
+
+    def __init__(
+        self,
+        urls: Sequence[str],
+        token: str | None = None,
+        timeout_s: float = 10.0,
+        ca_file: pathlib.Path | None = None,
+    ) -> None:
+        """Prepares the client.
+
+        Args:
+            urls: Base URLs of entries, in order of preference.
+            token: Bearer token, or None.
+            timeout_s: Limit of each attempt.
+            ca_file: Certificate authority of the entries, if not a system one.
+        """
+        self._urls = tuple(url.rstrip("/") for url in urls)
+        self._headers: dict[str, str] = {}
+        if token is not None:
+            self._headers["Authorization"] = f"Bearer {token}"
+        self._timeout_s = timeout_s
+        context = ssl.create_default_context(cafile=ca_file)
+        self._pool = httpcore.ConnectionPool(ssl_context=context)
+
+    def __enter__(self) -> "AdminClient":
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._pool.close()
+
+    def get(
+        self, path: str, query: Mapping[str, str] | None = None
+    ) -> Reply | errors.Failure:
+        """Reads a path below `/admin/v1/`."""
+        text = urllib.parse.urlencode(query or {})
+        target = _target(path) + (f"?{text}" if text else "")
+        return self._call("GET", target, None, {})
+
+    def get_all(
+        self, path: str, query: Mapping[str, str] | None = None
+    ) -> list[Any] | errors.Failure:
+        """Reads every page of a list."""
+        items: list[Any] = []
+        wanted = dict(query or {})
+        while True:
+            reply = self.get(path, wanted)
+            if isinstance(reply, errors.Failure):
+                return reply
+            items.extend(reply.body["items"])
+            if reply.body["next_cursor"] is None:
+                return items
+            wanted["cursor"] = reply.body["next_cursor"]
+
+    def give(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        if_match: int | None = None,
+        command_id: str | None = None,
+    ) -> Reply | errors.Failure:
+        """Gives a command.
+
+        Args:
+            method: PUT, POST or DELETE.
+            path: Path below `/admin/v1/`.
+            body: JSON value of the body, if the command has one.
+            if_match: Revision that the object must have; 0 for a new one.
+            command_id: Id of the command; a new one is made without it.
+        """
+        headers = {"Command-Id": command_id or uuid.uuid4().hex}
+        if if_match is not None:
+            headers["If-Match"] = str(if_match)
+        return self._call(method, _target(path), body, headers)
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        body: object,
+        headers: Mapping[str, str],
+    ) -> Reply | errors.Failure:
+        content = None if body is None else json.dumps(body).encode()
+        failure = errors.Failure(
+            errors.ErrorKind.BAD_REQUEST, "no URL of an entry is given"
+        )
+        lost = False
+        for url in self._urls:
+            try:
+                response = self._pool.request(
+                    method,
+                    url + target,
+                    headers=list({**self._headers, **headers}.items()),
+                    content=content,
+                    extensions={"timeout": self._timeouts()},
+                )
+            except _UNSENT as error:
+                failure = _unreachable(url, error, lost)
+                continue
+            except _LOST_ANSWER as error:
+                lost = True
+                failure = _unreachable(url, error, lost)
+                continue
+            except httpcore.UnsupportedProtocol as error:
+                return errors.Failure(
+                    errors.ErrorKind.BAD_REQUEST, f"{url}: {error}"
+                )
+            return _parse(response.status, response.content)
+        return failure
+
+    def _timeouts(self) -> dict[str, float]:
+        names = ("connect", "read", "write", "pool")
+        return dict.fromkeys(names, self._timeout_s)
+
+
+def _target(path: str) -> str:
+    return _PREFIX + urllib.parse.quote(path)
+
+
+def _unreachable(url: str, error: Exception, lost: bool) -> errors.Failure:
+    """Returns the failure of a call that got no answer.
+
+    The outcome is unknown once a request may have reached an entry.
+    """
+    kind = errors.ErrorKind.UNDECIDED if lost else errors.ErrorKind.NO_LEADER
+    what = str(error) or type(error).__name__
+    return errors.Failure(kind, f"no answer from {url}: {what}")
+
+
+def _parse(status: int, content: bytes) -> Reply | errors.Failure:
+    try:
+        body = json.loads(content)
+    except ValueError:
+        return errors.Failure(
+            errors.ErrorKind.INTERNAL, f"status {status} without a JSON body"
+        )
+    if status < 300:
+        return Reply(status, body)
+    if not isinstance(body, dict):
+        body = {}
+    kinds = {kind.value: kind for kind in errors.ErrorKind}
+    kind = kinds.get(str(body.get("error")), errors.ErrorKind.INTERNAL)
+    reason = str(body.get("reason", f"status {status}"))
+    return errors.Failure(kind, reason, body.get("detail") or {})
--- /dev/null
+++ b/tarragoncleat/admin_http.py
@@ -0,0 +1,175 @@
+"""Requests and answers of the administration API."""
+
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
+import dataclasses
+import json
+from typing import Any
+import urllib.parse
+import uuid
+
+import pydantic_core
+
+from tarragoncleat import errors
+
+__all__ = [
+    "Answer",
+    "Receive",
+    "Request",
+    "Scope",
+    "Send",
+    "error_answer",
+    "read_request",
+    "send_answer",
+]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+_MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One HTTP request.
+
+    Attributes:
+        method: HTTP method.
+        parts: Parts of the path after `/admin/v1/`, unquoted.
+        query: Query parameters; the last one of a name counts.
+        headers: Headers with lower-case names.
+        body: The JSON object of the body; empty without a body.
+        request_id: Id that the answer repeats.
+        command_id: `Command-Id` of the request, or a new one.
+    """
+
+    method: str
+    parts: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: Mapping[str, Any]
+    request_id: str
+    command_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One HTTP answer with a body of plain types or dataclasses."""
+
+    status: int
+    body: object
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+async def read_request(
+    scope: Scope, receive: Receive, prefix: str
+) -> Request | errors.Failure:
+    """Reads a request whole.
+
+    Returns:
+        The request, or a `Failure` of kind TOO_LARGE or BAD_REQUEST.
+    """
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+    data = await _read_body(receive)
+    if isinstance(data, errors.Failure):
+        return data
+    body = _parse_body(data)
+    if isinstance(body, errors.Failure):
+        return body
+    raw_path = scope.get("raw_path") or scope["path"].encode()
+    path = raw_path.decode("latin-1").removeprefix(prefix)
+    query = urllib.parse.parse_qsl(
+        scope["query_string"].decode("latin-1"), keep_blank_values=True
+    )
+    return Request(
+        scope["method"],
+        tuple(urllib.parse.unquote(part) for part in path.split("/")),
+        dict(query),
+        headers,
+        body,
+        uuid.uuid4().hex,
+        headers.get("command-id") or uuid.uuid4().hex,
+    )
+
+
+def error_answer(failure: errors.Failure, request_id: str) -> Answer:
+    """Returns the answer for a failure."""
+    known = errors.ANSWERS[failure.kind]
+    body: dict[str, object] = {
+        "error": failure.kind.value,
+        "reason": failure.reason,
+        "request_id": request_id,
+    }
+    if failure.detail:
+        body["detail"] = dict(failure.detail)
+    headers = [("Tarragoncleat-Outcome", known.outcome.value)]
+    if known.retry_after_s is not None:
+        headers.append(("Retry-After", str(known.retry_after_s)))
+    if failure.kind is errors.ErrorKind.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return Answer(known.status, body, tuple(headers))
+
+
+async def send_answer(send: Send, answer: Answer) -> None:
+    """Sends an answer; a string body is sent as HTML."""
+    if isinstance(answer.body, str):
+        content_type, data = "text/html; charset=utf-8", answer.body.encode()
+    else:
+        content_type = "application/json"
+        data = pydantic_core.to_json(answer.body) + b"\n"
+    headers = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(data))),
+        *answer.headers,
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": [
+                (name.lower().encode(), value.encode())
+                for name, value in headers
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": data})
+
+
+async def _read_body(receive: Receive) -> bytes | errors.Failure:
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return errors.Failure(
+                errors.ErrorKind.BAD_REQUEST, "the body broke off"
+            )
+        chunk = event.get("body", b"")
+        size += len(chunk)
+        if size > _MAX_BODY_BYTES:
+            return errors.Failure(
+                errors.ErrorKind.TOO_LARGE,
+                f"the body exceeds {_MAX_BODY_BYTES} bytes",
+            )
+        chunks.append(chunk)
+        if not event.get("more_body", False):
+            return b"".join(chunks)
+
+
+def _parse_body(data: bytes) -> dict | errors.Failure:
+    if not data:
+        return {}
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return errors.Failure(
+            errors.ErrorKind.BAD_REQUEST, f"the body is not JSON: {error}"
+        )
+    if not isinstance(value, dict):
+        return errors.Failure(
+            errors.ErrorKind.BAD_REQUEST, "the body must be a JSON object"
+        )
+    return value
--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/fleet_instances.py
@@ -16,6 +16,9 @@
 __all__: list[str] = []
 
 _STATE = pools.InstanceState
+_BETWEEN_FIRMS = (
+    "an instance moves between two firms only through a pool of the platform"
+)
 _BACK = (_STATE.RETURNING, _STATE.IN_SERVICE)
 _KINDS = {
     _STATE.IN_MAINTENANCE: ledger.LedgerKind.WAVE_STEP,
@@ -103,7 +106,6 @@
         pool_id=pool.pool_id,
         instance_id=instance.instance_id,
         cause="instance removed",
-        amount=fleet_rules.removed_capacity(instance),
     )
     return {}
 
@@ -271,6 +273,8 @@
             f"instance {name} belongs to pool {pool_id} already",
             revision=instance.revision,
         )
+    if not _within_firm(change, instance.pool_id, pool_id):
+        return fleet_rules.forbidden(_BETWEEN_FIRMS)
     movable = (_STATE.IN_SERVICE, _STATE.QUARANTINED, _STATE.LOST)
     if instance.state not in movable:
         return fleet_rules.conflict(
@@ -321,12 +325,22 @@
     )
 
 
+def _within_firm(
+    change: fleet_rules.Change, source: ids.PoolId, target: ids.PoolId
+) -> bool:
+    """Tells whether neither firm would see the other's pool in the move."""
+    firms = {change.state.pools[name].firm for name in (source, target)}
+    return len(firms - {commands.ANY_FIRM}) <= 1
+
+
 def _redirect(
     change: fleet_rules.Change,
     instance: pools.Instance,
     pool_id: ids.PoolId,
-) -> dict:
+) -> dict | errors.Failure:
     """Changes or cancels a move that has not switched yet."""
+    if not _within_firm(change, instance.pool_id, pool_id):
+        return fleet_rules.forbidden(_BETWEEN_FIRMS)
     if pool_id != instance.pool_id:
         updated = dataclasses.replace(instance, moving_to=pool_id)
         cause = f"move changed to {pool_id} by {change.actor}"
--- a/tarragoncleat/fleet_profiles.py
+++ b/tarragoncleat/fleet_profiles.py
@@ -1,6 +1,7 @@
 """Rules of profiles, services, teams and pools."""
 
 import dataclasses
+import math
 
 from tarragoncleat import commands
 from tarragoncleat import errors
@@ -85,8 +86,11 @@
         return failure
     service = dataclasses.replace(service, revision=change.revision)
     state.put_service(service)
-    if current is not None and current.pool_id != service.pool_id:
-        _set_service_of_pool(change, current.pool_id, None)
+    if current is None or current.pool_id != service.pool_id:
+        if current is not None:
+            _log_pool(change, current, -1)
+            _set_service_of_pool(change, current.pool_id, None)
+        _log_pool(change, service, 1)
     _set_service_of_pool(change, service.pool_id, service.service_id)
     change.configured()
     _log_owed(change, service, state.profiles[service.profile_id])
@@ -312,3 +316,30 @@
         cause=f"service {service.service_id} owed by {profile.profile_id}",
         amount=profile.owed,
     )
+
+
+def _log_pool(
+    change: fleet_rules.Change, service: profiles.Service, sign: int
+) -> None:
+    """Records the instances that a service gains or loses with a pool."""
+    serving = [
+        item
+        for item in change.state.instances_of(service.pool_id)
+        if item.state is pools.InstanceState.IN_SERVICE
+    ]
+    if not serving:
+        return
+    change.log(
+        ledger.LedgerKind.GRANT if sign > 0 else ledger.LedgerKind.MOVE,
+        service.firm,
+        service_id=service.service_id,
+        pool_id=service.pool_id,
+        cause="pool assigned" if sign > 0 else "pool withdrawn",
+        amount=profiles.Capacity(
+            instances=sign * len(serving),
+            # Exact, so that the order of the instances has no effect.
+            cores=sign * math.fsum(item.cores for item in serving),
+            memory_mb=sign * sum(item.memory_mb for item in serving),
+            accelerators=sign * sum(item.accelerators for item in serving),
+        ),
+    )
--- a/tarragoncleat/fleet_rules.py
+++ b/tarragoncleat/fleet_rules.py
@@ -26,7 +26,6 @@
     "forbidden",
     "not_found",
     "over_budget",
-    "removed_capacity",
 ]
 
 _Id = TypeVar("_Id")
@@ -254,11 +253,6 @@
     return bad_request(f"no rule for {type(command).__name__}")
 
 
-def removed_capacity(instance: pools.Instance) -> profiles.Capacity | None:
-    """Returns what a pool loses with an instance; None if nothing."""
-    return _signed(instance, -1) if _serving(instance) else None
-
-
 def _serving(instance: pools.Instance) -> bool:
     return instance.state is pools.InstanceState.IN_SERVICE
 
--- a/tarragoncleat/jobs.py
+++ b/tarragoncleat/jobs.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+import pydantic
+
 from tarragoncleat import errors
 from tarragoncleat import ids
 
@@ -55,6 +57,8 @@
 class Demand:
     """What a job declares that it needs; memory in MB."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     cores: float
     memory_mb: int
     accelerators: int = 0
@@ -68,6 +72,8 @@
     earlier placement can be told from one about the current placement.
     """
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     job_id: ids.JobId
     service_id: ids.ServiceId
     team_id: ids.TeamId | None
--- a/tarragoncleat/pools.py
+++ b/tarragoncleat/pools.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+import pydantic
+
 from tarragoncleat import errors
 from tarragoncleat import ids
 from tarragoncleat import settings
@@ -32,6 +34,8 @@
 class Pool:
     """A pool; without a service it is a spare pool."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     pool_id: ids.PoolId
     firm: ids.FirmId
     service_id: ids.ServiceId | None = None
@@ -42,6 +46,8 @@
 class Instance:
     """A worker. `pool_id` is the one pool that it belongs to."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     instance_id: ids.InstanceId
     pool_id: ids.PoolId
     availability_zone: ids.AvailabilityZone
--- a/tarragoncleat/profiles.py
+++ b/tarragoncleat/profiles.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+import pydantic
+
 from tarragoncleat import errors
 from tarragoncleat import ids
 
@@ -59,6 +61,8 @@
 class Capacity:
     """An amount of capacity; memory in MB."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     instances: int = 0
     slots: int = 0
     cores: float = 0.0
@@ -70,6 +74,8 @@
 class Placement:
     """Where the capacity has to be. Zero `max_per_rack` means no limit."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     availability_zones: tuple[ids.AvailabilityZone, ...] = ()
     max_per_rack: int = 0
     spread: bool = True
@@ -83,6 +89,8 @@
     instances, rounded down) is set.
     """
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     max_out: int | None = 1
     max_out_fraction: float | None = None
     max_out_s: int = 3600
@@ -94,6 +102,8 @@
 class Profile:
     """What a class of work is owed."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     profile_id: ids.ProfileId
     firm: ids.FirmId
     owed: Capacity
@@ -108,6 +118,8 @@
 class Service:
     """A service and the profile that it runs under."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     service_id: ids.ServiceId
     profile_id: ids.ProfileId
     firm: ids.FirmId
@@ -119,6 +131,8 @@
 class Team:
     """A team and its quota."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     team_id: ids.TeamId
     firm: ids.FirmId
     quota: Capacity
--- a/tarragoncleat/waves.py
+++ b/tarragoncleat/waves.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import pydantic
+
 from tarragoncleat import errors
 from tarragoncleat import ids
 
@@ -44,6 +46,8 @@
 class Selection:
     """Which instances a wave covers: the union of what is named."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     pools: tuple[ids.PoolId, ...] = ()
     availability_zones: tuple[ids.AvailabilityZone, ...] = ()
     racks: tuple[ids.Rack, ...] = ()
@@ -70,6 +74,8 @@
 class Wave:
     """A maintenance wave; times in milliseconds since the epoch."""
 
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     wave_id: ids.WaveId
     firm: ids.FirmId
     selection: Selection
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,10 +1,12 @@
 """Builders of test data."""
 
 import pathlib
+import types
 from typing import Any
 
 from tarragoncleat import codec
 from tarragoncleat import commands
+from tarragoncleat import errors
 from tarragoncleat import fleet
 from tarragoncleat import ids
 from tarragoncleat import pools
@@ -16,6 +18,7 @@
     "build_instance",
     "build_profile",
     "build_settings",
+    "LocalLog",
     "populate",
 ]
 
@@ -134,3 +137,25 @@
             availability_zone=ids.AvailabilityZone(f"zone-{rack % 2}"),
         )
         driver.must(commands.PutInstance(instance))
+
+
+class LocalLog:
+    """A replicated log of one entry that applies proposals at once."""
+
+    def __init__(self, driver: FleetDriver) -> None:
+        self._driver = driver
+        self.failure: errors.Failure | None = None
+
+    async def propose(self, payload: bytes, timeout_s: float) -> Any:
+        if self.failure is not None:
+            return self.failure
+        driver = self._driver
+        driver.index += 1
+        result = driver.fleet.apply(driver.index, driver.time_ms, payload)
+        return types.SimpleNamespace(index=driver.index, result=result)
+
+    async def read_barrier(self, timeout_s: float) -> int | errors.Failure:
+        return self._driver.index if self.failure is None else self.failure
+
+    def in_force(self) -> dict[str, dict[str, int]]:
+        return {"entry-1": {"applied_index": self._driver.index, "age_ms": 0}}
--- /dev/null
+++ b/tests/test_admin_api.py
@@ -0,0 +1,406 @@
+"""Tests of the administration API, its client and the command line."""
+
+import asyncio
+import contextlib
+import hashlib
+import io
+import json
+import pathlib
+import tempfile
+import threading
+import time
+from typing import Any
+import unittest
+import urllib.parse
+
+import msgpack
+import uvicorn
+
+from tarragoncleat import admin_api
+from tarragoncleat import admin_client
+from tarragoncleat import auth
+from tarragoncleat import cli
+from tarragoncleat import commands
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import metrics
+from tarragoncleat import settings
+from tarragoncleat import waves
+from tests import builders
+
+_HOST, _PORT = "127.24.3.1", 8124
+_PROFILE = {"owed": {"instances": 4}, "settle_s": 0}
+
+
+def _token(
+    name: str, role: str, firm: str, services: tuple[str, ...] = ()
+) -> settings.Token:
+    return settings.Token(
+        sha256=hashlib.sha256(name.encode()).hexdigest(),
+        name=name,
+        role=settings.Role(role),
+        firm=firm,
+        services=services,
+    )
+
+
+def _build(driver: builders.FleetDriver) -> tuple[Any, builders.LocalLog]:
+    log = builders.LocalLog(driver)
+    tokens = (
+        _token("root", "operator", "*"),
+        _token("a", "operator", "firm-a"),
+        _token("b", "operator", "firm-b"),
+        _token("audit-a", "auditor", "firm-a"),
+        _token("caller-a", "caller", "firm-a"),
+        _token("service-a", "service", "firm-a", ("service",)),
+    )
+    api = admin_api.AdminApi(
+        builders.build_settings(),
+        driver.fleet,
+        log,
+        auth.Authenticator(settings.AuthSettings(required=True, tokens=tokens)),
+        lambda: {"role": "leader"},
+        metrics.Metrics(),
+    )
+    return api, log
+
+
+class _Reply:
+    def __init__(self, events: list[dict]) -> None:
+        self.status = events[0]["status"]
+        self.headers = dict(events[0]["headers"])
+        self.text = events[1]["body"].decode()
+        self.body = json.loads(self.text)
+
+
+class _ApiTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.driver = builders.FleetDriver()
+        builders.populate(self.driver)
+        builders.populate(self.driver, 3, "firm-b", "-b")
+        self.api, self.log = _build(self.driver)
+
+    def call(
+        self,
+        token: str | None,
+        method: str,
+        path: str,
+        body: Any = None,
+        **headers: str,
+    ) -> _Reply:
+        """Calls the application in this process."""
+        events: list[dict] = []
+        target = urllib.parse.urlsplit(path)
+        sent = {name.replace("_", "-"): v for name, v in headers.items()}
+        if token is not None:
+            sent["authorization"] = f"Bearer {token}"
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": urllib.parse.unquote(target.path),
+            "raw_path": target.path.encode(),
+            "query_string": target.query.encode(),
+            "headers": [(k.encode(), v.encode()) for k, v in sent.items()],
+        }
+
+        async def receive() -> dict:
+            data = b"" if body is None else json.dumps(body).encode()
+            return {"type": "http.request", "body": data}
+
+        async def send(event: dict) -> None:
+            events.append(event)
+
+        asyncio.run(self.api(scope, receive, send))
+        return _Reply(events)
+
+
+class AccessTest(_ApiTest):
+    """Guards against access without a right, and leaks between firms."""
+
+    def test_unknown_or_missing_tokens_are_refused(self) -> None:
+        for token in (None, "wrong"):
+            reply = self.call(token, "GET", "/admin/v1/profiles")
+            self.assertEqual(reply.status, 401)
+            self.assertEqual(reply.body["error"], "unauthorized")
+
+    def test_roles(self) -> None:
+        path = "/admin/v1/profiles/new"
+        for token, method, status in (
+            ("a", "PUT", 200),
+            ("audit-a", "GET", 200),
+            ("audit-a", "PUT", 403),
+            ("service-a", "PUT", 403),
+            ("caller-a", "GET", 403),
+        ):
+            with self.subTest(f"{token} {method}"):
+                body = _PROFILE if method == "PUT" else None
+                reply = self.call(token, method, path, body)
+                self.assertEqual(reply.status, status, reply.text)
+
+    def test_a_firm_never_sees_another_firms_objects(self) -> None:
+        self.driver.must(
+            commands.ProposeWave(
+                ids.WaveId("wave-b"),
+                ids.FirmId("firm-b"),
+                _selection("pool-b"),
+            )
+        )
+        for kind, name in (
+            ("profiles", "profile-b"),
+            ("services", "service-b"),
+            ("pools", "pool-b"),
+            ("instances", "i0-b"),
+            ("waves", "wave-b"),
+        ):
+            foreign = self.call("a", "GET", f"/admin/v1/{kind}/{name}")
+            absent = self.call("a", "GET", f"/admin/v1/{kind}/absent")
+            self.assertEqual(foreign.status, 404)
+            self.assertEqual(
+                foreign.body["reason"].replace(name, "absent"),
+                absent.body["reason"],
+            )
+            everything = self.call("a", "GET", f"/admin/v1/{kind}")
+            self.assertNotIn("-b", everything.text)
+            own = self.call("b", "GET", f"/admin/v1/{kind}/{name}")
+            self.assertEqual(own.status, 200)
+        for path in (
+            "ledger?limit=1000",
+            "ledger?service=service-b",
+            "instances?pool=pool-b",
+            "report?service=service-b",
+        ):
+            reply = self.call("a", "GET", f"/admin/v1/{path}")
+            text = reply.text.replace("no service service-b", "")
+            self.assertNotIn("-b", text)
+        for path in ("state", "metrics"):
+            reply = self.call("a", "GET", f"/admin/v1/{path}")
+            self.assertEqual(reply.status, 403)
+
+    def test_a_firm_never_changes_another_firms_objects(self) -> None:
+        before = self.driver.fleet.snapshot()
+        for method, path, body in (
+            ("PUT", "profiles/profile-b", _PROFILE),
+            ("PUT", "profiles/new", {**_PROFILE, "firm": "firm-b"}),
+            ("DELETE", "instances/i0-b", None),
+            ("POST", "instances/i0/move", {"pool_id": "pool-b"}),
+            ("POST", "instances/i0-b/move", {"pool_id": "pool"}),
+            ("PUT", "waves/w", {"selection": {"pools": ["pool-b"]}}),
+            ("PUT", "pools/pool-b", {}),
+        ):
+            with self.subTest(path):
+                reply = self.call("a", method, f"/admin/v1/{path}", body)
+                self.assertIn(reply.status, (403, 404), reply.text)
+                self.assertNotIn("firm-b's", reply.text)
+        self.assertEqual(
+            _objects(before), _objects(self.driver.fleet.snapshot())
+        )
+
+    def test_service_token_is_limited_to_its_services(self) -> None:
+        job = {
+            "demand": {"cores": 1, "memory_mb": 10},
+            "declared_run_s": 5,
+            "job_id": "j",
+        }
+        for service, status in (("service", 200), ("service-b", 404)):
+            jobs = [{**job, "service_id": service}]
+            reply = self.call(
+                "service-a", "POST", "/admin/v1/jobs", {"jobs": jobs}
+            )
+            self.assertEqual(reply.status, status, reply.text)
+        reply = self.call("service-a", "DELETE", "/admin/v1/jobs/j")
+        self.assertEqual(reply.body["value"]["cancelled"], ["j"])
+
+
+class CommandTest(_ApiTest):
+    """Guards against lost or doubled commands and unclear errors."""
+
+    def test_bad_bodies_name_the_field(self) -> None:
+        for body, field in (
+            ({"owed": {"instances": "many"}}, "owed.instances"),
+            ({"owed": {"instance": 3}}, "owed.instance"),
+            ({"owed": {}, "state": "x"}, "state"),
+            ({**_PROFILE, "tolerance": {"max_out": 9}}, "max_out"),
+            ([], "object"),
+        ):
+            reply = self.call("a", "PUT", "/admin/v1/profiles/new", body)
+            self.assertEqual(reply.status, 400)
+            self.assertIn(field, reply.body["reason"])
+            self.assertEqual(
+                reply.headers[b"tarragoncleat-outcome"], b"not-run"
+            )
+
+    def test_two_operators_race(self) -> None:
+        path = "/admin/v1/profiles/profile"
+        revision = self.call("a", "GET", path).body["item"]["revision"]
+        replies = [
+            self.call(
+                "a",
+                "PUT",
+                path,
+                {**_PROFILE, "settle_s": settle_s},
+                if_match=str(revision),
+            )
+            for settle_s in (10, 20)
+        ]
+        self.assertEqual([reply.status for reply in replies], [200, 409])
+        detail = replies[1].body["detail"]
+        self.assertEqual(detail["revision"], replies[0].body["revision"])
+        self.assertEqual(
+            detail["differences"], {"settle_s": {"current": 10, "given": 20}}
+        )
+
+    def test_lost_answer_can_be_looked_up_and_resent(self) -> None:
+        path = "/admin/v1/profiles/new"
+        first = self.call("a", "PUT", path, _PROFILE, command_id="c1")
+        again = self.call("a", "PUT", path, _PROFILE, command_id="c1")
+        self.assertEqual(again.body, first.body)
+        found = self.call("a", "GET", "/admin/v1/commands/c1")
+        self.assertEqual(
+            found.body["result"]["revision"], first.body["revision"]
+        )
+        foreign = self.call("b", "GET", "/admin/v1/commands/c1")
+        self.assertEqual(foreign.status, 404)
+
+    def test_cut_off_entry_serves_local_reads_and_says_so(self) -> None:
+        self.log.failure = errors.Failure(
+            errors.ErrorKind.NO_LEADER, "no leader"
+        )
+        path = "/admin/v1/profiles/profile"
+        self.assertEqual(self.call("a", "GET", path).status, 503)
+        reply = self.call("a", "GET", f"{path}?consistency=local")
+        self.assertEqual(reply.body["consistency"], "local")
+        self.assertEqual(reply.body["applied_index"], self.driver.index)
+        reply = self.call("a", "PUT", path, _PROFILE, command_id="c2")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(reply.body["detail"], {"command_id": "c2"})
+
+    def test_pages_cover_everything_once(self) -> None:
+        names: list[str] = []
+        cursor = ""
+        while cursor is not None:
+            path = f"/admin/v1/instances?limit=4&cursor={cursor}"
+            body = self.call("root", "GET", path).body
+            names.extend(item["instance_id"] for item in body["items"])
+            cursor = body["next_cursor"]
+        self.assertEqual(names, sorted(self.driver.fleet.instances))
+
+
+class CommandLineTest(unittest.TestCase):
+    """Guards against a command line that doesn't work against a listener."""
+
+    def setUp(self) -> None:
+        self.driver = builders.FleetDriver()
+        api, _ = _build(self.driver)
+        config = uvicorn.Config(
+            api, _HOST, _PORT, lifespan="off", log_level="warning"
+        )
+        self.server = uvicorn.Server(config)
+        thread = threading.Thread(target=self.server.run)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(setattr, self.server, "should_exit", True)
+        while not self.server.started and thread.is_alive():
+            time.sleep(0.01)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def run_cli(self, *arguments: str, status: int = 0) -> str:
+        token = self.folder / "token"
+        token.write_text("root\n")
+        output, error = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(error),
+            self.assertRaises(SystemExit) as raised,
+        ):
+            cli.main(
+                [
+                    *arguments,
+                    f"--url=http://{_HOST}:1,http://{_HOST}:{_PORT}",
+                    f"--token-file={token}",
+                ]
+            )
+        text = output.getvalue() + error.getvalue()
+        self.assertEqual(raised.exception.code, status, text)
+        return text
+
+    def put(self, kind: str, name: str, body: Any, status: int = 0) -> str:
+        file = self.folder / "body.json"
+        file.write_text(json.dumps(body))
+        return self.run_cli(kind, "put", name, f"--file={file}", status=status)
+
+    def test_a_service_from_its_profile_to_its_report(self) -> None:
+        firm = {"firm": "firm-a"}
+        self.put("profile", "p", {**_PROFILE, **firm})
+        self.put("pool", "pool", firm)
+        self.put("service", "s", {**firm, "profile_id": "p", "pool_id": "pool"})
+        self.put("team", "t", {**firm, "quota": {"cores": 1}})
+        for number in range(5):
+            self.put(
+                "instance",
+                f"i{number}",
+                {
+                    "pool_id": "pool",
+                    "availability_zone": "z",
+                    "rack": "r",
+                    "cores": 4,
+                    "memory_mb": 100,
+                    "accelerators": 0,
+                    "address": "127.24.9.9:1",
+                },
+            )
+        self.run_cli("wave", "propose", "w", "--firm=firm-a", "--pools=pool")
+        self.run_cli("wave", "approve", "w")
+        self.assertIn("approved", self.run_cli("wave", "list"))
+        jobs = self.folder / "jobs.json"
+        jobs.write_text(
+            json.dumps(
+                [
+                    {
+                        "job_id": "big",
+                        "service_id": "s",
+                        "demand": {"cores": 9, "memory_mb": 10},
+                        "declared_run_s": 1,
+                    }
+                ]
+            )
+        )
+        text = self.run_cli("job", "submit", f"--file={jobs}")
+        self.assertIn("unplaceable", text)
+        text = self.run_cli("report", "--service=s", "--since=0")
+        self.assertIn("needs 9.0 cores", text)
+        page = self.run_cli("report", "--service=s", "--form=html")
+        self.assertIn("<svg", page)
+        text = self.run_cli("instance", "list", "--output=json")
+        self.assertEqual(len(json.loads(text)), 5)
+        self.assertIn("entry-1", self.run_cli("configuration"))
+        self.assertIn("leader", self.run_cli("state"))
+
+    def test_failures_give_a_message_and_a_status(self) -> None:
+        text = self.run_cli("profile", "show", "absent", status=1)
+        self.assertIn("not_found: there is no profile absent", text)
+        text = self.put("profile", "p", {"owed": 3}, status=1)
+        self.assertIn("bad_request", text)
+
+    def test_client_reports_an_unreachable_entry_as_not_run(self) -> None:
+        with admin_client.AdminClient([f"http://{_HOST}:1"]) as client:
+            reply = client.give("DELETE", "profiles/p")
+        self.assertIsInstance(reply, errors.Failure)
+        outcome = errors.ANSWERS[reply.kind].outcome
+        self.assertIs(outcome, errors.Outcome.NOT_RUN)
+
+
+def _selection(pool: str) -> Any:
+    return waves.Selection(pools=(ids.PoolId(pool),))
+
+
+def _objects(snapshot: bytes) -> Any:
+    """Returns the objects of a snapshot, without ledger and results."""
+    tables = msgpack.unpackb(snapshot)[2]["tables"]
+    kept = ("profiles", "pools", "instances", "waves", "services")
+    return {name: tables[name] for name in kept}
+
+
+if __name__ == "__main__":
+    unittest.main()
