--- /dev/null
+++ b/tarragoncleat/membership.py
@@ -0,0 +1,247 @@
+"""The registry of upstreams, shared by exchange between entries.
+
+Within an availability zone every entry exchanges heartbeats, changes and
+renewals with every other. Between zones only the relay of each zone (its
+lowest live entry id) does, and renewals don't cross: a zone vouches for all
+its live records with one digest in each heartbeat, and a digest that differs
+from the receiver's makes it pull the parts that differ. Leave notices go to
+every reachable entry at once, and every receiver passes them on.
+"""
+
+from collections.abc import Sequence
+import math
+
+import anyio
+import loguru
+
+from tarragoncleat import candidates as candidates_module
+from tarragoncleat import entry_view
+from tarragoncleat import errors
+from tarragoncleat import heartbeats
+from tarragoncleat import ids
+from tarragoncleat import membership_messages as messages
+from tarragoncleat import peering
+from tarragoncleat import probes
+from tarragoncleat import registry as registry_module
+from tarragoncleat import registry_exchange
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+from tarragoncleat import upstreams
+
+__all__ = ["Announcement", "Candidate", "Membership", "UpstreamRecord"]
+
+Announcement = upstreams.Announcement
+Candidate = upstreams.Candidate
+UpstreamRecord = upstreams.UpstreamRecord
+
+_MS_PER_S = 1000
+# A record that left or lapsed is remembered for this many of the longest
+# leases: one during which another entry may still hold it as live, and one
+# for the time until that entry passes it on.
+_KEEP_GONE_LEASES = 2
+
+
+class Membership:
+    """Registry of upstreams and liveness of entries, of one entry."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        links: peering.PeerLinks,
+        timer: timer_module.TimerService,
+        progress: heartbeats.Progress = lambda: (0, 0),
+    ) -> None:
+        """Starts empty; `run` exchanges with other entries.
+
+        Args:
+            settings: Settings of the entry.
+            links: Links to the other entries.
+            timer: Clock and ticks.
+            progress: Returns the applied log index and the configuration
+                revision in force, for the heartbeats.
+        """
+        own = settings.membership
+        self._zone = settings.availability_zone
+        self._timer = timer
+        self._heartbeat_s = own.heartbeat_ms / _MS_PER_S
+        self._leave_limit_s = own.leave_ack_timeout_ms / _MS_PER_S
+        self._registry = registry_module.Registry(
+            self._zone, _KEEP_GONE_LEASES * own.max_lease_ms / _MS_PER_S
+        )
+        self._view = entry_view.EntryView(
+            settings.entry_id,
+            settings.zone_by_entry,
+            self._heartbeat_s,
+            own.zone_freshness_ms / _MS_PER_S,
+        )
+        self._table = candidates_module.CandidateTable(
+            self._registry, self._view
+        )
+        self._exchange = registry_exchange.RegistryExchange(
+            links, timer, self._registry, self._view, self._table
+        )
+        self._heartbeats = heartbeats.Heartbeats(
+            self._exchange,
+            links,
+            timer,
+            self._registry,
+            self._view,
+            self._table,
+            progress,
+        )
+        self._prober = probes.Prober(
+            timer,
+            self._registry,
+            self._table,
+            own.probe_interval_ms / _MS_PER_S,
+        )
+
+    async def run(self) -> None:
+        """Exchanges with other entries and probes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._exchange.run)
+            tasks.start_soon(self._heartbeats.run)
+            tasks.start_soon(self._prober.run)
+            await self._beat()
+
+    def announce(
+        self, announcement: Announcement
+    ) -> UpstreamRecord | errors.Failure:
+        """Announces an upstream of the own zone or renews its lease.
+
+        Returns:
+            The record, or a `Failure` of kind OVERLOADED when the registry is
+            full.
+        """
+        now_s = self._timer.monotonic_s()
+        before = self._registry.get(announcement.upstream_id)
+        identity = before.identity if before and before.live else None
+        was_late = before is not None and self._table.is_late(before, now_s)
+        copy = self._registry.announce(announcement, now_s)
+        if isinstance(copy, errors.Failure):
+            return copy
+        held = self._registry.get(announcement.upstream_id)
+        assert held is not None
+        if held.identity == identity:
+            self._table.note_renewal(held, was_late)
+            self._exchange.queue_renewal(held)
+        else:
+            self._exchange.spread([copy], self._view.own_id)
+        return copy.record
+
+    async def leave(self, upstream_id: ids.UpstreamId) -> None | errors.Failure:
+        """Marks an upstream as leaving.
+
+        Returns:
+            None after the reachable entries have acknowledged or the time
+            limit has passed; a `Failure` of kind NOT_FOUND when neither this
+            entry nor the others of its zone know the upstream.
+        """
+        if self._registry.get(upstream_id) is None:
+            await self._exchange.find(upstream_id, self._leave_limit_s)
+        copy = self._registry.leave(upstream_id, self._timer.monotonic_s())
+        if isinstance(copy, errors.Failure):
+            return copy
+        await self._exchange.tell_leave(copy, self._leave_limit_s)
+        return None
+
+    def record(self, upstream_id: ids.UpstreamId) -> UpstreamRecord | None:
+        """Returns the record of an upstream, also after it has left."""
+        held = self._registry.get(upstream_id)
+        return held.record if held else None
+
+    def candidates(self, service: ids.ServiceId) -> Sequence[Candidate]:
+        """Returns the upstreams that may receive caller traffic now."""
+        return self._table.get(service, self._timer.monotonic_s())
+
+    def report_suspect(self, upstream_id: ids.UpstreamId) -> None:
+        """Withholds caller traffic until a probe connects."""
+        self._table.report_suspect(upstream_id)
+
+    def report_in_flight(
+        self, upstream_id: ids.UpstreamId, in_flight: int
+    ) -> None:
+        """Sets this entry's requests in flight on an upstream."""
+        self._heartbeats.set_in_flight(upstream_id, in_flight)
+
+    def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
+        """Requests in flight on an upstream as other entries reported."""
+        return self._heartbeats.in_flight_elsewhere(upstream_id)
+
+    def live_entries(self) -> int:
+        """Number of entries alive as far as known, this one included."""
+        return self._view.live_entries(self._timer.monotonic_s())
+
+    def entry_progress(self) -> dict[ids.EntryId, tuple[int, int, float]]:
+        """Applied index, configuration revision and age of the entries heard.
+
+        Only entries that send heartbeats to this one are listed: those of the
+        own zone and, at a relay, the other relays.
+        """
+        return self._heartbeats.entry_progress()
+
+    def dump(self) -> dict:
+        """Describes the registry and the liveness for the state dump."""
+        now_s = self._timer.monotonic_s()
+        zones = {self._zone, *self._view.other_zones(), *self._registry.zones()}
+        return {
+            "relay": self._view.is_relay(now_s),
+            "live_entries": self.live_entries(),
+            "records": len(self._registry),
+            "live_records": self._registry.live_count,
+            "pulls": self._exchange.pulls,
+            "unacknowledged_leaves": self._exchange.unacknowledged_leaves,
+            "suspects": [
+                held.record.upstream_id for held in self._table.suspects(now_s)
+            ],
+            "zones": {zone: self._dump_zone(zone, now_s) for zone in zones},
+        }
+
+    def _dump_zone(self, zone: ids.AvailabilityZone, now_s: float) -> dict:
+        return {
+            "heard_age_s": _age_s(now_s, self._view.heard_s(zone)),
+            "vouched_age_s": _age_s(now_s, self._view.vouched_s(zone)),
+            "usable": self._view.usable_until_s(zone) > now_s,
+            "digest": f"{self._registry.digest(zone):016x}",
+            "upstreams": {
+                held.record.upstream_id: {
+                    "service": held.record.service,
+                    "state": held.record.state.value,
+                    "live": held.live,
+                    "epoch": held.record.epoch,
+                    "renewal": held.record.renewal,
+                    "remaining_s": held.deadline_s - now_s,
+                    "in_flight_elsewhere": self.in_flight_elsewhere(
+                        held.record.upstream_id
+                    ),
+                }
+                for held in self._registry.of_zone(zone)
+            },
+        }
+
+    async def _beat(self) -> None:
+        async for now_s in self._timer.subscribe(self._heartbeat_s):
+            self._end_leases(now_s)
+            self._exchange.send_renewals()
+            self._heartbeats.beat(now_s)
+
+    def _end_leases(self, now_s: float) -> None:
+        vouched = self._view.vouched_zones(now_s)
+        lapsed = self._registry.sweep(now_s, vouched)
+        for held in lapsed:
+            loguru.logger.info(
+                "lease of upstream {} ended", held.record.upstream_id
+            )
+        own = [
+            self._registry.copy(held, now_s)
+            for held in lapsed
+            if held.record.availability_zone == self._zone
+        ]
+        if own and self._view.is_relay(now_s):
+            self._exchange.send_to_other_zones(
+                messages.UpstreamUpdate(tuple(own))
+            )
+
+
+def _age_s(now_s: float, at_s: float) -> float | None:
+    return None if at_s == -math.inf else now_s - at_s
