Assemble the entry daemon

Cause: the parts exist but no process runs them together.

Change: entry.py starts the links, the replicated log, membership, claims, the controller and the HTTP listener, handles SIGTERM, SIGINT and SIGUSR1, and stops gracefully; http_app.py hands requests to the caller, upstream and administration APIs. readyz fails until the entry holds current state, except in a cut-off availability zone, which has to go on serving.

Conclusion: the whole path can run as processes.

--- /dev/null
+++ b/tarragoncleat/entry.py
@@ -0,0 +1,237 @@
+"""The daemon of an entry instance: assembly, signals and graceful stop."""
+
+from collections.abc import Callable, Coroutine
+import json
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import anyio
+import anyio.abc
+import loguru
+
+from tarragoncleat import admin_api
+from tarragoncleat import auth
+from tarragoncleat import caller_api
+from tarragoncleat import claims
+from tarragoncleat import controller
+from tarragoncleat import errors
+from tarragoncleat import fleet
+from tarragoncleat import http_app
+from tarragoncleat import http_server
+from tarragoncleat import logs
+from tarragoncleat import membership
+from tarragoncleat import metrics
+from tarragoncleat import peering
+from tarragoncleat import replication
+from tarragoncleat import settings
+from tarragoncleat import timer
+from tarragoncleat import upstream_api
+
+__all__ = ["Entry", "main"]
+
+_EXIT_SETTINGS = 2
+_EXIT_STORAGE = 3
+_EXIT_REQUESTS_CUT = 4
+_MS_PER_S = 1000
+_METRICS_INTERVAL_S = 1.0
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(
+        self,
+        entry_settings: settings.Settings,
+        timer_service: timer.TimerService,
+    ) -> None:
+        """Assembles the parts; `run` starts them."""
+        self._settings = entry_settings
+        self._timer = timer_service
+        self._metrics = metrics.Metrics()
+        self._fleet = fleet.Fleet()
+        self._links = peering.PeerLinks(entry_settings, timer_service)
+        self._replication = replication.Replication(
+            entry_settings, self._links, timer_service, self._fleet
+        )
+        self._membership = membership.Membership(
+            entry_settings, self._links, timer_service, self._progress
+        )
+        self._claims = claims.Claims(
+            entry_settings, timer_service, self._replication, self._links
+        )
+        self._controller = controller.Controller(
+            entry_settings, self._fleet, self._replication, timer_service
+        )
+        authenticator = auth.Authenticator(entry_settings.auth)
+        self._caller_api = self._build_caller_api(authenticator)
+        self._server = http_server.HttpServer(
+            entry_settings, self._build_app(authenticator), timer_service
+        )
+        self._leaving = anyio.Event()
+        self._cut_requests = 0
+
+    async def run(self) -> int:
+        """Runs until SIGTERM or SIGINT and returns the exit status."""
+        failure = self._replication.open()
+        if failure is not None:
+            loguru.logger.error("{}", failure.reason)
+            return _EXIT_STORAGE
+        async with anyio.create_task_group() as group:
+            for task in self._background_tasks():
+                group.start_soon(task)
+            async with anyio.create_task_group() as serving:
+                serving.start_soon(self._server.serve)
+                await self._leaving.wait()
+                await self._stop_gracefully()
+            group.cancel_scope.cancel()
+        loguru.logger.info("stopped; {} requests cut", self._cut_requests)
+        return _EXIT_REQUESTS_CUT if self._cut_requests else 0
+
+    def dump(self) -> dict:
+        """Returns the state of the process in plain types."""
+        counts = self._server.counts
+        return {
+            "entry_id": self._settings.entry_id,
+            "availability_zone": self._settings.availability_zone,
+            "leaving": self._leaving.is_set(),
+            "cut_off_since_ms": self._replication.cut_off_since_ms,
+            "configuration_revision": self._fleet.revision,
+            "listener": {
+                "connections": counts.connections,
+                "refused_connections": counts.refused_connections,
+                "oversized_headers": counts.oversized_headers,
+                "slow_headers": counts.slow_headers,
+            },
+            "callers": self._caller_api.dump(),
+            "claims": self._claims.dump(),
+            "membership": self._membership.dump(),
+            "replication": self._replication.dump(),
+            "controller": self._controller.dump(),
+            "peers": self._links.dump(),
+            "timers": self._timer.dump(),
+        }
+
+    def _background_tasks(self) -> list[Callable[[], Coroutine[Any, Any, Any]]]:
+        return [
+            self._links.run,
+            self._replication.run,
+            self._membership.run,
+            self._claims.run,
+            self._controller.run,
+            self._caller_api.run,
+            self._server.reload_certificate,
+            self._receive_signals,
+            self._record_revision,
+        ]
+
+    def _build_caller_api(
+        self, authenticator: auth.Authenticator
+    ) -> caller_api.CallerApi:
+        return caller_api.CallerApi(
+            self._settings,
+            self._timer,
+            self._metrics,
+            self._membership,
+            self._fleet,
+            self._claims,
+            http_app.caller_authentication(authenticator),
+        )
+
+    def _build_app(self, authenticator: auth.Authenticator) -> http_app.HttpApp:
+        upstreams = upstream_api.UpstreamApi(
+            self._settings,
+            self._membership,
+            authenticator.authenticate,
+            lambda: self._fleet.revision,
+            self._fleet.owner_of,
+        )
+        administration = admin_api.AdminApi(
+            self._settings,
+            self._fleet,
+            self._replication,
+            authenticator,
+            self.dump,
+            self._metrics,
+        )
+        return http_app.HttpApp(
+            self._caller_api, upstreams, administration, self._has_state
+        )
+
+    def _has_state(self) -> bool:
+        # An availability zone that is cut off has to go on serving, so an
+        # entry that can't reach a leader doesn't wait for one for ever.
+        return (
+            self._replication.has_caught_up
+            or self._replication.cut_off_since_ms is not None
+        )
+
+    def _progress(self) -> tuple[int, int]:
+        return self._replication.applied_index, self._fleet.revision
+
+    async def _stop_gracefully(self) -> None:
+        stop = self._settings.stop
+        self._caller_api.start_leaving()
+        loguru.logger.info("leaving; readyz fails from now on")
+        await self._timer.sleep_s(stop.balancer_notice_ms / _MS_PER_S)
+        self._server.stop()
+        with anyio.move_on_after(stop.in_flight_limit_ms / _MS_PER_S):
+            while self._caller_api.in_flight:
+                await self._timer.sleep_s(0.02)
+        for request_id, service in self._caller_api.in_flight.items():
+            self._cut_requests += 1
+            loguru.logger.error(
+                "request {} of service {} did not finish within {} ms",
+                request_id,
+                service,
+                stop.in_flight_limit_ms,
+            )
+
+    async def _receive_signals(self) -> None:
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+        with anyio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number == signal.SIGUSR1:
+                    self._write_dump()
+                elif self._leaving.is_set():
+                    loguru.logger.info("already leaving; requests go on")
+                else:
+                    self._leaving.set()
+
+    def _write_dump(self) -> None:
+        text = json.dumps(self.dump(), indent=1, default=str)
+        folder = self._settings.entry.dump_folder
+        if folder is None:
+            loguru.logger.info("state: {}", text)
+            return
+        name = f"{self._settings.entry_id}-{self._timer.wall_time_ms()}.json"
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            (folder / name).write_text(text + "\n", encoding="utf-8")
+        except OSError as error:
+            loguru.logger.error("can't write the state dump: {}", error)
+            return
+        loguru.logger.info("wrote the state dump {}", folder / name)
+
+    async def _record_revision(self) -> None:
+        revision, since_s = self._fleet.revision, self._timer.monotonic_s()
+        async for now_s in self._timer.subscribe(_METRICS_INTERVAL_S):
+            if self._fleet.revision != revision:
+                revision, since_s = self._fleet.revision, now_s
+            self._metrics.record_revision(revision, now_s - since_s)
+
+
+def main(path: pathlib.Path) -> int:
+    """Runs an entry with the settings of a file.
+
+    Returns:
+        0 after a graceful stop, 2 for wrong settings, 3 when the data folder
+        can't be used, 4 when requests were cut at the stop limit.
+    """
+    loaded = settings.load(path)
+    if isinstance(loaded, errors.Failure):
+        print(loaded.reason, file=sys.stderr)
+        return _EXIT_SETTINGS
+    logs.configure(loaded.log.level, loaded.log.json_lines)
+    return anyio.run(Entry(loaded, timer.TimerService()).run)
--- /dev/null
+++ b/tarragoncleat/http_app.py
@@ -0,0 +1,85 @@
+"""Hands each HTTP request to the application that owns its path."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+from tarragoncleat import auth
+from tarragoncleat import errors
+from tarragoncleat import settings
+
+__all__ = ["App", "HttpApp", "RawHeaders", "caller_authentication"]
+
+App = Callable[[Any, Any, Any], Awaitable[None]]
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+_READY_PATH = b"/readyz"
+_NOT_READY_BODY = b'{"status": "starting"}'
+
+
+class HttpApp:
+    """The ASGI application of an entry."""
+
+    def __init__(
+        self,
+        caller_api: App,
+        upstream_api: App,
+        admin_api: App,
+        has_state: Callable[[], bool],
+    ) -> None:
+        """Combines the applications.
+
+        Args:
+            caller_api: Serves callers and the health paths.
+            upstream_api: Serves `/upstreams/`.
+            admin_api: Serves `/admin/`.
+            has_state: Tells whether the entry may answer `/readyz` with 200.
+        """
+        self._caller_api = caller_api
+        self._prefixes = (
+            (b"/upstreams/", upstream_api),
+            (b"/admin/", admin_api),
+        )
+        self._has_state = has_state
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serves one request."""
+        path = scope["raw_path"]
+        if path == _READY_PATH and not self._has_state():
+            await _send_not_ready(send)
+            return
+        for prefix, app in self._prefixes:
+            if path.startswith(prefix):
+                await app(scope, receive, send)
+                return
+        await self._caller_api(scope, receive, send)
+
+
+async def _send_not_ready(send: Any) -> None:
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(_NOT_READY_BODY)).encode()),
+    ]
+    await send(
+        {"type": "http.response.start", "status": 503, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": _NOT_READY_BODY})
+
+
+def caller_authentication(
+    authenticator: auth.Authenticator,
+) -> Callable[[RawHeaders], settings.Token | None | errors.Failure]:
+    """Returns a check that reads raw headers.
+
+    The request path looks at one header only, so that it needn't decode all.
+    """
+
+    def authenticate(
+        headers: RawHeaders,
+    ) -> settings.Token | None | errors.Failure:
+        for name, value in headers:
+            if name == b"authorization":
+                text = value.decode("latin-1")
+                return authenticator.authenticate({"authorization": text})
+        return authenticator.authenticate({})
+
+    return authenticate
--- a/tarragoncleat/timer.py
+++ b/tarragoncleat/timer.py
@@ -16,6 +16,14 @@
     Tests replace it with an implementation whose clock they advance.
     """
 
+    def __init__(self) -> None:
+        """Creates a service without subscribers."""
+        self._intervals_s: list[float] = []
+
+    def dump(self) -> dict:
+        """Returns the intervals of the current subscriptions, in seconds."""
+        return {"intervals_s": sorted(self._intervals_s)}
+
     def monotonic_s(self) -> float:
         """Returns the process's monotonic clock in seconds."""
         return time.monotonic()
@@ -34,6 +42,14 @@
         A subscriber that is late skips the ticks that it missed, so that a
         slow task doesn't run several times in a row.
         """
+        self._intervals_s.append(interval_s)
+        try:
+            async for now_s in self._tick(interval_s):
+                yield now_s
+        finally:
+            self._intervals_s.remove(interval_s)
+
+    async def _tick(self, interval_s: float) -> AsyncIterator[float]:
         due_s = self.monotonic_s() + interval_s
         while True:
             await self.sleep_s(max(0.0, due_s - self.monotonic_s()))
