Bound the traffic of in-flight counts

Cause: counts were sent with whole upstream ids, every count in full each 10 s and to every zone; with 800 busy upstreams and 30 zones that would be over 170 KB/s at a relay by calculation.

Change: counts are sent by a 32-bit hash, the largest changes first, with a limit for all other zones together; repeats instead of full messages repair losses; a restarted entry voids what it reported before.

Conclusion: the property test shows that lost changes are repaired.

--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/heartbeats.py
@@ -20,9 +20,12 @@
 Progress = Callable[[], tuple[int, int]]
 
 _MS_PER_S = 1000
-_MAX_IN_FLIGHT_CHANGES = 128
-# A lost change of an in-flight count is repaired after this many heartbeats.
-_FULL_IN_FLIGHT_HEARTBEATS = 50
+# Changed counts in one heartbeat, in all heartbeats of a relay to other zones
+# together, and after how many heartbeats all counts are sent again because a
+# change may have been lost.
+_MATE_IN_FLIGHT = 128
+_ZONES_IN_FLIGHT = 256
+_REPEAT_HEARTBEATS = 50
 # With more zones than this, relays speak to other zones at every second
 # heartbeat. Even when a relay freezes, the time between two signs of life of
 # its zone then stays below the freshness limit: 2 heartbeats before, 3 until
@@ -51,9 +54,13 @@
         self._view = view
         self._table = table
         self._progress = progress
-        self._own = in_flight.OwnCounts(_MAX_IN_FLIGHT_CHANGES)
-        self._whole_zone = in_flight.OwnCounts(_MAX_IN_FLIGHT_CHANGES)
-        self._reported = in_flight.ReportedCounts()
+        self._own = in_flight.OwnCounts()
+        self._whole_zone = in_flight.OwnCounts()
+        self._by_mate = in_flight.ReportedCounts()
+        self._by_zone = in_flight.ReportedCounts()
+        self._receivers: frozenset[ids.EntryId] = frozenset()
+        self._last_beats: dict[ids.EntryId, int] = {}
+        self._speakers: dict[ids.AvailabilityZone, ids.EntryId] = {}
         self._beats = 0
         self._was_relay = False
         self._progress_by_entry: dict[ids.EntryId, tuple[int, int, float]] = {}
@@ -70,12 +77,14 @@
 
     def set_in_flight(self, upstream_id: ids.UpstreamId, count: int) -> None:
         """Sets this entry's requests in flight on an upstream."""
-        self._own.set(upstream_id, count)
-        self._update_whole_zone((upstream_id,))
+        key = in_flight.handle(upstream_id)
+        self._own.set(key, count)
+        self._update_whole_zone((key,))
 
     def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
         """Requests in flight on an upstream as other entries reported."""
-        return self._reported.sum(upstream_id)
+        key = in_flight.handle(upstream_id)
+        return self._by_mate.sum(key) + self._by_zone.sum(key)
 
     def entry_progress(self) -> dict[ids.EntryId, tuple[int, int, float]]:
         """Applied index, configuration revision and age by entry heard."""
@@ -91,17 +100,24 @@
 
     def beat(self, now_s: float) -> None:
         """Sends one heartbeat to each receiver."""
-        full = self._beats % _FULL_IN_FLIGHT_HEARTBEATS == 0
         to_zones = self._speaks_to_zones(now_s)
+        receivers = self._links.connected()
+        if self._beats % _REPEAT_HEARTBEATS == 0 or receivers - self._receivers:
+            self._own.repeat_all()
+            self._whole_zone.repeat_all()
+        self._receivers = receivers
         self._beats += 1
         reports = self._zone_reports(now_s) if to_zones else {}
+        counts = self._own.take(_MATE_IN_FLIGHT)
         self._links.multicast(
             self._exchange.connected_mates(),
-            self._heartbeat(now_s, full, self._own, reports),
+            self._heartbeat(now_s, counts, reports),
         )
         if to_zones:
+            zones = max(1, len(self._view.other_zones()))
+            counts = self._whole_zone.take(_ZONES_IN_FLIGHT // zones)
             self._exchange.send_to_other_zones(
-                self._heartbeat(now_s, full, self._whole_zone, {})
+                self._heartbeat(now_s, counts, {})
             )
         self._forget_silent(now_s)
 
@@ -115,16 +131,15 @@
     def _heartbeat(
         self,
         now_s: float,
-        full: bool,
-        counts: in_flight.OwnCounts,
+        counts: dict[int, int],
         zones: dict[ids.AvailabilityZone, messages.ZoneReport],
     ) -> messages.Heartbeat:
         applied_index, configuration_revision = self._progress()
         return messages.Heartbeat(
             digest=self._registry.digest(self._view.own_zone),
             live_entries=self._view.own_zone_live(now_s),
-            full=full,
-            in_flight=counts.all() if full else counts.changes(),
+            beat=self._beats,
+            in_flight=counts,
             applied_index=applied_index,
             configuration_revision=configuration_revision,
             zones=zones,
@@ -152,25 +167,22 @@
 
     def _forget_silent(self, now_s: float) -> None:
         """Drops the in-flight reports of entries and zones that went away."""
-        for source in self._reported.sources():
-            if source in self._view.mates:
-                gone = not self._view.is_live(ids.EntryId(source), now_s)
-            else:
-                zone = ids.AvailabilityZone(source)
-                gone = self._view.usable_until_s(zone) <= now_s
-            if gone:
-                self._update_whole_zone(self._reported.forget(source))
-
-    def _update_whole_zone(
-        self, upstream_ids: Iterable[ids.UpstreamId]
-    ) -> None:
+        for mate in map(ids.EntryId, self._by_mate.sources()):
+            if not self._view.is_live(mate, now_s):
+                self._forget_mate(mate)
+        for zone in map(ids.AvailabilityZone, self._by_zone.sources()):
+            if self._view.usable_until_s(zone) <= now_s:
+                self._by_zone.forget(zone)
+
+    def _forget_mate(self, mate: ids.EntryId) -> None:
+        self._update_whole_zone(self._by_mate.forget(mate))
+
+    def _update_whole_zone(self, keys: Iterable[int]) -> None:
         """Keeps the counts of the whole zone, which a relay reports."""
-        for upstream_id in upstream_ids:
-            count = self._own.get(upstream_id) + sum(
-                self._reported.of(mate, upstream_id)
-                for mate in self._view.mates
+        for key in keys:
+            self._whole_zone.set(
+                key, self._own.get(key) + self._by_mate.sum(key)
             )
-            self._whole_zone.set(upstream_id, count)
 
     def _on_heartbeat(self, received: peering.Received) -> None:
         message: messages.Heartbeat = received.message
@@ -188,18 +200,26 @@
             self._take_mate_report(sender, message, now_s)
             return
         self._view.set_zone_live(zone, message.live_entries)
-        self._reported.update(zone, message.full, message.in_flight)
-        if message.in_flight or message.full:
-            self._links.multicast(
-                self._exchange.connected_mates(),
-                messages.ZoneLoad(zone, message.full, message.in_flight),
-            )
+        restart = self._has_restarted(sender, message.beat)
+        restart |= self._speakers.get(zone) != sender
+        self._speakers[zone] = sender
+        load = messages.ZoneLoad(zone, restart, message.in_flight)
+        self._on_zone_load(load)
+        if restart or message.in_flight:
+            self._links.multicast(self._exchange.connected_mates(), load)
+
+    def _has_restarted(self, sender: ids.EntryId, beat: int) -> bool:
+        last = self._last_beats.get(sender, -1)
+        self._last_beats[sender] = beat
+        return beat <= last
 
     def _take_mate_report(
         self, sender: ids.EntryId, message: messages.Heartbeat, now_s: float
     ) -> None:
-        changed = self._reported.update(sender, message.full, message.in_flight)
-        self._update_whole_zone(changed)
+        if self._has_restarted(sender, message.beat):
+            self._forget_mate(sender)
+        self._by_mate.update(sender, message.in_flight)
+        self._update_whole_zone(message.in_flight)
         for zone, report in message.zones.items():
             if zone == self._view.own_zone:
                 continue
@@ -223,7 +243,9 @@
             self._table.clear()
 
     def _on_zone_load(self, message: messages.ZoneLoad) -> None:
-        if message.availability_zone != self._view.own_zone:
-            self._reported.update(
-                message.availability_zone, message.full, message.in_flight
-            )
+        zone = message.availability_zone
+        if zone == self._view.own_zone:
+            return
+        if message.restart:
+            self._by_zone.forget(zone)
+        self._by_zone.update(zone, message.in_flight)
--- a/tarragoncleat/in_flight.py
+++ b/tarragoncleat/in_flight.py
@@ -1,53 +1,87 @@
-"""Requests in flight by upstream: own counts and what others reported."""
+"""Requests in flight by upstream: own counts and what others reported.
 
-from collections.abc import Mapping
+Counts are kept and sent by a 32-bit hash of the upstream id, a third of the
+bytes of the id. With 24,000 upstreams the chance that any two share a hash is
+7%; their counts are then added up, which makes both look busier.
+"""
+
+from collections.abc import Iterable, Mapping
+import functools
+import heapq
+
+import xxhash
 
 from tarragoncleat import ids
 
-__all__ = ["OwnCounts", "ReportedCounts"]
+__all__ = ["OwnCounts", "ReportedCounts", "handle"]
+
+_MAX_CACHED_HANDLES = 200_000
+# A zero is sent so many times more and then no longer remembered.
+_ZERO_REPEATS = 3
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_HANDLES)
+def handle(upstream_id: ids.UpstreamId) -> int:
+    """Returns the hash under which an upstream is counted."""
+    return xxhash.xxh32_intdigest(upstream_id.encode())
 
 
 class OwnCounts:
     """Counts to report, sent as bounded sets of changes."""
 
-    def __init__(self, max_changes: int) -> None:
-        """Sends at most `max_changes` counts at a time."""
-        self._max_changes = max_changes
-        self._counts: dict[ids.UpstreamId, int] = {}
-        self._pending: dict[ids.UpstreamId, None] = {}
+    def __init__(self) -> None:
+        """Starts with nothing in flight."""
+        self._counts: dict[int, int] = {}
+        self._sent: dict[int, int] = {}
+        self._zeros: dict[int, int] = {}
+        self._changed: set[int] = set()
+        self._repeated: dict[int, None] = {}
+
+    def get(self, key: int) -> int:
+        """Returns a count."""
+        return self._counts.get(key, 0)
 
-    def set(self, upstream_id: ids.UpstreamId, count: int) -> None:
+    def set(self, key: int, count: int) -> None:
         """Sets a count."""
-        if self._counts.get(upstream_id, 0) == count:
-            return
         if count:
-            self._counts[upstream_id] = count
+            self._counts[key] = count
+        else:
+            self._counts.pop(key, None)
+        if count != self._sent.get(key, 0):
+            self._changed.add(key)
         else:
-            del self._counts[upstream_id]
-        self._pending[upstream_id] = None
+            self._changed.discard(key)
 
-    def get(self, upstream_id: ids.UpstreamId) -> int:
-        """Returns a count."""
-        return self._counts.get(upstream_id, 0)
-
-    def changes(self) -> dict[ids.UpstreamId, int]:
-        """Takes the changes that waited longest."""
-        taken: list[ids.UpstreamId] = []
-        for upstream_id in self._pending:
-            if len(taken) == self._max_changes:
-                break
-            taken.append(upstream_id)
-        for upstream_id in taken:
-            del self._pending[upstream_id]
-        return {
-            upstream_id: self._counts.get(upstream_id, 0)
-            for upstream_id in taken
-        }
-
-    def all(self) -> dict[ids.UpstreamId, int]:
-        """Takes everything."""
-        self._pending.clear()
-        return dict(self._counts)
+    def repeat_all(self) -> None:
+        """Has every count sent again, for receivers that missed some."""
+        self._repeated.update(dict.fromkeys(self._sent))
+
+    def take(self, limit: int) -> dict[int, int]:
+        """Takes counts to send, the largest changes first."""
+        if len(self._changed) <= limit:
+            taken = list(self._changed)
+        else:
+            taken = heapq.nlargest(limit, self._changed, self._difference)
+        self._changed.difference_update(taken)
+        for key in tuple(self._repeated)[: limit - len(taken)]:
+            del self._repeated[key]
+            if key not in taken and key not in self._changed:
+                taken.append(key)
+        return {key: self._send(key) for key in taken}
+
+    def _difference(self, key: int) -> int:
+        return abs(self.get(key) - self._sent.get(key, 0))
+
+    def _send(self, key: int) -> int:
+        count = self.get(key)
+        self._sent[key] = count
+        if count:
+            self._zeros.pop(key, None)
+            return count
+        self._zeros[key] = self._zeros.get(key, -1) + 1
+        if self._zeros[key] == _ZERO_REPEATS:
+            del self._sent[key], self._zeros[key]
+        return count
 
 
 class ReportedCounts:
@@ -55,54 +89,32 @@
 
     def __init__(self) -> None:
         """Starts without reports."""
-        self._by_source: dict[str, dict[ids.UpstreamId, int]] = {}
-        self._sums: dict[ids.UpstreamId, int] = {}
+        self._by_source: dict[str, dict[int, int]] = {}
+        self._sums: dict[int, int] = {}
 
-    def sum(self, upstream_id: ids.UpstreamId) -> int:
+    def sum(self, key: int) -> int:
         """Sum over all sources."""
-        return self._sums.get(upstream_id, 0)
-
-    def of(self, source: str, upstream_id: ids.UpstreamId) -> int:
-        """The count that one source reported."""
-        return self._by_source.get(source, {}).get(upstream_id, 0)
+        return self._sums.get(key, 0)
 
     def sources(self) -> tuple[str, ...]:
         """Sources that have reported."""
         return tuple(self._by_source)
 
-    def update(
-        self, source: str, full: bool, counts: Mapping[ids.UpstreamId, int]
-    ) -> dict[ids.UpstreamId, int]:
-        """Takes a report; returns the new counts that differ from before."""
+    def update(self, source: str, counts: Mapping[int, int]) -> None:
+        """Takes the counts that a source reports."""
         held = self._by_source.setdefault(source, {})
-        changes = dict(counts)
-        if full:
-            changes.update(dict.fromkeys(held.keys() - counts.keys(), 0))
-        changed = {
-            upstream_id: count
-            for upstream_id, count in changes.items()
-            if held.get(upstream_id, 0) != count
-        }
-        for upstream_id, count in changed.items():
-            self._set(held, upstream_id, count)
-        return changed
-
-    def forget(self, source: str) -> dict[ids.UpstreamId, int]:
-        """Removes a source; returns the changed counts."""
-        changed = self.update(source, True, {})
-        del self._by_source[source]
-        return changed
-
-    def _set(
-        self,
-        held: dict[ids.UpstreamId, int],
-        upstream_id: ids.UpstreamId,
-        count: int,
-    ) -> None:
-        total = self.sum(upstream_id) + count - held.pop(upstream_id, 0)
-        if count:
-            held[upstream_id] = count
-        if total:
-            self._sums[upstream_id] = total
-        else:
-            self._sums.pop(upstream_id, None)
+        for key, count in counts.items():
+            total = self.sum(key) + count - held.pop(key, 0)
+            if count:
+                held[key] = count
+            if total:
+                self._sums[key] = total
+            else:
+                self._sums.pop(key, None)
+
+    def forget(self, source: str) -> Iterable[int]:
+        """Removes a source; returns the keys that it had reported."""
+        keys = tuple(self._by_source.get(source, ()))
+        self.update(source, dict.fromkeys(keys, 0))
+        self._by_source.pop(source)
+        return keys
--- a/tarragoncleat/membership_messages.py
+++ b/tarragoncleat/membership_messages.py
@@ -48,10 +48,10 @@
     Attributes:
         digest: Digest of the live records of the sender's zone.
         live_entries: Live entries of the sender's zone.
-        full: Whether `in_flight` replaces what was reported before; otherwise
-            it holds changes.
-        in_flight: Requests in flight by upstream, of the sender; from one
-            zone's relay to another's, of the sender's whole zone.
+        beat: Number of the heartbeat since the start of the sender.
+        in_flight: Changed counts of requests in flight by the hash of the
+            upstream id, of the sender; from one zone's relay to another's, of
+            the sender's whole zone.
         applied_index: Log index that the sender has applied.
         configuration_revision: Configuration in force at the sender.
         zones: Other zones, in a relay's heartbeat to its own zone.
@@ -59,8 +59,8 @@
 
     digest: int
     live_entries: int
-    full: bool
-    in_flight: dict[ids.UpstreamId, int]
+    beat: int
+    in_flight: dict[int, int]
     applied_index: int
     configuration_revision: int
     zones: dict[ids.AvailabilityZone, ZoneReport]
@@ -69,11 +69,16 @@
 @codec.message("zone_load", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ZoneLoad:
-    """Another zone's in-flight requests, passed on by a relay."""
+    """Another zone's in-flight requests, passed on by a relay.
+
+    Attributes:
+        restart: Whether what was reported of the zone before is void.
+        in_flight: Changed counts by the hash of the upstream id.
+    """
 
     availability_zone: ids.AvailabilityZone
-    full: bool
-    in_flight: dict[ids.UpstreamId, int]
+    restart: bool
+    in_flight: dict[int, int]
 
 
 @codec.message("upstream_update", compact=True)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -11,6 +11,7 @@
 from tarragoncleat import candidates
 from tarragoncleat import entry_view
 from tarragoncleat import ids
+from tarragoncleat import in_flight
 from tarragoncleat import registry
 from tarragoncleat import upstreams
 from tests import builders
@@ -273,3 +274,44 @@
         self._registry.merge(ended, 6.1)
         self.assertEqual(self._ids(6.1), [])
         self.assertIs(_ANNOUNCED, self._registry.get(_UPSTREAM).record.state)
+
+
+class InFlightTest(unittest.TestCase):
+    """Guards against counts that stay wrong at another entry."""
+
+    @hypothesis.settings(derandomize=True, max_examples=1_000, deadline=None)
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 5),
+                strategies.integers(0, 3),
+                strategies.sampled_from(["set", "send", "lose", "repeat"]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_counts_arrive_in_spite_of_losses(self, steps: list) -> None:
+        """Repeats must repair lost changes, zeros included, within bounds."""
+        own = in_flight.OwnCounts()
+        reported = in_flight.ReportedCounts()
+        wanted = dict.fromkeys(range(6), 0)
+        losses = 3
+        for key, count, action in steps:
+            if action == "set":
+                own.set(key, count)
+                wanted[key] = count
+            elif action == "repeat":
+                own.repeat_all()
+            else:
+                taken = own.take(2)
+                self.assertLessEqual(len(taken), 2)
+                losses -= action == "lose"
+                if action == "send" or losses < 0:
+                    reported.update("entry-2", taken)
+        own.repeat_all()
+        for _ in range(6):
+            reported.update("entry-2", own.take(2))
+        found = {key: reported.sum(key) for key in range(6)}
+        self.assertEqual(found, wanted)
+        reported.forget("entry-2")
+        self.assertEqual([reported.sum(key) for key in range(6)], [0] * 6)
