Make a leave apply to the newest epoch and slow idle links between zones

Cause: a DELETE at an entry that had not yet heard of the upstream's newest PUT marked only the old epoch as leaving. Keep-alives of idle links were most of the processor time with many zones, and in-flight counts most of a busy relay's traffic.

Change: an entry that holds a newer epoch says so in its acknowledgement, and the leave is repeated for it; keep-alives between more than 9 zones are three times slower still, links are checked once a heartbeat; smaller limits for in-flight counts. Tests for an overtaking leave, a zone that restarts without memory and a stopped process; test runs at the same time use different ports.

--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/heartbeats.py
@@ -23,8 +23,8 @@
 # Changed counts in one heartbeat, in all heartbeats of a relay to other zones
 # together, and after how many heartbeats all counts are sent again because a
 # change may have been lost.
-_MATE_IN_FLIGHT = 128
-_ZONES_IN_FLIGHT = 256
+_MATE_IN_FLIGHT = 64
+_ZONES_IN_FLIGHT = 64
 _REPEAT_HEARTBEATS = 50
 # With more zones than this, relays speak to other zones at every second
 # heartbeat. Even when a relay freezes, the time between two signs of life of
--- a/tarragoncleat/membership.py
+++ b/tarragoncleat/membership.py
@@ -39,6 +39,9 @@
 # leases: one during which another entry may still hold it as live, and one
 # for the time until that entry passes it on.
 _KEEP_GONE_LEASES = 2
+# An entry that knows a newer epoch of a leaving upstream says so when it
+# acknowledges, and the leave is repeated for that epoch.
+_LEAVE_ROUNDS = 3
 
 
 class Membership:
@@ -139,10 +142,14 @@
         """
         if self._registry.get(upstream_id) is None:
             await self._exchange.find(upstream_id, self._leave_limit_s)
-        copy = self._registry.leave(upstream_id, self._timer.monotonic_s())
-        if isinstance(copy, errors.Failure):
-            return copy
-        await self._exchange.tell_leave(copy, self._leave_limit_s)
+        for _ in range(_LEAVE_ROUNDS):
+            copy = self._registry.leave(upstream_id, self._timer.monotonic_s())
+            if isinstance(copy, errors.Failure):
+                return copy
+            await self._exchange.tell_leave(copy, self._leave_limit_s)
+            held = self._registry.get(upstream_id)
+            if held is None or not held.live:
+                break
         return None
 
     def record(self, upstream_id: ids.UpstreamId) -> UpstreamRecord | None:
--- a/tarragoncleat/membership_messages.py
+++ b/tarragoncleat/membership_messages.py
@@ -122,7 +122,13 @@
 @codec.message("leave_ack", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveAck:
-    """The notice is in the receiver's registry and was passed on."""
+    """The notice is in the receiver's registry and was passed on.
+
+    Attributes:
+        newer: What the receiver holds when the notice was outdated.
+    """
+
+    newer: upstreams.Copy | None
 
 
 @codec.message("registry_pull", compact=True)
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -27,13 +27,17 @@
 
 __all__ = ["PeerLinks", "Received"]
 
-# A link without bytes for this many heartbeats is closed. Keep-alives are sent
-# often enough that three of them must be lost before.
+# A link without bytes for this many heartbeats is closed. Links are checked at
+# every heartbeat, so that a keep-alive is sent at least every two and two of
+# them must be late before.
 _SILENT_HEARTBEATS = 5
 _KEEP_ALIVE_HEARTBEATS = 1.5
-# Most links between zones are idle, and at 12 zones of 2 entries their
-# keep-alives were most of an entry's processor time, so they are slower there.
+# Most links between zones are idle, and with many zones their keep-alives were
+# most of an entry's processor time, so they are slower there. The liveness of a
+# zone doesn't depend on them but on heartbeats.
 _OTHER_ZONE_FACTOR = 3
+_MANY_ZONES_FACTOR = 9
+_MANY_ZONES = 9
 _BACKOFF_MIN_S = 0.05
 _BACKOFF_MAX_S = 1.0
 _SUBSCRIBER_MESSAGES = 8_192
@@ -87,6 +91,10 @@
             for peer in settings.peers
         }
         self._zone_by_entry = settings.zone_by_entry
+        many = len(set(self._zone_by_entry.values())) > _MANY_ZONES
+        self._other_zone_factor = (
+            _MANY_ZONES_FACTOR if many else _OTHER_ZONE_FACTOR
+        )
         self._strangers = peer_connection.Counters()
         self._dialled: dict[ids.EntryId, peer_connection.Connection] = {}
         self._accepted: dict[ids.EntryId, peer_connection.Connection] = {}
@@ -108,12 +116,15 @@
         )
         self._ticked_at_s = self._timer.monotonic_s()
         try:
-            async with listener, anyio.create_task_group() as tasks:
+            async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch)
                 for peer in self._settings.peers:
                     tasks.start_soon(self._keep_dialled, peer)
                 await listener.serve(self._accept)
         finally:
+            # A cancelled close would leave the address in use.
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
             for subscribers in self._subscribers.values():
                 for subscriber in subscribers:
                     subscriber.close()
@@ -221,8 +232,7 @@
 
     async def _watch(self) -> None:
         """Sends keep-alives and closes silent connections."""
-        interval_s = self._heartbeat_s / 2
-        async for now_s in self._timer.subscribe(interval_s):
+        async for now_s in self._timer.subscribe(self._heartbeat_s):
             self._ticked_at_s = now_s
             for connection in tuple(self._open):
                 self._check(connection, now_s)
@@ -379,7 +389,7 @@
             return
         self.peer = entry_id
         if links._zone_by_entry[entry_id] != links._settings.availability_zone:
-            self._connection.patience = _OTHER_ZONE_FACTOR
+            self._connection.patience = links._other_zone_factor
         counters = links._counters[entry_id]
         self._connection.count_under(counters)
         if self._dialled is not None:
--- a/tarragoncleat/registry_exchange.py
+++ b/tarragoncleat/registry_exchange.py
@@ -196,9 +196,14 @@
         self._absorb(received.message.copies, received.sender)
 
     def _on_leave_notice(self, received: peering.Received) -> None:
-        self._absorb((received.message.copy,), received.sender)
+        copy: upstreams.Copy = received.message.copy
+        self._absorb((copy,), received.sender)
+        now_s = self._timer.monotonic_s()
+        held = self._registry.get(copy.record.upstream_id)
+        newer = held is not None and held.record.epoch > copy.record.epoch
+        answer = self._registry.copy(held, now_s) if held and newer else None
         if received.reply is not None:
-            received.reply(messages.LeaveAck())
+            received.reply(messages.LeaveAck(answer))
 
     def _on_renewals(self, received: peering.Received) -> None:
         now_s = self._timer.monotonic_s()
@@ -304,7 +309,10 @@
 
         async def tell(entry_id: ids.EntryId) -> None:
             answer = await self._links.request(entry_id, notice, limit_s)
-            if not isinstance(answer, messages.LeaveAck):
+            if isinstance(answer, messages.LeaveAck):
+                if answer.newer is not None:
+                    self._absorb((answer.newer,), entry_id)
+            else:
                 self._unacknowledged_leaves += 1
                 loguru.logger.warning(
                     "entry {} did not acknowledge that upstream {} leaves: {}",
--- a/tarragoncleat_bench/membership.py
+++ b/tarragoncleat_bench/membership.py
@@ -21,7 +21,6 @@
 __all__ = ["run"]
 
 _GROUP = "membership"
-_PORT = 19_103
 _SETTLE_S = 1.5
 _WINDOW_S = 4.0
 _LEASE_MS = 30_000
@@ -33,6 +32,14 @@
 _FLEET = 24_000
 _ZONES = 30
 _CALLS = 100_000
+# Changed counts of each entry under load: 250 requests/s start and end.
+_BUSY_CHANGES_PER_S = 500.0
+_LOAD_PAUSE_S = 0.02
+_FIELDS = (
+    ("sent by a relay", "B/s", "relay_bytes"),
+    ("sent by another entry", "B/s", "other_bytes"),
+    ("processor time of an entry", "ms/s", "processor_ms"),
+)
 _SERVICE = ids.ServiceId("bidding")
 
 
@@ -57,48 +64,56 @@
 def _measure_traffic(seed: int) -> list[rows.Row]:
     """Traffic by zones, entries in each and upstreams in each."""
     measured = {
-        size: anyio.run(_traffic, size, seed)
+        size: anyio.run(_traffic, size, 0.0, seed)
         for size in [
             (4, 2, 0),
             (4, 2, 400),
             (4, 2, 800),
             (4, 4, 0),
-            (8, 2, 0),
-            (12, 2, 0),
+            (10, 2, 0),
+            (20, 2, 0),
         ]
     }
-    flat = anyio.run(_traffic, (1, 8, 1_600), seed)
+    flat = anyio.run(_traffic, (1, 8, 1_600), 0.0, seed)
+    busy = anyio.run(_traffic, (4, 2, 400), _BUSY_CHANGES_PER_S, seed)
     found = []
     for size, traffic in measured.items():
         baseline = flat if size == (4, 2, 400) else None
-        found += _traffic_rows(size, traffic, baseline, seed)
-    empty, small, large = (
-        measured[4, 2, count].other_bytes for count in (0, 400, 800)
-    )
-    slope = statistics.linear_regression([0, 400, 800], [empty, small, large])
-    zones = statistics.linear_regression(
-        [4, 8, 12],
-        [measured[count, 2, 0].relay_bytes for count in (4, 8, 12)],
-    )
-    for name, value in [
-        ("sent for each upstream of the zone and mate", slope.slope),
-        ("sent by a relay for each zone", zones.slope),
-        (
-            "sent for each further mate",
-            (measured[4, 4, 0].other_bytes - empty) / 2,
-        ),
-    ]:
-        found.append(rows.Row(_GROUP, name, "B/s", value, seed=seed))
+        found += _traffic_rows(_describe(size), traffic, baseline, seed)
+    name = f"{_describe((4, 2, 400))}, {_BUSY_CHANGES_PER_S:.0f} changes/s"
+    found += _traffic_rows(name, busy, measured[4, 2, 400], seed)
+    return found + _fleet_rows(measured, seed)
+
+
+def _fleet_rows(
+    measured: dict[tuple[int, int, int], _Traffic], seed: int
+) -> list[rows.Row]:
+    """Slopes, and what they give for the fleet without busy upstreams."""
+    found = []
+    for label, unit, field in _FIELDS:
+        value = {size: getattr(each, field) for size, each in measured.items()}
+        by_upstream = (value[4, 2, 800] - value[4, 2, 0]) / 800
+        by_mate = (value[4, 4, 0] - value[4, 2, 0]) / 2
+        by_zone = (value[20, 2, 0] - value[10, 2, 0]) / 10
+        fleet = value[20, 2, 0] + by_zone * (_ZONES - 20)
+        fleet += by_upstream * _FLEET / _ZONES
+        for name, figure in [
+            ("slope by upstream of the zone", by_upstream),
+            ("slope by mate", by_mate),
+            ("slope by zone above 8", by_zone),
+            ("worked out for 30 zones of 2 entries and 800 upstreams", fleet),
+        ]:
+            found.append(_row(f"{name}: {label}", unit, figure, seed))
     return found
 
 
+def _describe(size: tuple[int, int, int]) -> str:
+    return "{} zones of {} entries and {} upstreams".format(*size)
+
+
 def _traffic_rows(
-    size: tuple[int, int, int],
-    traffic: _Traffic,
-    baseline: _Traffic | None,
-    seed: int,
+    name: str, traffic: _Traffic, baseline: _Traffic | None, seed: int
 ) -> list[rows.Row]:
-    name = "{} zones of {} entries and {} upstreams".format(*size)
     return [
         rows.Row(
             _GROUP,
@@ -108,22 +123,20 @@
             baseline=getattr(baseline, field) if baseline else None,
             seed=seed,
         )
-        for label, unit, field in [
-            ("sent by a relay", "B/s", "relay_bytes"),
-            ("sent by another entry", "B/s", "other_bytes"),
-            ("processor time of an entry", "ms/s", "processor_ms"),
-        ]
+        for label, unit, field in _FIELDS
     ]
 
 
-async def _traffic(size: tuple[int, int, int], seed: int) -> _Traffic:
+async def _traffic(
+    size: tuple[int, int, int], changes_per_s: float, seed: int
+) -> _Traffic:
     zone_count, entry_count, upstream_count = size
     zones = [
         f"zone-{index:02}"
         for index in range(zone_count)
         for _ in range(entry_count)
     ]
-    async with peer_cluster.run_cluster(zones, _PORT, direct=True) as cluster:
+    async with peer_cluster.run_cluster(zones, direct=True) as cluster:
         nodes = cluster.nodes
         announced = [
             (nodes[entry_count * zone + index % entry_count], zone, index)
@@ -142,6 +155,8 @@
         await anyio.sleep(_SETTLE_S)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_renew, announced)
+            if changes_per_s:
+                tasks.start_soon(_load, nodes, announced, changes_per_s, seed)
             traffic = await _window(nodes, entry_count)
             tasks.cancel_scope.cancel()
     return traffic
@@ -176,6 +191,28 @@
         done = due
 
 
+async def _load(
+    nodes: list[peer_cluster.Node],
+    announced: list,
+    changes_per_s: float,
+    seed: int,
+) -> None:
+    """Has every entry change counts of upstreams of its own zone."""
+    generator = random.Random(seed)
+    by_zone: dict[str, list[ids.UpstreamId]] = {}
+    for _, zone, index in announced:
+        name = ids.UpstreamId(f"bidding-{zone:02}-{index:04}")
+        by_zone.setdefault(f"zone-{zone:02}", []).append(name)
+    while True:
+        await anyio.sleep(_LOAD_PAUSE_S)
+        for node in nodes:
+            for _ in range(int(changes_per_s * _LOAD_PAUSE_S)):
+                node.membership.report_in_flight(
+                    generator.choice(by_zone[node.zone]),
+                    generator.randrange(9),
+                )
+
+
 async def _window(nodes: list[peer_cluster.Node], entry_count: int) -> _Traffic:
     sent = [_sent_bytes(node) for node in nodes]
     processor_s = time.process_time()
@@ -230,7 +267,7 @@
     zones = ["zone-00"] * 3 + ["zone-01"] * 3 + ["zone-02"] * 3
     times = []
     for _ in range(_LEAVE_TRIALS):
-        async with peer_cluster.run_cluster(zones, _PORT) as cluster:
+        async with peer_cluster.run_cluster(zones) as cluster:
             cluster.change(lambda a, b: True, delay_ms=_ONE_WAY_DELAY_MS)
             _announce(cluster.nodes[1], 0, 0)
             await peer_cluster.wait_until(
--- a/tests/peer_cluster.py
+++ b/tests/peer_cluster.py
@@ -2,6 +2,8 @@
 
 from collections.abc import AsyncIterator, Callable, Sequence
 import contextlib
+import functools
+import os
 from typing import Any
 
 import anyio
@@ -14,28 +16,30 @@
 from tests import builders
 from tests import fault_proxy
 
-__all__ = ["Cluster", "Node", "run_cluster", "wait_until"]
+__all__ = ["PORT", "Cluster", "Node", "run_cluster", "wait_until"]
+
+# Below the ephemeral ports, and different in test runs at the same time.
+PORT = 20_000 + os.getpid() % 12_000
 
 _WAIT_S = 10.0
 _POLL_S = 0.01
+_START_S = 0.005
 
 
 class Node:
     """One entry: its links and its membership."""
 
-    def __init__(
-        self, index: int, zones: Sequence[str], port: int, direct: bool
-    ) -> None:
+    def __init__(self, index: int, zones: Sequence[str], direct: bool) -> None:
         """Prepares entry number `index`; each peer is dialled at its proxy."""
         self.entry_id = ids.EntryId(f"entry-{index}")
         self.zone = zones[index]
-        self.address = f"127.22.0.{index + 1}:{port}"
+        self.address = f"127.22.0.{index + 1}:{PORT}"
         network = f"127.22.{0 if direct else index + 1}"
         peers = [
             {
                 "entry_id": f"entry-{other}",
                 "availability_zone": zone,
-                "address": f"{network}.{other + 1}:{port}",
+                "address": f"{network}.{other + 1}:{PORT}",
             }
             for other, zone in enumerate(zones)
             if other != index
@@ -74,19 +78,17 @@
 class Cluster:
     """Entries, and a proxy for each ordered pair of them."""
 
-    def __init__(
-        self, zones: Sequence[str], port: int, direct: bool = False
-    ) -> None:
+    def __init__(self, zones: Sequence[str], direct: bool = False) -> None:
         """Prepares one entry for each name in `zones`."""
-        self.nodes = [
-            Node(index, zones, port, direct) for index in range(len(zones))
-        ]
+        self._tasks: anyio.abc.TaskGroup
+        self._build = functools.partial(Node, zones=zones, direct=direct)
+        self.nodes = [self._build(index) for index in range(len(zones))]
         self.proxies: dict[tuple[int, int], fault_proxy.FaultProxy] = {}
         for dialler in range(0 if direct else len(zones)):
             for target in range(len(zones)):
                 if dialler != target:
                     self.proxies[dialler, target] = fault_proxy.FaultProxy(
-                        f"127.22.{dialler + 1}.{target + 1}:{port}",
+                        f"127.22.{dialler + 1}.{target + 1}:{PORT}",
                         self.nodes[target].address,
                     )
 
@@ -108,12 +110,23 @@
         }
         self.change(lambda a, b: (a in inside) != (b in inside), **faults)
 
+    async def restart(self, index: int) -> None:
+        """Kills an entry and starts it again with nothing in memory."""
+        self.nodes[index].kill()
+        await anyio.sleep(_POLL_S)
+        self.nodes[index] = self._build(index)
+        self._tasks.start_soon(self.nodes[index].run)
+
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts everything and waits until all see each other."""
+        self._tasks = tasks
         for proxy in self.proxies.values():
             tasks.start_soon(proxy.run)
-        for node in self.nodes:
+        for index, node in enumerate(self.nodes):
             tasks.start_soon(node.run)
+            # All entries share one event loop: dialling 1,560 links at once
+            # would keep it busy for longer than a link may be silent.
+            await anyio.sleep(index * _START_S)
         count = len(self.nodes)
         await wait_until(
             lambda: all(
@@ -126,10 +139,10 @@
 
 @contextlib.asynccontextmanager
 async def run_cluster(
-    zones: Sequence[str], port: int, direct: bool = False
+    zones: Sequence[str], direct: bool = False
 ) -> AsyncIterator[Cluster]:
     """Runs a cluster for the time of the context."""
-    cluster = Cluster(zones, port, direct)
+    cluster = Cluster(zones, direct)
     async with anyio.create_task_group() as tasks:
         await cluster.run(tasks)
         yield cluster
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,6 @@
 from tests import builders
 from tests import peer_cluster
 
-_PORT = 19_102
 # Two entries and more in the first zone: the lowest id is its relay.
 _ZONES = ["a", "a", "a", "b", "b", "c"]
 _UPSTREAM = "upstream-1"
@@ -24,7 +23,7 @@
     """Runs a test in a cluster of `_ZONES`."""
 
     async def run(case: unittest.TestCase) -> None:
-        async with peer_cluster.run_cluster(_ZONES, _PORT) as cluster:
+        async with peer_cluster.run_cluster(_ZONES) as cluster:
             await test(case, cluster)
 
     @functools.wraps(test)
@@ -83,6 +82,12 @@
         await _wait_seen(nodes, {_UPSTREAM})
         self.assertIsNone(await nodes[4].membership.leave(_UPSTREAM))
         self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
+        # The leave overtakes the announcement on its way to the same entry.
+        cluster.change(lambda a, b: True, delay_ms=50)
+        _announce(nodes[3])
+        self.assertIsNone(await nodes[4].membership.leave(_UPSTREAM))
+        await anyio.sleep(0.2)
+        self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
         unknown = await nodes[4].membership.leave(ids.UpstreamId("nobody"))
         self.assertIs(unknown.kind, errors.ErrorKind.NOT_FOUND)
 
@@ -141,6 +146,27 @@
         record = nodes[5].membership.record(ids.UpstreamId(_UPSTREAM))
         self.assertEqual(record.epoch, 2)
 
+    @_scenario
+    async def test_zone_restarts_empty(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """A zone without memory must learn the epochs that others remember."""
+        _announce(cluster.nodes[5])
+        await cluster.nodes[5].membership.leave(_UPSTREAM)
+        await cluster.restart(5)
+        await peer_cluster.wait_until(
+            lambda: len(cluster.nodes[5].links.connected()) == 5
+        )
+        upstream_id = ids.UpstreamId(_UPSTREAM)
+
+        def renew_until_known() -> bool:
+            _announce(cluster.nodes[5])
+            return all(node.candidates() for node in cluster.nodes)
+
+        await peer_cluster.wait_until(renew_until_known)
+        for node in cluster.nodes:
+            self.assertEqual(node.membership.record(upstream_id).epoch, 2)
+
     @_scenario
     async def test_in_flight_reaches_other_zones(
         self, cluster: peer_cluster.Cluster
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -2,6 +2,8 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import socket
+import time
 import unittest
 
 import anyio
@@ -19,8 +21,10 @@
 from tests import fault_proxy
 from tests import peer_cluster
 
-_PORT = 19_101
-_CONTROL = "127.22.9.1:19101"
+_PORT = peer_cluster.PORT
+_CONTROL = f"127.22.9.1:{_PORT}"
+_PROXY = f"127.22.9.2:{_PORT}"
+_TARGET = f"127.22.9.3:{_PORT}"
 _FIRST = ids.EntryId("entry-0")
 _SECOND = ids.EntryId("entry-1")
 _UPDATE = messages.UpstreamUpdate(())
@@ -69,7 +73,7 @@
         """A peer with damaged messages must not stop or confuse the entry."""
 
         async def run() -> None:
-            async with peer_cluster.run_cluster(["a", "b"], _PORT) as cluster:
+            async with peer_cluster.run_cluster(["a", "b"]) as cluster:
                 links = cluster.nodes[0].links
                 counters = links.counters(_SECOND)
                 updates = links.subscribe(messages.UpstreamUpdate)
@@ -99,7 +103,7 @@
         """Only the entries of the settings may speak, and Hello comes first."""
 
         async def run() -> None:
-            async with peer_cluster.run_cluster(["a", "b"], _PORT) as cluster:
+            async with peer_cluster.run_cluster(["a", "b"]) as cluster:
                 stranger = peer_connection.Hello("entry-9", "b", 7)
                 for first in (stranger, _UPDATE):
                     async with _dial(cluster) as stream:
@@ -112,7 +116,7 @@
         """A frozen peer must cost drops only, and the link must come back."""
 
         async def run() -> None:
-            async with peer_cluster.run_cluster(["a", "b"], _PORT) as cluster:
+            async with peer_cluster.run_cluster(["a", "b"]) as cluster:
                 first, second = cluster.nodes
                 updates = second.links.subscribe(messages.UpstreamUpdate)
                 cluster.change(lambda a, b: True, hold=True)
@@ -141,11 +145,33 @@
 
         anyio.run(run)
 
+    def test_stopped_process(self) -> None:
+        """What arrived while the process was stopped must not be believed."""
+
+        async def run() -> None:
+            async with peer_cluster.run_cluster(["a", "b"]) as cluster:
+                links = cluster.nodes[0].links
+                updates = links.subscribe(messages.UpstreamUpdate)
+                host, _, port = cluster.nodes[0].address.rpartition(":")
+                with socket.create_connection((host, int(port))) as peer:
+                    peer.sendall(frames.pack(_HELLO))
+                    await anyio.sleep(0.01)
+                    peer.sendall(frames.pack(codec.encode(_UPDATE)))
+                    # Blocks the event loop for longer than a link may be
+                    # silent, with the message received but not yet read.
+                    time.sleep(1.2)
+                    await anyio.sleep(0.1)
+                with self.assertRaises(anyio.WouldBlock):
+                    updates.receive_nowait()
+                updates.close()
+
+        anyio.run(run)
+
     def test_requests(self) -> None:
         """Replies must match their requests; a lost one must end in time."""
 
         async def run() -> None:
-            async with peer_cluster.run_cluster(["a", "b"], _PORT) as cluster:
+            async with peer_cluster.run_cluster(["a", "b"]) as cluster:
                 first, second = cluster.nodes
                 asked = second.links.subscribe(peer_connection.Hello)
                 found: dict[str, object] = {}
@@ -183,9 +209,7 @@
 
     def test_faults(self) -> None:
         async def run() -> None:
-            proxy = fault_proxy.FaultProxy(
-                "127.22.9.2:19101", "127.22.9.3:19101"
-            )
+            proxy = fault_proxy.FaultProxy(_PROXY, _TARGET)
             listener = await anyio.create_tcp_listener(
                 local_host="127.22.9.3", local_port=_PORT
             )
@@ -231,9 +255,7 @@
 
     async def _tell(self, **faults: object) -> None:
         answer = await anyio.to_thread.run_sync(
-            lambda: fault_proxy.tell(
-                _CONTROL, route="127.22.9.2:19101", **faults
-            )
+            lambda: fault_proxy.tell(_CONTROL, route=_PROXY, **faults)
         )
         self.assertTrue(answer["ok"], answer)
 
