Watch for disconnects only in requests that last

Cause: a cancel scope per request, a task group per slow request and a metric per request were a large part of the cost of forwarding; headers that arrived in one piece started a timer.

Change: one task starts a watch for requests older than 50 ms, counts reach the instruments in bulk, small answers with a known length are read whole and all others are streamed at once, and the listener starts its header timer only for headers that arrive in pieces.

--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/caller_api.py
@@ -1,5 +1,6 @@
 """ASGI handler of the callers' requests."""
 
+import collections
 from collections.abc import Callable, Mapping
 import dataclasses
 from typing import Any, Protocol
@@ -9,6 +10,7 @@
 from tarragoncleat import answers
 from tarragoncleat import caller_requests
 from tarragoncleat import claims as claims_module
+from tarragoncleat import disconnects
 from tarragoncleat import dispatching
 from tarragoncleat import errors
 from tarragoncleat import exchanges
@@ -118,6 +120,9 @@
             settings.callers.max_connections,
         )
         self._requests: dict[ids.RequestId, ids.ServiceId] = {}
+        self._finished: collections.Counter[tuple[str, str]]
+        self._finished = collections.Counter()
+        self._watch = disconnects.DisconnectWatch(timer)
         self._leaving = False
 
     @property
@@ -132,13 +137,21 @@
     async def run(self) -> None:
         """Serves waiting requests and expires idle connections."""
         try:
-            async for _ in self._timer.subscribe(_MAINTENANCE_INTERVAL_S):
-                self._dispatcher.serve_waiting()
-                self._dispatcher.forget_gone()
-                self._pool.close_expired()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch.run)
+                async for _ in self._timer.subscribe(_MAINTENANCE_INTERVAL_S):
+                    self._maintain()
         finally:
             self._pool.close_all()
 
+    def _maintain(self) -> None:
+        self._dispatcher.serve_waiting()
+        self._dispatcher.forget_gone()
+        self._pool.close_expired()
+        for (service, outcome), count in self._finished.items():
+            self._metrics.count_requests(service, outcome, count)
+        self._finished.clear()
+
     def dump(self) -> dict:
         """Returns the state for the state dump."""
         return {
@@ -259,16 +272,33 @@
             del self._requests[request.request_id]
             for name in entered:
                 self._callers.leave(name)
+        # The instruments are too slow for each request; `run` passes the
+        # counts on.
         outcome = "answered" if failure is None else failure.kind.value
-        self._metrics.count_request(request.service, outcome)
+        self._finished[request.service, outcome] += 1
         return failure
 
     async def _run(self, visit: _Visit) -> errors.Failure | None:
         failure: errors.Failure | None = None
         with anyio.move_on_after(visit.request.deadline_s) as scope:
-            failure = await self._prepare(visit)
+            watched = disconnects.Watched(
+                visit.request,
+                visit.body,
+                visit.progress,
+                scope,
+                self._timer.monotonic_s(),
+            )
+            self._watch.add(watched)
+            try:
+                failure = await self._prepare(visit)
+            finally:
+                self._watch.remove(visit.request.request_id)
         if not scope.cancelled_caught:
             return failure
+        if visit.body.disconnected:
+            return errors.Failure(
+                errors.ErrorKind.BAD_REQUEST, "the caller disconnected"
+            )
         if visit.progress.sent:
             return errors.Failure(
                 errors.ErrorKind.DEADLINE_EXCEEDED,
--- a/tarragoncleat/exchanges.py
+++ b/tarragoncleat/exchanges.py
@@ -1,6 +1,5 @@
 """One request and its answer over one upstream connection."""
 
-from collections.abc import Awaitable, Callable
 import dataclasses
 
 import anyio
@@ -32,9 +31,6 @@
 # An answer up to this size is read whole before its first byte is sent on, so
 # that most broken answers can still be retried or reported.
 _READ_AHEAD_BYTES = 65_536
-# Most answers arrive in this time; only longer exchanges pay for the task
-# that watches for the caller's disconnect.
-_UNWATCHED_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,11 +38,13 @@
     """How far a request has come; outlives a cancelled exchange.
 
     Attributes:
+        started: Whether an attempt to send the request has begun.
         sent: Whether an upstream may have received a byte of the request and
             did not report that it was not run.
         answering: Whether the caller may have received a part of the answer.
     """
 
+    started: bool = False
     sent: bool = False
     answering: bool = False
 
@@ -79,7 +77,7 @@
         self._kept: bytearray | None = bytearray() if keep_bytes else None
         self._answer_complete = False
         self._refused = False
-        self._uploading = False
+        self._is_small = False
 
     @property
     def refused(self) -> bool:
@@ -118,7 +116,6 @@
         # The upstream may answer before it has read the whole body, so both
         # directions run at the same time.
         results: list[errors.Failure | None] = []
-        self._uploading = True
         async with anyio.create_task_group() as group:
 
             async def upload() -> None:
@@ -134,19 +131,14 @@
 
     async def _upload(self) -> errors.Failure | None:
         failure = await self._send_chunks()
-        if failure is not None:
-            caller_failed = failure.kind is not (
-                errors.ErrorKind.UPSTREAM_FAILED
-            )
-            # The upstream may have answered before it closed its side. Then
-            # the answer counts; without one the reading side fails as well.
-            if caller_failed or not self._connection.wrote:
-                return failure
+        if failure is None:
             return None
-        if not self._request.idempotent:
-            return None
-        await self._body.wait_disconnect()
-        return _disconnected()
+        caller_failed = failure.kind is not errors.ErrorKind.UPSTREAM_FAILED
+        # The upstream may have answered before it closed its side. Then the
+        # answer counts; without one the reading side fails as well.
+        if caller_failed or not self._connection.wrote:
+            return failure
+        return None
 
     async def _send_chunks(self) -> errors.Failure | None:
         failure = await self._connection.send(self._head)
@@ -164,77 +156,62 @@
         return await self._connection.send(h11.EndOfMessage())
 
     async def _answer(self) -> errors.Failure | None:
-        with anyio.move_on_after(_UNWATCHED_S) as scope:
-            failure = await self._read_ahead()
-        if scope.cancelled_caught:
-            failure = None
-        elif failure is not None:
+        while self._must_read_on():
+            failure = self._take(await self._connection.receive())
+            if failure is not None:
+                return failure
+        if self._refused:
+            return errors.Failure(
+                errors.ErrorKind.UPSTREAM_REFUSED,
+                "the upstream did not run the request",
+            )
+        failure = self._take_ready()
+        if failure is not None:
             return failure
-        if self._answer_complete:
-            return await self._deliver()
-        return await self._watched(self._deliver)
-
-    async def _watched(
-        self, run: Callable[[], Awaitable[errors.Failure | None]]
-    ) -> errors.Failure | None:
-        # A request that is not idempotent runs to its end, so that its answer
-        # can be stored. The upload sees disconnects itself.
-        if not self._request.idempotent or self._uploading:
-            return await run()
-        result: errors.Failure | None = _disconnected()
-        async with anyio.create_task_group() as group:
-
-            async def watch() -> None:
-                await self._body.wait_disconnect()
-                group.cancel_scope.cancel()
+        await self._send_start()
+        return await self._send_body()
 
-            group.start_soon(watch)
-            result = await run()
-            group.cancel_scope.cancel()
-        return result
+    def _must_read_on(self) -> bool:
+        if self._response is None:
+            return True
+        return not self._answer_complete and (self._refused or self._is_small)
 
-    async def _read_ahead(self) -> errors.Failure | None:
+    def _take_ready(self) -> errors.Failure | None:
         while not self._answer_complete and (
             len(self._unsent) <= _READ_AHEAD_BYTES
         ):
-            failure = await self._read_event()
+            event = self._connection.receive_ready()
+            if event is None:
+                return None
+            failure = self._take(event)
             if failure is not None:
                 return failure
         return None
 
-    async def _read_event(self) -> errors.Failure | None:
-        event = await self._connection.receive()
+    def _take(
+        self, event: upstream_connections.Event | errors.Failure
+    ) -> errors.Failure | None:
         if isinstance(event, errors.Failure):
             return event
         if isinstance(event, h11.Data):
-            self._unsent += event.data
+            if not self._refused:
+                self._unsent += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._answer_complete = True
         elif isinstance(event, h11.Response):
-            self._response = event
-            self._refused = event.status_code == 503 and (
-                (_OUTCOME, b"not-run") in list(event.headers)
-            )
+            self._take_response(event)
         return None
 
-    async def _deliver(self) -> errors.Failure | None:
-        while self._response is None or (
-            self._refused and not self._answer_complete
-        ):
-            failure = await self._read_event()
-            if failure is not None:
-                return failure
-            if self._refused:
-                self._unsent.clear()
-        if self._refused:
-            return errors.Failure(
-                errors.ErrorKind.UPSTREAM_REFUSED,
-                "the upstream did not run the request",
-            )
-        await self._send_start(self._response)
-        return await self._send_body()
+    def _take_response(self, response: h11.Response) -> None:
+        self._response = response
+        for name, value in response.headers:
+            if name == b"content-length":
+                self._is_small = int(value) <= _READ_AHEAD_BYTES
+            elif name == _OUTCOME and value == b"not-run":
+                self._refused = response.status_code == 503
 
-    async def _send_start(self, response: h11.Response) -> None:
+    async def _send_start(self) -> None:
+        assert self._response is not None
         length = len(self._unsent) if self._answer_complete else None
         headers = self._answer_headers(length) + self._extra_headers
         if not self._body.complete:
@@ -243,7 +220,7 @@
         await self._send(
             {
                 "type": "http.response.start",
-                "status": response.status_code,
+                "status": self._response.status_code,
                 "headers": headers,
             }
         )
@@ -285,7 +262,9 @@
                 )
             if done:
                 return None
-            failure = await self._read_event()
+            failure = self._take(await self._connection.receive())
+            if failure is None:
+                failure = self._take_ready()
             if failure is not None:
                 return failure
 
@@ -296,9 +275,3 @@
             self._kept = None
         else:
             self._kept += data
-
-
-def _disconnected() -> errors.Failure:
-    return errors.Failure(
-        errors.ErrorKind.BAD_REQUEST, "the caller disconnected"
-    )
--- a/tarragoncleat/forwarding.py
+++ b/tarragoncleat/forwarding.py
@@ -151,6 +151,7 @@
             self._keep_bytes if job.request.key is not None else 0,
             job.extra_headers,
         )
+        job.progress.started = True
         ended = False
         try:
             failure = await exchange.run()
--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -44,6 +44,7 @@
     header_timer: asyncio.TimerHandle | None = None
     header_bytes: int = 0
     closing_after_request: bool = False
+    headers_open: bool = False
     message_open: bool = False
 
     def connection_made(self, transport: Any) -> None:
@@ -64,16 +65,16 @@
     def data_received(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
-        if self.header_timer is None and self._between_requests():
-            self._start_header_timer()
-        if self.header_timer is not None:
-            self.header_bytes += len(data)
+        body_open = self.message_open and not self.headers_open
         super().data_received(data)
-        if self.header_timer is not None:
-            self._check_header_size()
+        # Most requests arrive in one piece and need no timer.
+        if self.headers_open and not self.transport.is_closing():
+            self._check_headers(0 if body_open else len(data))
 
     def on_message_begin(self) -> None:
         self.message_open = True
+        self.headers_open = True
+        self.header_bytes = 0
         super().on_message_begin()
 
     def on_message_complete(self) -> None:
@@ -81,6 +82,7 @@
         super().on_message_complete()
 
     def on_headers_complete(self) -> None:
+        self.headers_open = False
         self._stop_header_timer()
         super().on_headers_complete()
         if self.closing_after_request:
@@ -89,29 +91,17 @@
     def shutdown(self) -> None:
         # A request whose headers are still arriving is in flight: it gets its
         # answer before the connection closes.
-        if self.header_timer is not None:
+        if self.headers_open:
             self.closing_after_request = True
             return
         super().shutdown()
 
-    def _between_requests(self) -> bool:
-        # The rest of a body may still arrive after its answer is complete.
-        if self.message_open:
-            return False
-        return self.cycle is None or self.cycle.response_complete
-
-    def _start_header_timer(self) -> None:
-        self.header_bytes = 0
-        self.header_timer = self.loop.call_later(
-            self.limits.header_timeout_ms / 1000, self._on_header_timeout
-        )
-
-    def _stop_header_timer(self) -> None:
-        if self.header_timer is not None:
-            self.header_timer.cancel()
-            self.header_timer = None
-
-    def _check_header_size(self) -> None:
+    def _check_headers(self, received: int) -> None:
+        if self.header_timer is None:
+            self.header_timer = self.loop.call_later(
+                self.limits.header_timeout_ms / 1000, self._on_header_timeout
+            )
+        self.header_bytes += received
         if self.header_bytes <= self.limits.max_header_bytes:
             return
         self.counts.oversized_headers += 1
@@ -120,6 +110,11 @@
             f"headers exceed {self.limits.max_header_bytes} bytes",
         )
 
+    def _stop_header_timer(self) -> None:
+        if self.header_timer is not None:
+            self.header_timer.cancel()
+            self.header_timer = None
+
     def _on_header_timeout(self) -> None:
         self.header_timer = None
         self.counts.slow_headers += 1
--- a/tarragoncleat/metrics.py
+++ b/tarragoncleat/metrics.py
@@ -27,9 +27,9 @@
         self._revision = meter.create_gauge("configuration_revision", "1")
         self._revision_age = meter.create_gauge("configuration_age", "s")
 
-    def count_request(self, service: str, outcome: str) -> None:
-        """Counts a finished request by its outcome."""
-        self._requests.add(1, {"service": service, "outcome": outcome})
+    def count_requests(self, service: str, outcome: str, count: int) -> None:
+        """Counts finished requests by their outcome."""
+        self._requests.add(count, {"service": service, "outcome": outcome})
 
     def record_queue_time(self, service: str, milliseconds: float) -> None:
         """Records how long a request waited for an upstream."""
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -123,21 +123,27 @@
 
     async def receive(self) -> Event | errors.Failure:
         """Returns the next event of the answer."""
-        while True:
-            try:
-                event = self._codec.next_event()
-            except h11.RemoteProtocolError as error:
-                return _failed(f"the answer is malformed: {error}")
-            if event is h11.NEED_DATA:
-                failure = await self._read_more()
-                if failure is not None:
-                    return failure
-            elif isinstance(event, h11.ConnectionClosed):
-                return _failed("the upstream closed the connection")
-            elif isinstance(event, _EVENTS):
-                return event
-            else:
-                return _failed("the upstream sent more than one answer")
+        event = self.receive_ready()
+        while event is None:
+            failure = await self._read_more()
+            if failure is not None:
+                return failure
+            event = self.receive_ready()
+        return event
+
+    def receive_ready(self) -> Event | errors.Failure | None:
+        """Returns the next event if it has arrived already."""
+        try:
+            event = self._codec.next_event()
+        except h11.RemoteProtocolError as error:
+            return _failed(f"the answer is malformed: {error}")
+        if event is h11.NEED_DATA:
+            return None
+        if isinstance(event, _EVENTS):
+            return event
+        if isinstance(event, h11.ConnectionClosed):
+            return _failed("the upstream closed the connection")
+        return _failed("the upstream sent more than one answer")
 
     async def _read_more(self) -> errors.Failure | None:
         while True:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -17,6 +17,7 @@
 _ADDRESSES = {"up-1": "127.21.1.1:9101", "up-2": "127.21.1.1:9102"}
 _NOBODY = "127.21.1.1:9199"
 _URL = "/services/bidding/"
+_MIDWAY = ("reset-midway", "close-midway")
 _BIG = 67_108_864
 
 
@@ -158,7 +159,7 @@
         """Guards against presenting a part of an answer as the whole."""
 
         async def check(api: Any) -> None:
-            for fault in ("reset-midway", "close-midway"):
+            for fault in _MIDWAY:
                 for more in ({}, {"x_standin_chunked": "1"}):
                     reply = await self._call(
                         "POST",
