--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/heartbeats.py
@@ -55,11 +55,12 @@
 
     async def run(self) -> None:
         """Takes heartbeats until cancelled."""
-        async for received in self._received:
-            if isinstance(received.message, messages.Heartbeat):
-                self._on_heartbeat(received)
-            else:
-                self._on_zone_load(received.message)
+        with self._received:
+            async for received in self._received:
+                if isinstance(received.message, messages.Heartbeat):
+                    self._on_heartbeat(received)
+                else:
+                    self._on_zone_load(received.message)
 
     def set_in_flight(self, upstream_id: ids.UpstreamId, count: int) -> None:
         """Sets this entry's requests in flight on an upstream."""
--- a/tarragoncleat/peer_connection.py
+++ b/tarragoncleat/peer_connection.py
@@ -147,9 +147,9 @@
                     await self._read_bodies(receive)
                     tasks.cancel_scope.cancel()
         finally:
-            await anyio.aclose_forcefully(self._stream)
             self._queue_in.close()
             self._queue_out.close()
+            await anyio.aclose_forcefully(self._stream)
 
     def _put_frame(self, frame: bytes) -> bool:
         if self._queued_bytes + len(frame) > _QUEUE_BYTES:
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -103,11 +103,16 @@
             local_host=host, local_port=port, reuse_port=False
         )
         self._ticked_at_s = self._timer.monotonic_s()
-        async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch)
-            for peer in self._settings.peers:
-                tasks.start_soon(self._keep_dialled, peer)
-            await listener.serve(self._accept)
+        try:
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch)
+                for peer in self._settings.peers:
+                    tasks.start_soon(self._keep_dialled, peer)
+                await listener.serve(self._accept)
+        finally:
+            for subscribers in self._subscribers.values():
+                for subscriber in subscribers:
+                    subscriber.close()
 
     def subscribe(
         self, *message_types: type
--- a/tarragoncleat/registry.py
+++ b/tarragoncleat/registry.py
@@ -204,7 +204,9 @@
         record = copy.record
         held = self._by_id.get(record.upstream_id)
         if held is None:
-            return self._add(copy, now_s)
+            self._insert(copy, now_s)
+            leaving = copy.record.state is upstreams.UpstreamState.LEAVING
+            return Merge.CHANGED if leaving or copy.live else Merge.UNCHANGED
         if record.version < held.record.version:
             return _compare_older(record, held)
         if record.version == held.record.version:
@@ -234,7 +236,7 @@
         if held.record.state is upstreams.UpstreamState.LEAVING:
             return upstreams.Copy(held.record, max(remaining_ms, 1))
         if not held.live:
-            return upstreams.Copy(held.record, min(-remaining_ms, 0))
+            return upstreams.Copy(held.record, min(-remaining_ms, -1))
         if held.record.availability_zone != self._own_zone:
             remaining_ms = max(remaining_ms, _VOUCHED_MS)
         return upstreams.Copy(held.record, max(remaining_ms, 1))
@@ -314,12 +316,6 @@
         ):
             self._remove(held)
 
-    def _add(self, copy: upstreams.Copy, now_s: float) -> Merge:
-        if copy.remaining_ms == 0:
-            return Merge.UNCHANGED
-        self._insert(copy, now_s)
-        return Merge.CHANGED
-
     def _merge_same(
         self, held: Held, copy: upstreams.Copy, now_s: float
     ) -> Merge:
--- a/tarragoncleat/registry_exchange.py
+++ b/tarragoncleat/registry_exchange.py
@@ -81,10 +81,11 @@
 
     async def run(self) -> None:
         """Handles received records until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            async for received in self._received:
-                self._handlers[type(received.message)](received)
+        with self._received:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                async for received in self._received:
+                    self._handlers[type(received.message)](received)
 
     def queue_renewal(self, held: registry_module.Held) -> None:
         """Sends a renewed lease to the own zone with the next batch."""
--- a/tarragoncleat/upstream_api.py
+++ b/tarragoncleat/upstream_api.py
@@ -122,7 +122,8 @@
         if isinstance(body, errors.Failure):
             return body
         refused = self._check_token(token, ids.ServiceId(body.service))
-        refused = refused or self._check_owner(token, upstream_id)
+        if refused is None:
+            refused = self._check_owner(token, upstream_id)
         if refused is not None:
             return refused
         record = self._membership.announce(
