Test the whole system with real processes behind fault proxies

Cause: the parts were tested one by one; nothing showed the promises to callers and operators while real entry processes fail.

The first run failed in the rig itself: the proxies shared an event loop with blocking calls; they now run as a process.

--- /dev/null
+++ b/tests/system_rig.py
@@ -0,0 +1,266 @@
+"""A system of real entry processes behind fault proxies."""
+
+from collections.abc import AsyncIterator, Callable, Iterable
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import anyio
+
+from tarragoncleat import admin_client
+from tarragoncleat import errors
+from tests import fault_proxy
+from tests import request_path_rig
+
+__all__ = ["System", "running", "wait_until"]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_WAIT_S = 30.0
+_EXIT_TIMEOUT_S = 30.0
+_SETTINGS = """
+[entry]
+entry_id = "{name}"
+availability_zone = "{zone}"
+region = "kyushu"
+http_address = "{ip}:8080"
+peer_address = "{ip}:9080"
+{data_folder}
+
+[stop]
+balancer_notice_ms = 300
+
+[controller]
+interval_ms = 200
+lease_ms = 1500
+"""
+_PEER = """
+[[peers]]
+entry_id = "{name}"
+availability_zone = "{zone}"
+address = "{address}"
+replica = {replica}
+"""
+
+
+async def wait_until(condition: Callable[[], Any], what: str) -> Any:
+    """Waits for a truthy value; raises AssertionError after a long time.
+
+    The condition runs in a thread, because it usually calls an entry.
+    """
+    with anyio.move_on_after(_WAIT_S):
+        while True:
+            value = await anyio.to_thread.run_sync(condition)
+            if value:
+                return value
+            await anyio.sleep(0.05)
+    raise AssertionError(f"no {what} within {_WAIT_S} s")
+
+
+class System:
+    """Entries, their links through proxies, and stand-in upstreams.
+
+    Entry names are ZONE-NUMBER. Entry I listens on 127.20.NET.I; it dials
+    entry J through a proxy on its own address, so that every direction
+    between two entries can be cut.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, net: int, zones: dict[str, int], more: str
+    ) -> None:
+        self.folder = folder
+        self._zone_of = {
+            f"{zone}-{number}": zone
+            for zone, count in zones.items()
+            for number in range(1, count + 1)
+        }
+        self.names = list(self._zone_of)
+        self._ips = {
+            name: f"127.20.{net}.{index}"
+            for index, name in enumerate(self.names, 1)
+        }
+        self._net = net
+        self._more = more
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._standins = contextlib.ExitStack()
+        self._runs: list[pathlib.Path] = []
+        self._routes = {
+            (near, far): (
+                f"{self._ips[near]}:{10_000 + index}",
+                f"{self._ips[far]}:9080",
+            )
+            for near in self.names
+            for index, far in enumerate(self.names)
+            if near != far
+        }
+        self._control = f"127.20.{net}.200:9999"
+
+    # Entries.
+
+    def write_settings(self) -> None:
+        for name, zone in self._zone_of.items():
+            is_replica = name.endswith("-1")
+            text = _SETTINGS.format(
+                name=name,
+                zone=zone,
+                ip=self._ips[name],
+                data_folder=f'data_folder = "{name}"' if is_replica else "",
+            )
+            text += self._more
+            for far in self.names:
+                if far != name:
+                    text += _PEER.format(
+                        name=far,
+                        zone=self._zone_of[far],
+                        address=self._routes[name, far][0],
+                        replica=str(far.endswith("-1")).lower(),
+                    )
+            (self.folder / f"{name}.toml").write_text(text, encoding="utf-8")
+
+    def start(self, *names: str) -> None:
+        for name in names or self.names:
+            command = [sys.executable, "-m", "tarragoncleat", "entry"]
+            command += ["--settings", str(self.folder / f"{name}.toml")]
+            with (self.folder / f"{name}.log").open("ab") as log:
+                self._processes[name] = subprocess.Popen(
+                    command, cwd=_ROOT, stdout=log, stderr=log
+                )
+
+    def kill(self, *names: str) -> None:
+        """Ends entries as kill -9 does."""
+        for name in names:
+            process = self._processes.pop(name)
+            process.kill()
+            process.wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self._processes[name].send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        return self._processes.pop(name).wait(_EXIT_TIMEOUT_S)
+
+    def address(self, name: str) -> str:
+        return f"{self._ips[name]}:8080"
+
+    def close(self) -> None:
+        self._standins.close()
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self._proxy.kill()
+        self._proxy.wait()
+
+    # Faults.
+
+    def start_proxy(self) -> None:
+        routes = [f"{near}={far}" for near, far in self._routes.values()]
+        command = [sys.executable, "-m", "tests.fault_proxy", "--routes"]
+        command += [*routes, "--control", self._control]
+        self._proxy = subprocess.Popen(command, cwd=_ROOT)
+
+    def cut_off(self, names: Iterable[str]) -> None:
+        """Holds all bytes between the named entries and the others."""
+        inside = set(names)
+        for (near, far), (listen, _) in self._routes.items():
+            if (near in inside) != (far in inside):
+                self._tell(listen, hold=True)
+
+    def heal(self) -> None:
+        for listen, _ in self._routes.values():
+            self._tell(listen, hold=False)
+
+    def _tell(self, listen: str, **faults: Any) -> None:
+        reply = fault_proxy.tell(
+            self._control, route=listen, direction="both", **faults
+        )
+        if not reply["ok"]:
+            raise AssertionError(reply["reason"])
+
+    # Operators and callers.
+
+    def admin(self, name: str) -> admin_client.AdminClient:
+        return admin_client.AdminClient([f"http://{self.address(name)}"])
+
+    def get(self, name: str, path: str, **query: str) -> Any:
+        """Returns the body, or a Failure."""
+        with self.admin(name) as client:
+            reply = client.get(path, query)
+        return reply if isinstance(reply, errors.Failure) else reply.body
+
+    def put(self, name: str, path: str, body: Any, **how: Any) -> Any:
+        with self.admin(name) as client:
+            reply = client.give("PUT", path, body, **how)
+        return reply if isinstance(reply, errors.Failure) else reply.body
+
+    def leader(self) -> str | None:
+        """Returns the entry that leads, as the live entries say."""
+        for name in self._processes:
+            state = self.get(name, "state", consistency="local")
+            if state and state["replication"]["role"] == "leader":
+                return name
+        return None
+
+    async def call(
+        self, name: str, target: str, **headers: str
+    ) -> request_path_rig.Reply:
+        """Sends one POST on a connection of its own."""
+        caller = request_path_rig.Caller(self.address(name))
+        try:
+            return await caller.request(
+                "POST",
+                target,
+                {key.replace("_", "-"): text for key, text in headers.items()},
+                b"body",
+            )
+        finally:
+            await caller.aclose()
+
+    # Upstreams.
+
+    def start_upstream(self, name: str, zone: str, *options: str) -> None:
+        """Starts an upstream of service "bidding" in a zone."""
+        number = len(self._runs) + 1
+        runs = self.folder / f"runs-{name}.jsonl"
+        self._runs.append(runs)
+        entries = [n for n, z in self._zone_of.items() if z == zone]
+        arguments = ["--upstream-id", name, "--service", "bidding"]
+        arguments += ["--address", f"127.20.{self._net}.{100 + number}:7000"]
+        arguments += ["--availability-zone", zone, "--log-file", str(runs)]
+        arguments += ["--entry", *map(self.address, entries), *options]
+        self._standins.enter_context(request_path_rig.standin(*arguments))
+
+    def runs(self) -> list[dict]:
+        """Returns every run that the upstreams logged."""
+        records = []
+        for path in self._runs:
+            for line in path.read_text(encoding="utf-8").splitlines():
+                record = json.loads(line)
+                if record["event"] == "run":
+                    records.append(record)
+        return records
+
+
+@contextlib.asynccontextmanager
+async def running(
+    net: int, zones: dict[str, int], more: str = ""
+) -> AsyncIterator[System]:
+    """Runs a system until a leader is known and every entry is ready."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = System(pathlib.Path(folder), net, zones, more)
+        system.write_settings()
+        try:
+            system.start_proxy()
+            system.start()
+            for name in system.names:
+                await wait_until(
+                    lambda name=name: system.get(name, "configuration"),
+                    f"committed configuration at {name}",
+                )
+            yield system
+        finally:
+            system.close()
