Check the log's core and store under faults

Cause: the core and the store were not tested under crashes, reordering, partitions, membership changes and damaged files. They found four faults, which are corrected: a replica whose removal was not committed did not stand for election although only its log could win; a candidate counted its own vote before it was synced, so that a group of one could elect twice in a term; the order of messages depended on string hashing; a segment header cut short refused the start.

--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -122,6 +122,16 @@
         """Whether this entry is in the latest configuration."""
         return self._entry_id in self._log.replicas
 
+    @property
+    def may_lead(self) -> bool:
+        """Whether this entry takes part in elections as a candidate.
+
+        A replica whose removal is not committed yet may be the only one with
+        a log that is long enough to be elected and to commit it.
+        """
+        is_settled = self._log.configuration_index <= self._commit_index
+        return self.is_member or not is_settled
+
     def take_output(self) -> consensus_output.Output:
         """Returns the work since the last call and starts a new collection."""
         taken = self._output
@@ -230,14 +240,20 @@
         return True
 
     def acknowledge_sync(
-        self, index: int, term: int, now: consensus_output.Now
+        self, output: consensus_output.Output, now: consensus_output.Now
     ) -> None:
-        """Reports that the log up to the record (index, term) is synced."""
+        """Reports that the work of an earlier `take_output` is synced."""
+        is_candidate = self._role is Role.CANDIDATE
+        if is_candidate and output.term_vote == self._term_vote:
+            self._votes.add(self._entry_id)
+            self._count_votes(now)
         leadership = self._leadership
-        if leadership is None or self._log.term_at(index) != term:
+        if leadership is None or not output.records:
             return
-        leadership.acknowledge_sync(index)
-        self._advance_commit(leadership, now)
+        last = output.records[-1]
+        if self._log.term_at(last.index) == last.term:
+            leadership.acknowledge_sync(last.index)
+            self._advance_commit(leadership, now)
 
     def compact(
         self, snapshot: consensus_messages.Snapshot, keep_records: int
@@ -309,13 +325,15 @@
         self._postpone_election(now)
         self._leader_id = None
         self._role = Role.FOLLOWER
-        if self.is_member:
+        if self.may_lead:
             self._role = Role.PRE_CANDIDATE
             self._collect_votes(now)
 
     def _collect_votes(self, now: consensus_output.Now) -> None:
         pre_vote = self._role is Role.PRE_CANDIDATE
-        self._votes = {self._entry_id}
+        # The own vote counts once it is synced; until then a crash could
+        # forget it and give the vote of this term to another candidate.
+        self._votes = {self._entry_id} if pre_vote else set()
         request = consensus_messages.VoteRequest(
             self.term + 1 if pre_vote else self.term,
             self._entry_id,
@@ -326,7 +344,8 @@
         for member in self._log.replicas:
             if member != self._entry_id:
                 self._send(member, request)
-        self._count_votes(now)
+        if pre_vote:
+            self._count_votes(now)
 
     def _count_votes(self, now: consensus_output.Now) -> None:
         granted = self._votes & set(self._log.replicas)
--- a/tarragoncleat/consensus_leader.py
+++ b/tarragoncleat/consensus_leader.py
@@ -76,11 +76,11 @@
     def update_members(self, now: consensus_output.Now) -> None:
         """Follows a change of the configuration in the log."""
         members = set(self._log.replicas) - {self._entry_id}
-        for member in members - self._progress.keys():
+        for member in sorted(members - self._progress.keys()):
             self._progress[member] = _Progress(
                 self._log.last_index + 1, now.monotonic_s
             )
-        for member in self._progress.keys() - members:
+        for member in sorted(self._progress.keys() - members):
             del self._progress[member]
 
     def acknowledge_sync(self, index: int) -> None:
--- a/tarragoncleat/log_files.py
+++ b/tarragoncleat/log_files.py
@@ -173,8 +173,10 @@
         return failure_of(error, path)
     first_batch = _read_header(content)
     if first_batch is None:
-        torn = is_last and _is_torn(content, 0, _SEGMENT_HEADER.size)
-        if torn and len(content) <= _SEGMENT_HEADER.size:
+        # The header is synced before the first record is written.
+        is_short = len(content) < _SEGMENT_HEADER.size
+        is_unwritten = content == bytes(_SEGMENT_HEADER.size)
+        if is_last and (is_short or is_unwritten):
             return Segment(0, (), 0)
         return _damage(path, 0, "the header is damaged")
     frames = list(_valid_frames(content, _SEGMENT_HEADER.size))
--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/replica.py
@@ -214,9 +214,7 @@
         if output.snapshot is not None:
             self._applier.restore(output.snapshot)
         self._send(output.messages)
-        if output.records:
-            last = output.records[-1]
-            self._core.acknowledge_sync(last.index, last.term, self._now())
+        self._core.acknowledge_sync(output, self._now())
 
     async def _sync(self, write: log_store.Write) -> None:
         while True:
--- a/tarragoncleat/replication.py
+++ b/tarragoncleat/replication.py
@@ -314,7 +314,7 @@
         replica = self._replica
         if replica is None or replica.blocked is not None:
             return None
-        return replica.core if replica.core.is_member else None
+        return replica.core if replica.core.may_lead else None
 
     def _leader_view(self) -> feed_module.LeaderView:
         now_s = self._timer.monotonic_s()
--- /dev/null
+++ b/tests/test_log_store.py
@@ -0,0 +1,245 @@
+"""Tests of the durable log against crashes, damage and full disks."""
+
+import errno
+import os
+import pathlib
+import shutil
+import tempfile
+import unittest
+import unittest.mock
+
+from tarragoncleat import consensus
+from tarragoncleat import consensus_messages
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import log_store
+
+_REPLICAS = (ids.EntryId("a"), ids.EntryId("b"))
+
+
+def _record(index: int, term: int = 1) -> consensus_messages.Record:
+    kind = consensus_messages.RecordKind.COMMAND
+    payload = bytes([index % 251 + 1]) * 20
+    return consensus_messages.Record(index, term, 1_000 + index, kind, payload)
+
+
+def _snapshot(index: int, term: int = 1) -> consensus_messages.Snapshot:
+    return consensus_messages.Snapshot(
+        index, term, 1_000 + index, _REPLICAS, b"state %d" % index
+    )
+
+
+class _FolderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name) / "data"
+
+    def _open(self) -> tuple[log_store.LogStore, consensus.Saved]:
+        store = log_store.LogStore(self.folder)
+        self.addCleanup(store.close)
+        saved = store.load(_REPLICAS)
+        assert isinstance(saved, consensus.Saved), saved
+        return store, saved
+
+    def _write(
+        self, store: log_store.LogStore, *indexes: int, term: int = 1
+    ) -> None:
+        records = [_record(index, term) for index in indexes]
+        self.assertIsNone(store.write(log_store.Write(records=records)))
+
+    def _load_indexes(self) -> list[int]:
+        return [record.index for record in self._open()[1].records]
+
+    def _segment(self) -> pathlib.Path:
+        return max(self.folder.glob("log-*.seg"))
+
+
+class LogStoreTest(_FolderTest):
+    """Guards against synced state that a restart doesn't find again."""
+
+    def test_restart_finds_what_was_written(self) -> None:
+        store, saved = self._open()
+        self.assertEqual(saved.snapshot.replicas, _REPLICAS)
+        vote = consensus_messages.TermVote(3, ids.EntryId("b"))
+        self.assertIsNone(store.write(log_store.Write(term_vote=vote)))
+        self._write(store, 1, 2, 3)
+        store.write(log_store.Write(commit_index=2))
+        self._write(store, 3, 4, term=2)
+        _, saved = self._open()
+        self.assertEqual(saved.term_vote, vote)
+        self.assertEqual(saved.commit_index, 2)
+        terms = [(record.index, record.term) for record in saved.records]
+        self.assertEqual(terms, [(1, 1), (2, 1), (3, 2), (4, 2)])
+
+    def test_snapshot_removes_old_segments_and_keeps_later_records(
+        self,
+    ) -> None:
+        with unittest.mock.patch.object(log_store, "_SEGMENT_BYTES", 300):
+            store, _ = self._open()
+            for index in range(1, 31):
+                self._write(store, index)
+            before = len(list(self.folder.glob("log-*.seg")))
+            self.assertIsNone(store.save_snapshot(_snapshot(20), 16))
+            after = len(list(self.folder.glob("log-*.seg")))
+        self.assertLess(after, before)
+        _, saved = self._open()
+        self.assertEqual(saved.snapshot.index, 20)
+        self.assertLessEqual(saved.records[0].index, 16)
+        self.assertEqual(saved.records[-1].index, 30)
+
+    def test_crash_at_any_step_of_an_install_leaves_a_valid_log(self) -> None:
+        """Every removal, rename and sync may be the last one that happens."""
+        for conflicting in (True, False):
+            for steps in range(12):
+                with self.subTest(conflicting=conflicting, steps=steps):
+                    self._check_install(conflicting, steps)
+
+    def _check_install(self, conflicting: bool, steps: int) -> None:
+        shutil.rmtree(self.folder, ignore_errors=True)
+        last = 30 if conflicting else 10
+        with unittest.mock.patch.object(log_store, "_SEGMENT_BYTES", 300):
+            store, _ = self._open()
+            for index in range(1, last + 1):
+                self._write(store, index)
+        left = [steps]
+
+        def count(real: object) -> object:
+            def step(*values: object, **named: object) -> object:
+                left[0] -= 1
+                if left[0] < 0:
+                    raise OSError(errno.EIO, "crash")
+                return real(*values, **named)  # type: ignore[operator]
+
+            return step
+
+        write = log_store.Write(
+            _snapshot(20, 2), True, None, [_record(21, 2)], 0
+        )
+        with (
+            unittest.mock.patch("os.fsync", count(os.fsync)),
+            unittest.mock.patch("os.replace", count(os.replace)),
+            unittest.mock.patch.object(
+                pathlib.Path, "unlink", count(pathlib.Path.unlink)
+            ),
+        ):
+            failure = store.write(write)
+        _, saved = self._open()
+        if failure is None:
+            self.assertEqual(saved.records[-1], _record(21, 2))
+        self.assertIn(saved.snapshot.index, (0, 20))
+        if saved.snapshot.index == 20:
+            for record in saved.records:
+                self.assertEqual(record, _record(21, 2))
+
+
+class DamageTest(_FolderTest):
+    """Guards against lost synced records and against damage taken as good."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        store, _ = self._open()
+        self._write(store, 1, 2)
+        self.synced_size = self._segment().stat().st_size
+        self._write(store, 3, 4)
+        store.close()
+        self.content = self._segment().read_bytes()
+        self.path = self._segment()
+
+    def test_tail_torn_at_every_offset_loses_only_the_last_write(self) -> None:
+        for size in range(len(self.content) + 1):
+            with self.subTest(size=size):
+                self.path.write_bytes(self.content[:size])
+                indexes = self._load_indexes()
+                if size == len(self.content):
+                    self.assertEqual(indexes, [1, 2, 3, 4])
+                elif size >= self.synced_size:
+                    self.assertEqual(indexes, [1, 2])
+                else:
+                    self.assertEqual(indexes, [])
+                # The cut file must be good for the next start and write.
+                store, _ = self._open()
+                self._write(store, len(indexes) + 1)
+                expected = [*indexes, len(indexes) + 1]
+                self.assertEqual(self._load_indexes(), expected)
+                for path in self.folder.glob("log-*.seg"):
+                    path.unlink()
+
+    def test_every_changed_byte_is_refused_with_file_and_offset(self) -> None:
+        for offset in range(len(self.content)):
+            with self.subTest(offset=offset):
+                damaged = bytearray(self.content)
+                damaged[offset] ^= 0x10
+                self.path.write_bytes(damaged)
+                failure = log_store.LogStore(self.folder).load(_REPLICAS)
+                self.assertIsInstance(failure, errors.Failure)
+                self.assertIs(failure.kind, errors.ErrorKind.STORAGE)
+                self.assertIn(str(self.path), failure.reason)
+                self.assertIn("offset", failure.detail)
+
+    def test_zeroed_sectors_of_the_last_write_count_as_torn(self) -> None:
+        store, _ = self._open()
+        size = self._segment().stat().st_size
+        records = [_record(5), _record(6)]
+        large = consensus_messages.Record(
+            7, 1, 1_007, consensus_messages.RecordKind.COMMAND, b"x" * 4_000
+        )
+        store.write(log_store.Write(records=[*records, large]))
+        path = self._segment()
+        damaged = bytearray(path.read_bytes())
+        damaged[1_024:2_048] = bytes(1_024)
+        path.write_bytes(damaged)
+        self.assertGreater(len(damaged), size)
+        self.assertEqual(self._load_indexes(), [1, 2, 3, 4])
+
+    def test_missing_or_damaged_files_are_refused(self) -> None:
+        snapshot = next(self.folder.glob("snapshot-*.snap"))
+        for path in (self.folder / "term", snapshot):
+            good = path.read_bytes()
+            for bad in (None, b"", good[:-1], good[:-1] + b"\xff"):
+                with self.subTest(path=path.name, bad=bad):
+                    path.unlink()
+                    if bad is not None:
+                        path.write_bytes(bad)
+                    failure = log_store.LogStore(self.folder).load(_REPLICAS)
+                    self.assertIsInstance(failure, errors.Failure)
+                    self.assertIs(failure.kind, errors.ErrorKind.STORAGE)
+                    path.write_bytes(good)
+
+
+class FullDiskTest(_FolderTest):
+    """Guards against half a write that a later write makes valid."""
+
+    def test_write_may_be_repeated_after_the_disk_was_full(self) -> None:
+        store, _ = self._open()
+        self._write(store, 1)
+        real_write = os.write
+
+        def short_write(descriptor: int, data: bytes) -> int:
+            if len(data) < 60:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return real_write(descriptor, data[: len(data) // 2])
+
+        write = log_store.Write(records=[_record(2), _record(3)])
+        with unittest.mock.patch("os.write", short_write):
+            failure = store.write(write)
+        self.assertIsInstance(failure, errors.Failure)
+        assert failure is not None
+        self.assertIs(failure.kind, errors.ErrorKind.DISK_FULL)
+        self.assertEqual(self._load_indexes(), [1])
+        self.assertIsNone(store.write(write))
+        self.assertEqual(self._load_indexes(), [1, 2, 3])
+
+    def test_other_disk_errors_are_final(self) -> None:
+        store, _ = self._open()
+        error = OSError(errno.EIO, "Input/output error")
+        with unittest.mock.patch("os.fsync", side_effect=error):
+            failure = store.write(log_store.Write(records=[_record(1)]))
+        self.assertIsInstance(failure, errors.Failure)
+        again = store.write(log_store.Write(records=[_record(1)]))
+        self.assertIs(again, failure)
+        self.assertIs(again.kind, errors.ErrorKind.STORAGE)
+
+
+if __name__ == "__main__":
+    unittest.main()
