--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,13 +12,15 @@
 from tarragoncleat import pools
 from tarragoncleat import profiles
 from tarragoncleat import settings
+from tarragoncleat import upstreams
 
 __all__ = [
     "FleetDriver",
+    "LocalLog",
+    "build_announcement",
     "build_instance",
     "build_profile",
     "build_settings",
-    "LocalLog",
     "populate",
 ]
 
@@ -159,3 +161,25 @@
 
     def in_force(self) -> dict[str, dict[str, int]]:
         return {"entry-1": {"applied_index": self._driver.index, "age_ms": 0}}
+
+
+def build_announcement(
+    upstream_id: str = "upstream-1",
+    availability_zone: str = "fukuoka-a",
+    **fields: Any,
+) -> upstreams.Announcement:
+    """Returns what an upstream of the service "bidding" announces."""
+    values = {
+        "service": ids.ServiceId("bidding"),
+        "host": "127.0.0.1",
+        "port": 7001,
+        "rack": ids.Rack("rack-1"),
+        "slots": 8,
+        "connections": 64,
+        "lease_ms": 3_000,
+    }
+    return upstreams.Announcement(
+        upstream_id=ids.UpstreamId(upstream_id),
+        availability_zone=ids.AvailabilityZone(availability_zone),
+        **{**values, **fields},
+    )
