--- a/tarragoncleat/commands.py
+++ b/tarragoncleat/commands.py
@@ -63,10 +63,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobPlacement:
-    """A job and the instance that it is placed on."""
+    """A job and the instance that it is placed on.
+
+    `size` is what to reserve for it; None means the declared size.
+    """
 
     job_id: ids.JobId
     instance_id: ids.InstanceId
+    size: jobs.Demand | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/control_term.py
@@ -213,7 +213,7 @@
         if not await self._interrupt(decision.interruptions):
             return
         placements = tuple(
-            commands.JobPlacement(item.job_id, item.instance_id)
+            commands.JobPlacement(item.job_id, item.instance_id, item.size)
             for item in decision.placements
         )
         for start in range(0, len(placements), _JOBS_PER_RECORD):
--- a/tarragoncleat/fleet_jobs.py
+++ b/tarragoncleat/fleet_jobs.py
@@ -44,6 +44,7 @@
             given,
             state=_STATE.QUEUED if reason is None else _STATE.UNPLACEABLE,
             instance_id=None,
+            reserved=None,
             attempt=0,
             submitted_at_ms=change.now_ms,
             started_at_ms=0,
@@ -100,11 +101,11 @@
         if job is None:
             reason: str | None = "there is no such job"
         else:
-            reason = _why_not_here(change, job, placement.instance_id)
+            reason = _why_not_here(change, job, placement)
         if job is None or reason is not None:
             refused.append({"job_id": placement.job_id, "reason": reason})
             continue
-        _grant(change, job, placement.instance_id)
+        _grant(change, job, placement)
         placed.append(job.job_id)
     return {"placed": placed, "refused": refused}
 
@@ -244,9 +245,10 @@
 
 
 def _why_not_here(
-    change: fleet_rules.Change, job: jobs.Job, instance_id: ids.InstanceId
+    change: fleet_rules.Change, job: jobs.Job, placement: commands.JobPlacement
 ) -> str | None:
     """Returns why a job can't be placed on an instance now, or None."""
+    instance_id = placement.instance_id
     state = change.state
     if not job.state.is_waiting:
         return f"the job is {job.state.value}"
@@ -256,10 +258,11 @@
         return f"instance {instance_id} is not in pool {service.pool_id}"
     if instance.state is not pools.InstanceState.IN_SERVICE:
         return f"instance {instance_id} is {instance.state.value}"
-    need = fleet_state.amount_of(job.demand)
-    used = state.used_by_instance(instance_id).plus(need)
+    size = fleet_state.amount_of(placement.size or job.demand)
+    used = state.used_by_instance(instance_id).plus(size)
     if not fleet_state.fits(used, fleet_state.size_of(instance)):
         return f"instance {instance_id} has no room"
+    need = fleet_state.amount_of(job.demand)
     return _check_team(change, job, need)
 
 
@@ -276,12 +279,13 @@
 
 
 def _grant(
-    change: fleet_rules.Change, job: jobs.Job, instance_id: ids.InstanceId
+    change: fleet_rules.Change, job: jobs.Job, placement: commands.JobPlacement
 ) -> None:
     placed = dataclasses.replace(
         job,
         state=_STATE.PLACED,
-        instance_id=instance_id,
+        instance_id=placement.instance_id,
+        reserved=placement.size,
         attempt=job.attempt + 1,
         reason="",
     )
@@ -352,6 +356,11 @@
 ) -> None:
     change.put_job(
         dataclasses.replace(
-            job, state=state, instance_id=None, started_at_ms=0, reason=cause
+            job,
+            state=state,
+            instance_id=None,
+            reserved=None,
+            started_at_ms=0,
+            reason=cause,
         )
     )
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -408,10 +408,11 @@
         del self.jobs[job_id]
 
     def _use(self, job: jobs.Job, sign: int) -> None:
-        amount = amount_of(job.demand)
         if job.instance_id is not None:
+            amount = amount_of(job.occupied)
             _add(self._used_by_instance, job.instance_id, amount, sign)
         if job.team_id is not None:
+            amount = amount_of(job.demand)
             _add(self._used_by_team, job.team_id, amount, sign)
 
 
--- a/tarragoncleat/jobs.py
+++ b/tarragoncleat/jobs.py
@@ -9,7 +9,18 @@
 from tarragoncleat import errors
 from tarragoncleat import ids
 
-__all__ = ["Demand", "Job", "JobState", "check_job", "check_transition"]
+__all__ = [
+    "THROTTLED_CORE_SHARE",
+    "Demand",
+    "Job",
+    "JobState",
+    "check_job",
+    "check_transition",
+]
+
+# A throttled task is limited to this share of its processors; its memory and
+# accelerators stay occupied.
+THROTTLED_CORE_SHARE = 0.5
 
 
 class JobState(enum.Enum):
@@ -63,6 +74,11 @@
     memory_mb: int
     accelerators: int = 0
 
+    def throttled(self) -> "Demand":
+        """Returns what a throttled job of this size still occupies."""
+        cores = round(self.cores * THROTTLED_CORE_SHARE, 3)
+        return dataclasses.replace(self, cores=cores)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
@@ -70,6 +86,8 @@
 
     `attempt` rises with each placement, so that a late report about an
     earlier placement can be told from one about the current placement.
+    `reserved` is the size that the placement reserved, as learned from similar
+    jobs; None means the declared size.
     """
 
     __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
@@ -89,8 +107,17 @@
     submitted_at_ms: int = 0
     started_at_ms: int = 0
     reason: str = ""
+    reserved: Demand | None = None
     revision: ids.Revision = ids.Revision(0)
 
+    @property
+    def occupied(self) -> Demand:
+        """What the job takes of its instance while it is there."""
+        size = self.reserved or self.demand
+        if self.state is not JobState.THROTTLED:
+            return size
+        return size.throttled()
+
 
 # The transitions that the controller may record. Jobs are placed only by
 # PlaceJobs and cancelled only by CancelJobs.
--- a/tarragoncleat/placer.py
+++ b/tarragoncleat/placer.py
@@ -32,10 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """A job and the instance that it goes to."""
+    """A job, the instance that it goes to, and the size to reserve."""
 
     job_id: ids.JobId
     instance_id: ids.InstanceId
+    size: jobs.Demand
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,9 +189,10 @@
         if chosen is None:
             self._block(pool, job, draft)
             return
+        size = pool.capacity.demand(job)
         pool.capacity.occupy(job, chosen)
         draft.teams.add(job)
-        draft.placements.append(Placement(job.job_id, chosen))
+        draft.placements.append(Placement(job.job_id, chosen, size))
 
     def _choose(
         self, pool: _PoolRound, job: jobs.Job, now_ms: int
--- a/tarragoncleat/pool_capacity.py
+++ b/tarragoncleat/pool_capacity.py
@@ -16,11 +16,7 @@
 from tarragoncleat import profiles
 from tarragoncleat import usage
 
-__all__ = ["THROTTLED_CORE_SHARE", "Host", "PoolCapacity"]
-
-# A throttled task is limited to this share of its processors; its memory and
-# accelerators stay occupied.
-THROTTLED_CORE_SHARE = 0.5
+__all__ = ["Host", "PoolCapacity"]
 
 _MS_PER_S = 1000
 # Sums of fractional processors carry rounding errors of this order.
@@ -103,11 +99,21 @@
         return (host for host in self._hosts.values() if host.ready)
 
     def demand(self, job: jobs.Job) -> jobs.Demand:
-        """Returns the capacity that a job occupies, as learned."""
+        """Returns the capacity that a job takes, as learned.
+
+        A placed job never counts for less than its placement reserved.
+        """
         size = self._model.demand(job, self._largest)
-        if job.state is not jobs.JobState.THROTTLED:
+        if job.state not in fleet_view.ACTIVE_JOB_STATES:
             return size
-        return throttled(size)
+        if job.state is jobs.JobState.THROTTLED:
+            size = size.throttled()
+        reserved = job.occupied
+        return jobs.Demand(
+            max(size.cores, reserved.cores),
+            max(size.memory_mb, reserved.memory_mb),
+            max(size.accelerators, reserved.accelerators),
+        )
 
     def never_fits(self, job: jobs.Job) -> str | None:
         """Returns why a job fits no instance of the pool, even an empty one.
@@ -281,12 +287,6 @@
         return -zone_load, -rack_load
 
 
-def throttled(demand: jobs.Demand) -> jobs.Demand:
-    """Returns what a throttled job still occupies."""
-    cores = demand.cores * THROTTLED_CORE_SHARE
-    return dataclasses.replace(demand, cores=cores)
-
-
 def _placement_of(pool: fleet_view.PoolView) -> profiles.Placement:
     return (
         profiles.Placement() if pool.profile is None else pool.profile.placement
--- a/tarragoncleat/preemption.py
+++ b/tarragoncleat/preemption.py
@@ -127,8 +127,8 @@
     if profile is None or action not in profile.tolerance.actions:
         return False
     if action is profiles.Interruption.THROTTLE:
-        fresh = other.state is not jobs.JobState.THROTTLED
-        return fresh and other.job_id not in chosen
+        running = other.state is jobs.JobState.RUNNING
+        return running and other.job_id not in chosen
     earlier = chosen.get(other.job_id)
     return earlier is None or (earlier.action is profiles.Interruption.THROTTLE)
 
@@ -145,7 +145,7 @@
         demand = capacity.demand(item.job)
         after.take(demand, -1)
         if item.action is profiles.Interruption.THROTTLE:
-            after.take(pool_capacity.throttled(demand))
+            after.take(demand.throttled())
         else:
             removed += 1
     return after.fits(capacity.demand(job)) and capacity.can_host(host, removed)
--- a/tarragoncleat/usage.py
+++ b/tarragoncleat/usage.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 
 from tarragoncleat import ids
 from tarragoncleat import jobs
@@ -15,6 +16,7 @@
 
 _Key = tuple[ids.ServiceId, ids.TeamId | None, str]
 
+_MILLI = 1000
 _MAX_KINDS = 20_000
 _RECENT_TASKS = 16
 # A usage report lags, so a declared size is only lowered after several
@@ -85,11 +87,14 @@
         known = len(finished) >= _MIN_FINISHED
         cores = max(task.cores for task in kind.tasks.values())
         memory = max(task.memory_mb for task in kind.tasks.values())
+        wanted_cores = _corrected(declared.cores, cores, known, largest.cores)
+        wanted_memory = _corrected(
+            declared.memory_mb, memory, known, largest.memory_mb
+        )
+        # The fleet adds up whole thousandths of a core and whole megabytes.
         return jobs.Demand(
-            _corrected(declared.cores, cores, known, largest.cores),
-            round(
-                _corrected(declared.memory_mb, memory, known, largest.memory_mb)
-            ),
+            math.ceil(wanted_cores * _MILLI) / _MILLI,
+            math.ceil(wanted_memory),
             declared.accelerators,
         )
 
@@ -130,9 +135,8 @@
 ) -> float:
     if used <= 0:
         return declared
-    wanted = used * _HEADROOM
-    if wanted < declared and not known:
-        return declared
-    bounded = min(wanted, declared * _MAX_GROWTH)
-    bounded = max(bounded, declared * _MIN_SHARE)
-    return max(min(bounded, largest), min(declared, bounded))
+    if used <= declared:
+        smaller = max(used * _HEADROOM, declared * _MIN_SHARE)
+        return min(declared, smaller) if known else declared
+    # Learning never makes a job larger than every instance it may run on.
+    return max(declared, min(used, declared * _MAX_GROWTH, largest))
--- a/tarragoncleat/worker_actions.py
+++ b/tarragoncleat/worker_actions.py
@@ -108,7 +108,7 @@
     reported = {task.task_id for task in report.tasks}
     for task_id, job in wanted.items():
         if job.state is jobs.JobState.PLACED and task_id not in reported:
-            yield StartTask(task_id, job.demand, job.command)
+            yield StartTask(task_id, job.occupied, job.command)
 
 
 def _task_calls(
