Test the controller against stand-in worker processes

Cause: the loop over workers was tested with a wave only. The new tests showed two faults: a worker that fell silent after a fresh report was never recorded as lost, and a returning worker was recorded as lost again because its old lease had ended.

Change: a worker counts as silent when it gave no report for longer than a lease; it is lost when it is silent and every lease has certainly ended. Tests with real processes cover a silent worker, a worker that fails every task, a new leader in the middle of a reboot, room for an urgent job, and a move.

--- a/tarragoncleat/observations.py
+++ b/tarragoncleat/observations.py
@@ -40,6 +40,7 @@
         is_fresh: Whether the report is about the committed instance as it is.
         lease_held: Whether it certainly holds a lease.
         lease_ended: Whether every lease of it has certainly ended.
+        is_silent: Whether it gave no report for longer than a lease.
         reboot_done: Whether the reboot of its wave is done.
         state_age_s: How long this leader has seen it in its state.
     """
@@ -48,6 +49,7 @@
     is_fresh: bool
     lease_held: bool
     lease_ended: bool
+    is_silent: bool
     reboot_done: bool
     state_age_s: float
 
@@ -156,11 +158,13 @@
     if instance.state not in _SILENT_IS_LOST:
         return None
     report = seen.report
-    if report is not None and seen.is_fresh:
-        fenced = instance.state is _STATE.DRAINING and report.is_idle
-        ended = report.lease_has_ended(instance.fence)
-        return "lease ended, worker answers" if ended and not fenced else None
-    return "silent until its lease ended" if seen.lease_ended else None
+    if seen.is_silent and seen.lease_ended:
+        return "silent until its lease ended"
+    if report is None or not seen.is_fresh:
+        return None
+    fenced = instance.state is _STATE.DRAINING and report.is_idle
+    ended = report.lease_has_ended(instance.fence)
+    return "lease ended, worker answers" if ended and not fenced else None
 
 
 def _moving(
--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -40,7 +40,8 @@
         instance: The committed instance when the last visit began.
         active: Jobs placed on it at that time.
         report: The last report, or None.
-        reported_s: Monotonic time at which that report arrived.
+        reported_s: Monotonic time at which that report arrived; before the
+            first report, when this leader first saw the worker.
         started: Tasks that were started after the report.
         reboot_done: Action id of a reboot that the worker reported done.
         due_s: When the next visit is due.
@@ -123,7 +124,8 @@
         for name, instance in view.instances.items():
             status = self._statuses.get(name)
             if status is None:
-                status = self._statuses[name] = WorkerStatus()
+                status = WorkerStatus(reported_s=now_s)
+                self._statuses[name] = status
             if status.is_busy or status.due_s > now_s:
                 continue
             status.is_busy = True
--- a/tarragoncleat/worker_watch.py
+++ b/tarragoncleat/worker_watch.py
@@ -59,6 +59,7 @@
     ) -> None:
         """Creates the watch of one term."""
         self._drain_timeout_s = limits.drain_timeout_ms / _MS_PER_S
+        self._silence_s = limits.lease_ms / _MS_PER_S
         self._leases = leases
         self._statuses = statuses
         self._model = model
@@ -155,6 +156,7 @@
             status.instance is instance,
             self._leases.is_held(name, instance.fence, now_s),
             self._leases.has_ended(name, now_s),
+            now_s - status.reported_s > self._silence_s,
             status.reboot_done == reboot_id,
             self._state_age_s(instance, now_s),
         )
--- a/tests/standin_worker.py
+++ b/tests/standin_worker.py
@@ -73,7 +73,12 @@
             for task_id in list(self._tasks):
                 if self._tasks.pop(task_id).state in ("running", "throttled"):
                     self._ended.add(task_id)
-                    self._note("lease_end", task_id=task_id)
+                    until_ms = time.time() * _MS_PER_S - (
+                        self.clock_ms() - self._lease_until_ms
+                    )
+                    self._note(
+                        "lease_end", task_id=task_id, lease_until_ms=until_ms
+                    )
 
     def report(self) -> dict:
         lag_s = self._options.usage_lag_s
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -191,6 +191,152 @@
             self.assertEqual(len(cluster.events(name, "reboot")), 1)
             self.assertIs(cluster.state(name).state, _STATE.IN_SERVICE)
 
+    def test_job_of_a_silent_worker_restarts_only_after_its_lease(self) -> None:
+        """Guards against a job that runs on two workers at once."""
+        cluster = _Cluster(self, 2, [], ["--clock-offset-ms", "900000000"])
+
+        async def scenario() -> None:
+            cluster.submit("job", run_s=60.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: cluster.job("job").state is running, "job runs"
+            )
+            first = cluster.job("job").instance_id
+            cluster.call(first, "faults", {"silent": True})
+            await cluster.wait(
+                lambda: (
+                    cluster.job("job").instance_id not in (first, None)
+                    and cluster.job("job").state is running
+                ),
+                "job runs elsewhere",
+            )
+            self.assertIs(cluster.state(first).state, _STATE.LOST)
+            cluster.call(first, "faults", {"silent": False})
+            await cluster.wait(
+                lambda: cluster.state(first).state is _STATE.IN_SERVICE,
+                "worker back in service",
+            )
+            (ended,) = cluster.events(first, "lease_end")
+            second = cluster.job("job").instance_id
+            (started,) = cluster.events(second, "start")
+            # The stand-in ends tasks when it is next asked, which is after
+            # the lease ended; the lease itself ends 0.9 s after a renewal.
+            self.assertEqual(ended["task_id"], "job~1")
+            self.assertGreaterEqual(started["at_ms"], ended["lease_until_ms"])
+
+        cluster.run(scenario)
+
+    def test_worker_that_fails_every_task_is_quarantined(self) -> None:
+        """Guards against a broken worker that eats the queue."""
+        cluster = _Cluster(self, 3, ["--fail-tasks"], [], [], [])
+
+        async def scenario() -> None:
+            names = [f"job{number}" for number in range(24)]
+            cluster.submit(*names, run_s=0.1, declared_cores=16.0)
+            final = cluster.fleet.jobs.values
+            await cluster.wait(
+                lambda: all(job.state.is_final for job in final()),
+                "all jobs ended",
+            )
+
+        cluster.run(scenario)
+        failed = [
+            job
+            for job in cluster.fleet.jobs.values()
+            if job.state is jobs.JobState.FAILED
+        ]
+        self.assertEqual(len(failed), 3)
+        self.assertIs(cluster.state("w0").state, _STATE.QUARANTINED)
+
+    def test_new_leader_repeats_no_action(self) -> None:
+        """Guards against a second reboot or a lost wave after an election."""
+        cluster = _Cluster(self, 4, ["--reboot-s", "2"], [], [], [])
+
+        async def scenario() -> None:
+            cluster.start_wave("w0", "w1")
+            maintained = _STATE.IN_MAINTENANCE
+            for _ in range(2):
+                await cluster.wait(
+                    lambda: any(
+                        item.state is maintained
+                        for item in cluster.fleet.instances.values()
+                    ),
+                    "an instance in maintenance",
+                )
+                cluster.replication.is_leader = False
+                await anyio.sleep(0.2)
+                cluster.replication.leader_since_s = time.monotonic()
+                cluster.replication.is_leader = True
+            wave = cluster.fleet.waves
+            await cluster.wait(
+                lambda: len(wave[ids.WaveId("wave")].done) == 2, "wave done"
+            )
+
+        cluster.run(scenario)
+        for name in ("w0", "w1"):
+            self.assertEqual(len(cluster.events(name, "reboot")), 1)
+        for name in cluster.addresses:
+            self.assertEqual(len(cluster.events(name, "lease_end")), 0)
+
+    def test_urgent_job_gets_room_and_the_victim_runs_later(self) -> None:
+        """Guards against urgent work that waits, and against lost victims."""
+        tolerance = profiles.Tolerance(
+            actions=(profiles.Interruption.CHECKPOINT,)
+        )
+        cluster = _Cluster(self, 5, [], tolerance=tolerance)
+
+        async def scenario() -> None:
+            cluster.submit("normal", run_s=1.5, declared_cores=16.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: cluster.job("normal").state is running, "normal runs"
+            )
+            cluster.submit("urgent", urgent=True, run_s=0.2)
+            await cluster.wait(
+                lambda: cluster.job("normal").state is jobs.JobState.SUCCEEDED,
+                "both done",
+            )
+
+        cluster.run(scenario)
+        (saved,) = cluster.events("w0", "checkpoint")
+        starts = [e["task_id"] for e in cluster.events("w0", "start")]
+        self.assertEqual(starts, ["normal~1", "urgent~1", "normal~2"])
+        urgent = cluster.events("w0", "start")[1]
+        self.assertLess(saved["at_ms"], urgent["at_ms"])
+        waited_ms = urgent["at_ms"] - cluster.job("urgent").submitted_at_ms
+        self.assertLess(waited_ms, 5_700)
+
+    def test_moved_instance_is_drained_and_fenced_first(self) -> None:
+        """Guards against work of the old pool on an instance that moved."""
+        cluster = _Cluster(self, 6, [], [], owed=profiles.Capacity(1))
+        other = pools.Pool(ids.PoolId("other"), ids.FirmId("firm-a"))
+        cluster.driver.must(commands.PutPool(other))
+
+        async def scenario() -> None:
+            cluster.submit("a", "b", run_s=30.0, declared_cores=16.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: all(cluster.job(n).state is running for n in "ab"),
+                "both run",
+            )
+            command = commands.MoveInstance(ids.InstanceId("w0"), other.pool_id)
+            cluster.driver.must(command, role="operator")
+            await cluster.wait(
+                lambda: (
+                    cluster.state("w0").pool_id == other.pool_id
+                    and cluster.state("w0").state is _STATE.IN_SERVICE
+                ),
+                "moved",
+            )
+
+        cluster.run(scenario)
+        log = [entry["event"] for entry in cluster.call("w0", "log")]
+        self.assertEqual(
+            log, ["lease", "start", "drain", "stop", "lease", "drain"]
+        )
+        waiting = [n for n in "ab" if cluster.job(n).instance_id is None]
+        self.assertEqual(len(waiting), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
