Close connections that never send a request

Cause: uvicorn's keep-alive timeout begins after the first answer, and the header timeout began with the first byte, so a connection on which nothing was sent was held without a limit.

Change: the header timeout begins when the connection opens. Tests cover header size, header time, the connection limit, a request that is half received when the entry stops, and the reload of a TLS certificate (trustme issues it).

Conclusion: every state of a caller's connection now has a time limit.

--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -56,6 +56,9 @@
                 errors.ErrorKind.TOO_MANY_CONNECTIONS,
                 "the entry has reached its limit of connections",
             )
+            return
+        # The keep-alive timeout begins only after a first answer.
+        self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.counts.connections -= 1
@@ -97,10 +100,7 @@
         super().shutdown()
 
     def _check_headers(self, received: int) -> None:
-        if self.header_timer is None:
-            self.header_timer = self.loop.call_later(
-                self.limits.header_timeout_ms / 1000, self._on_header_timeout
-            )
+        self._start_header_timer()
         self.header_bytes += received
         if self.header_bytes <= self.limits.max_header_bytes:
             return
@@ -110,6 +110,12 @@
             f"headers exceed {self.limits.max_header_bytes} bytes",
         )
 
+    def _start_header_timer(self) -> None:
+        if self.header_timer is None:
+            self.header_timer = self.loop.call_later(
+                self.limits.header_timeout_ms / 1000, self._on_header_timeout
+            )
+
     def _stop_header_timer(self) -> None:
         if self.header_timer is not None:
             self.header_timer.cancel()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,172 @@
+"""Tests of the HTTP listener's limits, TLS and stop."""
+
+import contextlib
+import os
+import pathlib
+import socket
+import ssl
+import tempfile
+import time
+from typing import Any
+import unittest
+
+import anyio
+import trustme
+
+from tarragoncleat import http_server
+from tarragoncleat import timer
+from tests import builders
+
+_HOST = "127.20.90.1"
+_DELAY_S = 0.5
+
+
+async def _app(scope: Any, receive: Any, send: Any) -> None:
+    """Answers "ok", late for `/slow`."""
+    if scope["path"] == "/slow":
+        await anyio.sleep(_DELAY_S)
+    headers = [(b"content-length", b"2")]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+@contextlib.asynccontextmanager
+async def _serving(port: int, **sections: Any) -> Any:
+    address = f"{_HOST}:{port}"
+    built = builders.build_settings(entry={"http_address": address}, **sections)
+    server = http_server.HttpServer(built, _app, timer.TimerService())
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        group.start_soon(server.reload_certificate)
+        while not server.started:
+            await anyio.sleep(0.01)
+        try:
+            yield server
+        finally:
+            server.stop()
+            await anyio.sleep(_DELAY_S)
+            group.cancel_scope.cancel()
+
+
+def _exchange(port: int, *parts: bytes, pause_s: float = 0.0) -> bytes:
+    """Sends the parts and reads until the entry closes the connection."""
+    with socket.create_connection((_HOST, port), timeout=5) as link:
+        for part in parts:
+            link.sendall(part)
+            time.sleep(pause_s)
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            while data := link.recv(65_536):
+                received += data
+    return received
+
+
+class LimitTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against callers that hold memory or connections for ever."""
+
+    async def test_endless_headers_are_refused(self) -> None:
+        limits = {"max_header_bytes": 2_048}
+        async with _serving(8001, callers=limits) as server:
+            head = b"GET / HTTP/1.1\r\n" + b"x-filler: 0123456789\r\n" * 200
+            answer = await anyio.to_thread.run_sync(_exchange, 8001, head)
+            self.assertIn(b" 431 ", answer)
+            self.assertIn(b"tarragoncleat-outcome: not-run", answer)
+            self.assertEqual(server.counts.oversized_headers, 1)
+
+    async def test_slow_headers_are_refused(self) -> None:
+        limits = {"header_timeout_ms": 200}
+        async with _serving(8002, callers=limits) as server:
+            answer = await anyio.to_thread.run_sync(
+                _exchange, 8002, b"GET / HTTP/1.1\r\nx-slow:"
+            )
+            self.assertIn(b" 408 ", answer)
+            silent = await anyio.to_thread.run_sync(_exchange, 8002)
+            self.assertIn(b" 408 ", silent)
+            self.assertEqual(server.counts.slow_headers, 2)
+
+    async def test_connections_beyond_the_limit_are_refused(self) -> None:
+        async with _serving(8003, callers={"max_connections": 1}):
+            with socket.create_connection((_HOST, 8003)):
+                await anyio.sleep(0.1)
+                answer = await anyio.to_thread.run_sync(_exchange, 8003)
+            self.assertIn(b" 429 ", answer)
+
+    async def test_half_received_request_is_answered_on_stop(self) -> None:
+        # Guards against a stop that closes a connection whose headers are
+        # still arriving.
+        async with _serving(8004) as server:
+            parts = (b"GET /slow HTTP/1.1\r\n", b"host: entry\r\n\r\n")
+
+            def exchange() -> bytes:
+                return _exchange(8004, *parts, pause_s=0.3)
+
+            async with anyio.create_task_group() as group:
+                answers: list[bytes] = []
+
+                async def call() -> None:
+                    answers.append(await anyio.to_thread.run_sync(exchange))
+
+                group.start_soon(call)
+                await anyio.sleep(0.15)
+                server.stop()
+            self.assertIn(b" 200 ", answers[0])
+            self.assertIn(b"connection: close", answers[0].lower())
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a renewed certificate that needs a restart."""
+
+    async def test_certificate_is_reloaded_when_its_file_changes(self) -> None:
+        authority = trustme.CA()
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            _write(authority, folder, modified_s=1_000)
+            tls = {
+                "certificate_file": folder / "certificate.pem",
+                "key_file": folder / "key.pem",
+                "reload_interval_s": 0.1,
+            }
+            async with _serving(8005, tls=tls):
+                first = await anyio.to_thread.run_sync(_serial, authority)
+                _write(authority, folder, modified_s=2_000)
+                second = first
+                with anyio.move_on_after(10):
+                    while second == first:
+                        await anyio.sleep(0.05)
+                        second = await anyio.to_thread.run_sync(
+                            _serial, authority
+                        )
+                self.assertNotEqual(second, first)
+
+
+def _write(
+    authority: trustme.CA, folder: pathlib.Path, modified_s: int
+) -> None:
+    issued = authority.issue_cert(_HOST)
+    chain = b"".join(pem.bytes() for pem in issued.cert_chain_pems)
+    contents = {
+        "key.pem": issued.private_key_pem.bytes(),
+        "certificate.pem": chain,
+    }
+    for name, data in contents.items():
+        path = folder / name
+        path.write_bytes(data)
+        os.utime(path, (modified_s, modified_s))
+
+
+def _serial(authority: trustme.CA) -> str:
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    with (
+        socket.create_connection((_HOST, 8005), timeout=5) as plain,
+        context.wrap_socket(plain, server_hostname=_HOST) as link,
+    ):
+        certificate = link.getpeercert()
+    assert certificate is not None
+    return str(certificate["serialNumber"])
+
+
+if __name__ == "__main__":
+    unittest.main()
