Keep a replica that lost its disk from voting

Cause: a replica that starts with an empty folder took part at once, although it had forgotten its votes and the records it had acknowledged. With one replica away during a change, the leader killed and the second holder's disk wiped, the two others elected a leader without the accepted change and took new ones.

An empty replica waits until every other replica has answered that it never took part (a new log), or until the leader has removed it from the configuration by a majority of the others; then it joins like a new one. All replicas must be started for the very first election. Ruled out: counting the votes by disk identity, which needs a new record format and still lets a delayed old vote count.

Conclusion: an accepted change outlives a lost disk as long as a majority of disks holds it.

--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/replica.py
@@ -39,6 +39,7 @@
         saved: consensus.Saved,
         on_reads: Callable[[Sequence[consensus_output.ReadyRead]], None],
         on_progress: Callable[[], None],
+        may_take_part: Callable[[], bool],
     ) -> None:
         """Takes over what `store` has loaded.
 
@@ -51,6 +52,7 @@
             saved: What `store` has loaded.
             on_reads: Called with read indexes that a majority confirmed.
             on_progress: Called after the core may have changed.
+            may_take_part: Whether the replica may vote and acknowledge.
         """
         times = settings.consensus
         self._links = links
@@ -59,6 +61,7 @@
         self._store = store
         self._on_reads = on_reads
         self._on_progress = on_progress
+        self._may_take_part = may_take_part
         self._keep_records = times.snapshot_every_records
         self._tick_s = times.heartbeat_ms / _MS_PER_S / 4
         self._core = consensus.Consensus(
@@ -86,6 +89,11 @@
         """The core, for reading."""
         return self._core
 
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the replica takes part in the log."""
+        return self._may_take_part()
+
     @property
     def blocked(self) -> errors.Failure | None:
         """Why the replica accepts nothing at present, if so."""
@@ -99,7 +107,7 @@
 
     def step(self, message: consensus_messages.CoreMessage) -> None:
         """Takes a message; while blocked it is dropped like a lost one."""
-        if self._blocked is None:
+        if self._blocked is None and self._may_take_part():
             self._core.step(message, self._now())
             self._pump()
 
@@ -152,7 +160,7 @@
 
     async def _tick(self) -> None:
         async for _ in self._timer.subscribe(self._tick_s):
-            if self._blocked is None:
+            if self._blocked is None and self._may_take_part():
                 self._core.tick(self._now())
                 self._pump()
 
--- a/tarragoncleat/replication.py
+++ b/tarragoncleat/replication.py
@@ -6,6 +6,7 @@
 import anyio
 import loguru
 
+from tarragoncleat import admission as admission_module
 from tarragoncleat import applier as applier_module
 from tarragoncleat import consensus
 from tarragoncleat import consensus_messages
@@ -49,6 +50,9 @@
     replication_messages.FollowBatch,
     replication_messages.FollowSnapshot,
     replication_messages.InForceReport,
+    replication_messages.JoinProbe,
+    replication_messages.JoinState,
+    replication_messages.JoinGrant,
 )
 
 
@@ -73,6 +77,7 @@
             settings.consensus.snapshot_every_records,
         )
         self._replica: replica_module.Replica | None = None
+        self._admission: admission_module.Admission | None = None
         self._follower = followers.Follower(
             settings.entry_id,
             settings.zone_by_entry,
@@ -123,6 +128,17 @@
         saved = store.load(self._settings.replica_ids)
         if isinstance(saved, errors.Failure):
             return saved
+        admission = admission_module.Admission(
+            self._settings,
+            self._links,
+            self._timer,
+            self._applier,
+            self._open_replica,
+        )
+        failure = admission.load()
+        if failure is not None:
+            return failure
+        self._admission = admission
         self._replica = replica_module.Replica(
             self._settings,
             self._links,
@@ -132,6 +148,7 @@
             saved,
             self._reads.on_ready,
             self._note_change,
+            lambda: admission.is_admitted,
         )
         self._is_open = True
         return None
@@ -149,6 +166,8 @@
             async with anyio.create_task_group() as tasks:
                 if self._replica is not None:
                     tasks.start_soon(self._replica.run)
+                if self._admission is not None:
+                    tasks.start_soon(self._admission.run)
                 tasks.start_soon(self._proposals.run)
                 tasks.start_soon(self._feed.run)
                 tasks.start_soon(self._publish)
@@ -285,6 +304,9 @@
             "subscribers": list(self._feed.subscribers),
             "proposals": self._proposals.dump(),
             "replica": self._replica.dump() if self._replica else None,
+            "admission": (
+                self._admission.state.value if self._admission else None
+            ),
         }
 
     # What proposals ask for.
@@ -314,6 +336,8 @@
         replica = self._replica
         if replica is None or replica.blocked is not None:
             return None
+        if not replica.is_admitted:
+            return None
         return replica.core if replica.core.may_lead else None
 
     def _leader_view(self) -> feed_module.LeaderView:
@@ -330,6 +354,10 @@
     def _request_read(self, token: int) -> bool:
         return self._replica is not None and self._replica.request_read(token)
 
+    def _open_replica(self) -> replica_module.Replica:
+        assert self._replica is not None
+        return self._replica
+
     def _note_change(self) -> None:
         self._changed.set()
 
@@ -417,8 +445,22 @@
             messages.FollowBatch: self._follower.on_batch,
             messages.FollowSnapshot: self._follower.on_snapshot,
             messages.InForceReport: self._on_report,
+            messages.JoinProbe: self._on_join_message,
+            messages.JoinState: self._on_join_message,
+            messages.JoinGrant: self._on_join_message,
         }
 
+    def _on_join_message(self, sender: ids.EntryId, message: Any) -> None:
+        admission = self._admission
+        if admission is None:
+            return
+        if isinstance(message, replication_messages.JoinProbe):
+            admission.on_probe(sender, message)
+        elif isinstance(message, replication_messages.JoinState):
+            admission.on_state(sender, message)
+        else:
+            admission.on_grant(sender, message)
+
     def _step(
         self, sender: ids.EntryId, message: consensus_messages.CoreMessage
     ) -> None:
--- a/tarragoncleat/replication_messages.py
+++ b/tarragoncleat/replication_messages.py
@@ -16,6 +16,9 @@
     "FollowRequest",
     "FollowSnapshot",
     "InForceReport",
+    "JoinGrant",
+    "JoinProbe",
+    "JoinState",
     "Links",
     "ProposeReply",
     "ProposeRequest",
@@ -152,3 +155,34 @@
     """Reports for the leader on the way up, and from it on the way down."""
 
     rows: tuple[ReportRow, ...]
+
+
+@codec.message("join_probe")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinProbe:
+    """Sent by a replica that is not a member of the log yet.
+
+    `attempt_id` names the process, `is_admitted` tells whether the replica was
+    removed already and may be added.
+    """
+
+    attempt_id: str
+    is_admitted: bool
+
+
+@codec.message("join_state")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinState:
+    """Answers a `JoinProbe`; an unused replica never voted nor stored."""
+
+    attempt_id: str
+    is_unused: bool
+
+
+@codec.message("join_grant")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinGrant:
+    """States that the configuration at `index` lacks the replica."""
+
+    attempt_id: str
+    index: int
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -1,6 +1,7 @@
 """Tests of leaving upstreams, frozen leaders and waves under failures."""
 
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -114,6 +115,53 @@
             self.assertIsInstance(stale, errors.Failure)
 
 
+class LostDiskTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a replica that forgot what it acknowledged and votes."""
+
+    async def test_accepted_change_outlives_a_lost_disk(self) -> None:
+        async with system_rig.running(11, _ZONES) as system:
+            leader = await system_rig.wait_until(system.leader, "leader")
+            replicas = [n for n in system.names if n.endswith("-1")]
+            wiped, away = (name for name in replicas if name != leader)
+            body = {"firm": _FIRM, "owed": {"instances": 1}}
+            system.kill(away)
+            kept = await system_rig.wait_until(
+                lambda: system.put(leader, "profiles/kept", body), "change"
+            )
+            # Only the leader and the wiped replica hold the change. Without
+            # its disk, the latter must not form a majority with `away`.
+            system.kill(leader, wiped)
+            shutil.rmtree(system.folder / wiped)
+            system.start(wiped, away)
+            await anyio.sleep(4)
+            refused = await anyio.to_thread.run_sync(
+                lambda: system.put(away, "profiles/other", body)
+            )
+            self.assertIsInstance(refused, errors.Failure)
+            system.start(leader)
+            for name in replicas:
+                shown = await system_rig.wait_until(
+                    lambda name=name: system.get(name, "profiles/kept"),
+                    f"the change at {name}",
+                )
+                self.assertEqual(shown["item"]["revision"], kept["revision"])
+            # The replica without its history is admitted again, so that the
+            # loss of another one can be borne.
+            await system_rig.wait_until(
+                lambda: _is_member(system, wiped), "admission"
+            )
+            await anyio.to_thread.run_sync(system.kill, leader)
+            await system_rig.wait_until(
+                lambda: system.put(away, "profiles/other", body),
+                "change without the first leader",
+            )
+
+
+def _is_member(system: system_rig.System, name: str) -> bool:
+    state = system.get(name, "state", consistency="local")
+    return bool(state) and state["replication"]["admission"] == "member"
+
+
 class WaveTest(unittest.IsolatedAsyncioTestCase):
     """Guards availability budgets while a rack is lost during a wave."""
 
