--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,11 +16,11 @@
 
 __all__ = [
     "FleetDriver",
+    "LocalLog",
     "build_announcement",
     "build_instance",
     "build_profile",
     "build_settings",
-    "LocalLog",
     "populate",
 ]
 
