Test the fleet with random sequences of commands

Change: a rule-based state machine checks pools, budgets after each committed step, quotas, waves, the ledger's balance, resends and restoring in mid-sequence. StepWave finishes only instances that were maintained; a move checks every part of the owed capacity; the configuration page tells the revision that each entry has in force.

Conclusion: no broken invariant is known.

--- a/tarragoncleat/admin_api.py
+++ b/tarragoncleat/admin_api.py
@@ -197,7 +197,20 @@
         return {"report": report}
 
     def _read_configuration(self, context: _Context) -> object:
-        return {"entries": dict(self._replication.in_force())}
+        revision = self._fleet.revision
+        return {
+            "entries": {
+                name: {
+                    # An entry behind the revision has an unknown older one,
+                    # which its applied index bounds.
+                    "revision": min(revision, known.applied_index),
+                    "applied_index": known.applied_index,
+                    "age_s": round(known.age_s, 3),
+                    "in_force": known.applied_index >= revision,
+                }
+                for name, known in self._replication.in_force().items()
+            }
+        }
 
     def _read_command(self, context: _Context) -> object:
         parts = context.request.parts
--- a/tarragoncleat/commands.py
+++ b/tarragoncleat/commands.py
@@ -265,7 +265,8 @@
         wave_id: The wave.
         take: Instances to drain; those that the availability budget no longer
             allows are refused and reported.
-        finish: Instances of the wave that are back in service.
+        finish: Instances of the wave that were maintained and are back in
+            service; others are left as they are.
         skip: Instances that the wave passes over for good.
         blocked_by: What holds the wave now; None leaves it unchanged.
     """
--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/fleet_instances.py
@@ -1,6 +1,8 @@
 """Rules of instances: registration, moves and observed states."""
 
+from collections.abc import Sequence
 import dataclasses
+import math
 
 from tarragoncleat import budget
 from tarragoncleat import commands
@@ -12,6 +14,7 @@
 from tarragoncleat import ids
 from tarragoncleat import ledger
 from tarragoncleat import pools
+from tarragoncleat import profiles
 
 __all__: list[str] = []
 
@@ -313,21 +316,44 @@
     if profile is None:
         return None
     members = state.instances_of(instance.pool_id)
-    staying = sum(
-        item.moving_to is None
-        and item.state not in (_STATE.LOST, _STATE.QUARANTINED)
+    staying = [
+        item
         for item in members
-    )
-    if staying - 1 < profile.owed.instances:
+        if item.moving_to is None
+        and item.state not in (_STATE.LOST, _STATE.QUARANTINED)
+        and item.instance_id != instance.instance_id
+    ]
+    shortage = _shortage(profile.owed, staying)
+    if shortage is not None:
         return fleet_rules.over_budget(
-            f"pool {instance.pool_id} would keep {staying - 1} instances; "
-            f"profile {profile.profile_id} owes {profile.owed.instances}"
+            f"pool {instance.pool_id} would keep {shortage}, owed by profile "
+            f"{profile.profile_id}"
         )
     return budget.allows(
         profile, members, [instance.instance_id], change.now_ms
     )
 
 
+def _shortage(
+    owed: profiles.Capacity, staying: Sequence[pools.Instance]
+) -> str | None:
+    """Returns which part of an owed capacity instances don't reach."""
+    parts = (
+        ("instances", len(staying), owed.instances),
+        ("cores", math.fsum(item.cores for item in staying), owed.cores),
+        ("MB", sum(item.memory_mb for item in staying), owed.memory_mb),
+        (
+            "accelerators",
+            sum(item.accelerators for item in staying),
+            owed.accelerators,
+        ),
+    )
+    for name, held, wanted in parts:
+        if held < wanted:
+            return f"{held:g} of {wanted:g} {name}"
+    return None
+
+
 def _within_firm(
     change: fleet_rules.Change, source: ids.PoolId, target: ids.PoolId
 ) -> bool:
--- a/tarragoncleat/fleet_waves.py
+++ b/tarragoncleat/fleet_waves.py
@@ -18,6 +18,8 @@
 __all__ = ["finish_if_done", "left_undone", "lost", "returned", "skip"]
 
 _STATE = pools.InstanceState
+# A draining instance has not been maintained yet.
+_MAINTAINED = (_STATE.IN_MAINTENANCE, _STATE.RETURNING)
 _TAKEABLE = (_STATE.IN_SERVICE, _STATE.QUARANTINED)
 
 
@@ -278,6 +280,8 @@
         instance = change.state.instances.get(name)
         if instance is None or name not in record.out:
             continue
+        if instance.state not in _MAINTAINED:
+            continue
         change.put_instance(
             returned(change, instance),
             ledger.LedgerKind.RETURN,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -157,5 +157,6 @@
     async def read_barrier(self, timeout_s: float) -> int | errors.Failure:
         return self._driver.index if self.failure is None else self.failure
 
-    def in_force(self) -> dict[str, dict[str, int]]:
-        return {"entry-1": {"applied_index": self._driver.index, "age_ms": 0}}
+    def in_force(self) -> dict[str, Any]:
+        index = self._driver.index
+        return {"entry-1": types.SimpleNamespace(applied_index=index, age_s=0)}
--- /dev/null
+++ b/tests/test_fleet_properties.py
@@ -0,0 +1,462 @@
+"""Property tests of the fleet under any sequence of commands."""
+
+from collections.abc import Collection
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tarragoncleat import budget
+from tarragoncleat import commands
+from tarragoncleat import fleet
+from tarragoncleat import fleet_state
+from tarragoncleat import ids
+from tarragoncleat import jobs
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import waves
+from tests import builders
+
+_STATE = pools.InstanceState
+_DOMAINS = list(profiles.FailureDomain)
+_INSTANCES = 9
+_POOLS = ("pool", "pool-b", "spare")
+_QUOTA = profiles.Capacity(slots=3, cores=10.0, memory_mb=300)
+
+_instance_ids = strategies.sampled_from(
+    [ids.InstanceId(f"i{number}") for number in range(_INSTANCES)]
+    + [ids.InstanceId("i0-b"), ids.InstanceId("unknown")]
+)
+_pool_ids = strategies.sampled_from([ids.PoolId(name) for name in _POOLS])
+_job_ids = strategies.sampled_from([ids.JobId(f"j{n}") for n in range(4)])
+_wave_ids = strategies.sampled_from([ids.WaveId("w0"), ids.WaveId("w1")])
+_firms = strategies.sampled_from(["*", "firm-a", "firm-b"])
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Guards against any broken invariant of the fleet.
+
+    The checks use their own reading of the rules: sums over all objects where
+    the fleet keeps indexes, and the state before a step where it takes.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.driver = builders.FleetDriver()
+        self.resends: list[tuple[dict, commands.Result]] = []
+
+    @property
+    def fleet(self) -> fleet.Fleet:
+        return self.driver.fleet
+
+    @stateful.initialize(
+        max_out=strategies.integers(0, 3),
+        domain=strategies.sampled_from(_DOMAINS),
+        settle_s=strategies.sampled_from([0, 0, 30]),
+    )
+    def build(
+        self, max_out: int, domain: profiles.FailureDomain, settle_s: int
+    ) -> None:
+        tolerance = profiles.Tolerance(max_out=max_out, failure_reserve=domain)
+        builders.populate(
+            self.driver, _INSTANCES, tolerance=tolerance, settle_s=settle_s
+        )
+        builders.populate(self.driver, 1, "firm-b", "-b")
+        firm = ids.FirmId("firm-a")
+        spare = pools.Pool(ids.PoolId("spare"), firm)
+        self.driver.must(commands.PutPool(spare))
+        team = profiles.Team(ids.TeamId("team"), firm, _QUOTA)
+        self.driver.must(commands.PutTeam(team))
+        self.propose(ids.WaveId("w0"), ids.PoolId("pool"))
+
+    def give(self, command: object, firm: str = "*") -> commands.Result:
+        how = {
+            "command": command,
+            "firm": firm,
+            "command_id": f"c{self.driver.index}",
+        }
+        result = self.driver.give(**how)
+        self.resends.append((how, result))
+        return result
+
+    @stateful.rule(seconds=strategies.sampled_from([1, 40, 40]))
+    def advance(self, seconds: int) -> None:
+        self.driver.time_ms += 1000 * seconds
+
+    @stateful.rule(name=_instance_ids, pool=_pool_ids, firm=_firms)
+    def move(self, name: ids.InstanceId, pool: ids.PoolId, firm: str) -> None:
+        before = self.fleet.instances.get(name)
+        result = self.give(commands.MoveInstance(name, pool), firm)
+        if result.ok and firm == "firm-b":
+            assert before is not None
+            assert before.pool_id == pool == "pool-b"
+
+    @stateful.rule(
+        name=_instance_ids,
+        pool=_pool_ids,
+        ended=strategies.booleans(),
+        moves=strategies.booleans(),
+        works=strategies.booleans(),
+    )
+    def switch(
+        self,
+        name: ids.InstanceId,
+        pool: ids.PoolId,
+        ended: bool,
+        moves: bool,
+        works: bool,
+    ) -> None:
+        if works:
+            self.place([ids.JobId("j")], name, True)
+        if moves:
+            self.move(name, pool, "*")
+        before = self.fleet.instances.get(name)
+        busy = len(self.fleet.jobs_on(name))
+        result = self.give(commands.SwitchPool(name, pool, ended))
+        if result.ok:
+            assert before is not None
+            assert before.moving_to == pool
+            assert before.state in (_STATE.DRAINING, _STATE.LOST)
+            assert ended or not busy
+            assert self.fleet.instances[name].fence > before.fence
+
+    @stateful.rule(name=_instance_ids, state=strategies.sampled_from(_STATE))
+    def record(self, name: ids.InstanceId, state: pools.InstanceState) -> None:
+        self.give(commands.RecordInstanceState(name, state, "seen"))
+
+    @stateful.rule(
+        start=strategies.sampled_from(
+            [_STATE.DRAINING, _STATE.IN_MAINTENANCE, _STATE.RETURNING]
+        ),
+        loses=strategies.sampled_from([False, False, True]),
+    )
+    def progress(self, start: pools.InstanceState, loses: bool) -> None:
+        """Brings an instance a step further, as the controller would."""
+        following = {
+            _STATE.DRAINING: _STATE.IN_MAINTENANCE,
+            _STATE.IN_MAINTENANCE: _STATE.RETURNING,
+            _STATE.RETURNING: _STATE.IN_SERVICE,
+        }
+        for name in sorted(self.fleet.instances_in(start)):
+            self.record(name, _STATE.LOST if loses else following[start])
+
+    @stateful.rule(name=_instance_ids, pool=_pool_ids)
+    def register(self, name: ids.InstanceId, pool: ids.PoolId) -> None:
+        self.give(commands.PutInstance(builders.build_instance(name, pool)))
+
+    @stateful.rule(name=_instance_ids)
+    def remove(self, name: ids.InstanceId) -> None:
+        self.give(commands.RemoveInstance(name))
+
+    @stateful.rule(wave=_wave_ids, pool=_pool_ids)
+    def propose(self, wave: ids.WaveId, pool: ids.PoolId) -> None:
+        selection = waves.Selection(pools=(pool,))
+        firm = ids.FirmId("firm-a")
+        self.give(commands.ProposeWave(wave, firm, selection))
+        self.give(commands.ApproveWave(wave))
+
+    @stateful.rule(
+        wave=_wave_ids,
+        kind=strategies.sampled_from(
+            [commands.PauseWave, commands.ResumeWave, commands.CancelWave]
+        ),
+    )
+    def control(self, wave: ids.WaveId, kind: type) -> None:
+        self.give(kind(wave))
+
+    @stateful.rule(
+        wave=_wave_ids,
+        take=strategies.lists(_instance_ids, max_size=4),
+        more=strategies.integers(0, 4),
+        finish=strategies.booleans(),
+        skip=strategies.lists(_instance_ids, max_size=1),
+    )
+    def step(
+        self,
+        wave: ids.WaveId,
+        take: list[ids.InstanceId],
+        more: int,
+        finish: bool,
+        skip: list[ids.InstanceId],
+    ) -> None:
+        known = self.fleet.waves.get(wave)
+        if known is not None:
+            take = [*take, *known.remaining[:more]]
+        command = commands.StepWave(
+            wave,
+            tuple(take),
+            known.out if known is not None and finish else (),
+            tuple(waves.Skipped(name, "given up") for name in skip),
+        )
+        result = self.give(command)
+        if result.ok and result.value["taken"]:
+            self.check_budget()
+
+    def check_budget(self) -> None:
+        """Checks the pool after a step that took, by the design's formula."""
+        profile = self.fleet.profiles[ids.ProfileId("profile")]
+        members = self.members("pool")
+        settled = [
+            item
+            for item in members
+            if item.state is _STATE.IN_SERVICE
+            and self.driver.time_ms - item.in_service_since_ms
+            >= 1000 * profile.settle_s
+        ]
+        away = (_STATE.DRAINING, _STATE.IN_MAINTENANCE, _STATE.RETURNING)
+        out = sum(item.state in away for item in members)
+        domain = profile.tolerance.failure_reserve
+        worst = max(
+            (self.count_lost(domain, item, settled) for item in settled),
+            default=0,
+        )
+        max_out = profile.tolerance.max_out
+        assert max_out is not None
+        assert len(settled) - worst >= profile.owed.instances - max_out
+        assert out <= max_out
+
+    @staticmethod
+    def count_lost(
+        domain: profiles.FailureDomain,
+        item: pools.Instance,
+        settled: Collection[pools.Instance],
+    ) -> int:
+        """Returns how many settled instances fail together with one."""
+        if domain is profiles.FailureDomain.NONE:
+            return 0
+        if domain is profiles.FailureDomain.INSTANCE:
+            return 1
+        zone = domain is profiles.FailureDomain.AVAILABILITY_ZONE
+        return sum(
+            other.availability_zone == item.availability_zone
+            and (zone or other.rack == item.rack)
+            for other in settled
+        )
+
+    @stateful.rule(
+        name=_job_ids,
+        cores=strategies.sampled_from([0.1, 4.0, 9.0, 17.0]),
+        team=strategies.booleans(),
+        firm=strategies.sampled_from(["*", "firm-a", "firm-a", "firm-b"]),
+    )
+    def submit(
+        self, name: ids.JobId, cores: float, team: bool, firm: str
+    ) -> None:
+        job = jobs.Job(
+            name,
+            ids.ServiceId("service"),
+            ids.TeamId("team") if team else None,
+            jobs.Demand(cores, 100),
+            1.0,
+        )
+        result = self.give(commands.SubmitJobs((job,)), firm)
+        assert not (result.ok and firm == "firm-b")
+
+    @stateful.rule(
+        names=strategies.lists(_job_ids, min_size=1, max_size=4, unique=True),
+        name=_instance_ids,
+        submits=strategies.booleans(),
+    )
+    def place(
+        self, names: list[ids.JobId], name: ids.InstanceId, submits: bool
+    ) -> None:
+        if submits:
+            names = [ids.JobId(f"{n}-{self.driver.index}") for n in names]
+            for job_id in names:
+                self.submit(job_id, 4.0, True, "*")
+        placements = tuple(commands.JobPlacement(n, name) for n in names)
+        self.give(commands.PlaceJobs(placements))
+
+    @stateful.rule(
+        name=_job_ids,
+        late=strategies.booleans(),
+        state=strategies.sampled_from(jobs.JobState),
+    )
+    def record_job(
+        self, name: ids.JobId, late: bool, state: jobs.JobState
+    ) -> None:
+        held = [j for j in self.fleet.jobs.values() if j.state.holds_instance]
+        job = held[0] if held else self.fleet.jobs.get(name)
+        name = name if job is None else job.job_id
+        attempt = 0 if job is None else job.attempt - late
+        change = commands.JobChange(name, attempt, state, "seen")
+        result = self.give(commands.RecordJobStates((change,)))
+        assert not (late and result.value["recorded"])
+
+    @stateful.rule(names=strategies.lists(_job_ids, max_size=4), firm=_firms)
+    def cancel(self, names: list[ids.JobId], firm: str) -> None:
+        result = self.give(commands.CancelJobs(tuple(names)), firm)
+        assert not (result.ok and firm == "firm-b")
+
+    @stateful.precondition(lambda self: self.resends)
+    @stateful.rule(data=strategies.data())
+    def resend(self, data: strategies.DataObject) -> None:
+        how, result = data.draw(strategies.sampled_from(self.resends))
+        before = dict(self.fleet.instances), dict(self.fleet.jobs)
+        sequence = self.fleet.ledger.next_sequence
+        assert self.driver.give(**how) == result
+        assert (dict(self.fleet.instances), dict(self.fleet.jobs)) == before
+        assert self.fleet.ledger.next_sequence == sequence
+
+    @stateful.rule()
+    def restart_from_snapshot(self) -> None:
+        data = self.fleet.snapshot()
+        restored = fleet.Fleet()
+        restored.restore(self.driver.index, data)
+        assert restored.snapshot() == data
+        self.driver.fleet = restored
+
+    def members(self, pool: str) -> list[pools.Instance]:
+        return [
+            item
+            for item in self.fleet.instances.values()
+            if item.pool_id == pool
+        ]
+
+    @stateful.invariant()
+    def every_instance_is_in_exactly_one_pool(self) -> None:
+        listed = [
+            item.instance_id
+            for name in self.fleet.pools
+            for item in self.fleet.instances_of(name)
+        ]
+        assert sorted(listed) == sorted(self.fleet.instances)
+        assert all(
+            item.pool_id in self.fleet.pools
+            for item in self.fleet.instances.values()
+        )
+
+    @stateful.invariant()
+    def placed_jobs_fit_and_quotas_hold(self) -> None:
+        held = [
+            job for job in self.fleet.jobs.values() if job.state.holds_instance
+        ]
+        for job in held:
+            assert job.instance_id in self.fleet.instances
+        for instance in self.fleet.instances.values():
+            mine = [j for j in held if j.instance_id == instance.instance_id]
+            assert sum(j.demand.cores for j in mine) <= instance.cores + 1e-6
+            total = fleet_state.Amount()
+            for job in mine:
+                total = total.plus(fleet_state.amount_of(job.demand))
+            assert self.fleet.used_by_instance(instance.instance_id) == total
+            assert sorted(self.fleet.jobs_on(instance.instance_id)) == sorted(
+                job.job_id for job in mine
+            )
+        team = [job for job in held if job.team_id is not None]
+        assert len(team) <= _QUOTA.slots
+        assert sum(job.demand.cores for job in team) <= _QUOTA.cores + 1e-6
+        assert sum(job.demand.memory_mb for job in team) <= _QUOTA.memory_mb
+
+    @stateful.invariant()
+    def waves_and_instances_agree(self) -> None:
+        for wave in self.fleet.waves.values():
+            for name in wave.out:
+                assert self.fleet.instances[name].wave_id == wave.wave_id
+            ended = wave.state is waves.WaveState.FINISHED
+            if ended:
+                assert not wave.remaining and not wave.out
+            members = [*wave.remaining, *wave.out, *wave.done]
+            members.extend(item.instance_id for item in wave.skipped)
+            assert len(set(members)) == len(members)
+        for instance in self.fleet.instances.values():
+            if instance.wave_id is not None:
+                wave = self.fleet.waves[instance.wave_id]
+                assert instance.instance_id in wave.out
+
+    @stateful.invariant()
+    def ledger_accounts_for_the_capacity_in_service(self) -> None:
+        for name in ("pool", "pool-b"):
+            entries = self.fleet.ledger
+            total = sum(
+                entry.amount.instances
+                for entry in entries
+                if entry.pool_id == name
+                and entry.job_id is None
+                and entry.amount is not None
+                and entry.kind.value not in ("configuration", "denial")
+            )
+            serving = sum(
+                item.state is _STATE.IN_SERVICE for item in self.members(name)
+            )
+            assert total == serving
+
+
+class BudgetTest(unittest.TestCase):
+    """Guards against a planner's hint that differs from the check."""
+
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(
+        owed=strategies.integers(0, 4),
+        max_out=strategies.integers(0, 4),
+        domain=strategies.sampled_from(_DOMAINS),
+        places=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 1),
+                strategies.integers(0, 2),
+                strategies.sampled_from(
+                    [_STATE.IN_SERVICE] * 4 + [_STATE.LOST, _STATE.DRAINING]
+                ),
+            ),
+            min_size=3,
+            max_size=8,
+        ),
+    )
+    def test_best_choice_is_exactly_as_large_as_promised(
+        self,
+        owed: int,
+        max_out: int,
+        domain: profiles.FailureDomain,
+        places: list[tuple[int, int, pools.InstanceState]],
+    ) -> None:
+        profile = builders.build_profile(
+            owed=profiles.Capacity(instances=owed),
+            tolerance=profiles.Tolerance(
+                max_out=min(owed, max_out), failure_reserve=domain
+            ),
+        )
+        members = [
+            builders.build_instance(
+                f"i{number}",
+                availability_zone=ids.AvailabilityZone(f"z{zone}"),
+                rack=ids.Rack(f"r{rack}"),
+                state=state,
+            )
+            for number, (zone, rack, state) in enumerate(places)
+        ]
+        settled = [
+            item.instance_id
+            for item in members
+            if item.state is _STATE.IN_SERVICE
+        ]
+        best = max(
+            (
+                bits.bit_count()
+                for bits in range(1 << len(settled))
+                if budget.allows(
+                    profile,
+                    members,
+                    [n for i, n in enumerate(settled) if bits >> i & 1],
+                    1,
+                )
+                is None
+            ),
+            default=0,
+        )
+        room = budget.spendable(profile, members, 1)
+        self.assertEqual(room.allowed, best)
+        self.assertEqual(room.blocked_reason is None, best > 0)
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=120,
+    stateful_step_count=60,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+FleetMachineTest = FleetMachine.TestCase
+
+if __name__ == "__main__":
+    unittest.main()
