Check the request id that an upstream echoes

Cause: a test with an upstream that sends two answers to one request showed that the second one can reach the next caller of the connection when it arrives after the check for readability. Each request also paid for a timer, and request objects were frozen for no use.

--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/caller_api.py
@@ -10,7 +10,6 @@
 from tarragoncleat import answers
 from tarragoncleat import caller_requests
 from tarragoncleat import claims as claims_module
-from tarragoncleat import disconnects
 from tarragoncleat import dispatching
 from tarragoncleat import errors
 from tarragoncleat import exchanges
@@ -19,6 +18,7 @@
 from tarragoncleat import limits
 from tarragoncleat import metrics as metrics_module
 from tarragoncleat import profiles
+from tarragoncleat import request_watch
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
 from tarragoncleat import upstream_connections
@@ -75,7 +75,7 @@
         """Keeps the answer for resends."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Visit:
     """One request as it came in."""
 
@@ -122,7 +122,7 @@
         self._requests: dict[ids.RequestId, ids.ServiceId] = {}
         self._finished: collections.Counter[tuple[str, str]]
         self._finished = collections.Counter()
-        self._watch = disconnects.DisconnectWatch(timer)
+        self._watch = request_watch.RequestWatch(timer)
         self._leaving = False
 
     @property
@@ -280,13 +280,15 @@
 
     async def _run(self, visit: _Visit) -> errors.Failure | None:
         failure: errors.Failure | None = None
-        with anyio.move_on_after(visit.request.deadline_s) as scope:
-            watched = disconnects.Watched(
+        # The watch sets the deadline of the scope.
+        with anyio.CancelScope() as scope:
+            watched = request_watch.Watched(
                 visit.request,
                 visit.body,
                 visit.progress,
                 scope,
                 self._timer.monotonic_s(),
+                anyio.current_time() + visit.request.deadline_s,
             )
             self._watch.add(watched)
             try:
--- a/tarragoncleat/caller_requests.py
+++ b/tarragoncleat/caller_requests.py
@@ -58,7 +58,7 @@
 _MAX_DEADLINE_MS = 3_600_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class CallerRequest:
     """The head of a request to a service.
 
--- a/tarragoncleat/dispatching.py
+++ b/tarragoncleat/dispatching.py
@@ -38,7 +38,7 @@
         """Returns how many entries are alive, this one included."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Demand:
     """What a request needs from the dispatcher.
 
@@ -53,7 +53,7 @@
     excluded: frozenset[ids.UpstreamId] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+@dataclasses.dataclass(slots=True, eq=False)
 class Lease:
     """One slot of an upstream, held until it is given back."""
 
--- a/tarragoncleat/exchanges.py
+++ b/tarragoncleat/exchanges.py
@@ -199,16 +199,26 @@
         elif isinstance(event, h11.EndOfMessage):
             self._answer_complete = True
         elif isinstance(event, h11.Response):
-            self._take_response(event)
+            return self._take_response(event)
         return None
 
-    def _take_response(self, response: h11.Response) -> None:
+    def _take_response(self, response: h11.Response) -> errors.Failure | None:
         self._response = response
         for name, value in response.headers:
             if name == b"content-length":
                 self._is_small = int(value) <= _READ_AHEAD_BYTES
             elif name == _OUTCOME and value == b"not-run":
                 self._refused = response.status_code == 503
+            elif name == caller_requests.REQUEST_ID and value != (
+                self._request.request_id.encode()
+            ):
+                # An upstream that sends two answers to one request can't be
+                # noticed otherwise once the connection is used again.
+                return errors.Failure(
+                    errors.ErrorKind.UPSTREAM_FAILED,
+                    "the answer names another request",
+                )
+        return None
 
     async def _send_start(self) -> None:
         assert self._response is not None
--- a/tarragoncleat/forwarding.py
+++ b/tarragoncleat/forwarding.py
@@ -24,7 +24,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Job:
     """A request that is ready to be forwarded.
 
@@ -47,7 +47,7 @@
     extra_headers: caller_requests.Headers
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Attempt:
     """What became of one attempt.
 
--- a/tarragoncleat/disconnects.py
+++ b/tarragoncleat/request_watch.py
@@ -1,4 +1,4 @@
-"""Cancellation of requests whose caller has gone away."""
+"""Ends requests at their deadline or when their caller has gone away."""
 
 import dataclasses
 
@@ -10,25 +10,31 @@
 from tarragoncleat import ids
 from tarragoncleat import timer as timer_module
 
-__all__ = ["DisconnectWatch", "Watched"]
+__all__ = ["RequestWatch", "Watched"]
 
-# Most requests end sooner and never need a task that watches them.
+# Most requests end sooner and need neither a timer nor a task of their own.
 _UNWATCHED_S = 0.05
+# Shorter deadlines could pass before a request is looked at.
+_SHORT_DEADLINE_S = 4 * _UNWATCHED_S
 
 
 @dataclasses.dataclass(slots=True)
 class Watched:
-    """A request in flight and the scope that ends it."""
+    """A request in flight and the scope that ends it.
+
+    `deadline_s` is on the event loop's clock.
+    """
 
     request: caller_requests.CallerRequest
     body: caller_requests.CallerBody
     progress: exchanges.Progress
     scope: anyio.CancelScope
     started_s: float
+    deadline_s: float
     watch: anyio.CancelScope | None = None
 
 
-class DisconnectWatch:
+class RequestWatch:
     """Watches the requests that have been in flight for a while."""
 
     def __init__(self, timer: timer_module.TimerService):
@@ -38,6 +44,8 @@
 
     def add(self, watched: Watched) -> None:
         """Starts to watch a request."""
+        if watched.request.deadline_s <= _SHORT_DEADLINE_S:
+            watched.scope.deadline = watched.deadline_s
         self._watched[watched.request.request_id] = watched
 
     def remove(self, request_id: ids.RequestId) -> None:
@@ -58,6 +66,7 @@
         for watched in self._watched.values():
             if watched.started_s > latest_start_s:
                 return
+            watched.scope.deadline = watched.deadline_s
             # The reader of an incomplete body sees a disconnect itself.
             if watched.watch is None and watched.body.complete:
                 watched.watch = anyio.CancelScope()
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -123,7 +123,8 @@
 
     async def receive(self) -> Event | errors.Failure:
         """Returns the next event of the answer."""
-        event = self.receive_ready()
+        # Before its first byte there is nothing that the codec could parse.
+        event = self.receive_ready() if self._read else None
         while event is None:
             failure = await self._read_more()
             if failure is not None:
