--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,342 @@
+"""Tests of the controller against stand-in worker processes."""
+
+import asyncio
+import dataclasses
+import json
+import subprocess
+import sys
+import time
+import unittest
+import urllib.request
+
+import anyio
+
+from tarragoncleat import commands
+from tarragoncleat import controller
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import jobs
+from tarragoncleat import pools
+from tarragoncleat import profiles
+from tarragoncleat import timer
+from tarragoncleat import waves
+from tests import builders
+
+_STATE = pools.InstanceState
+_DEADLINE_S = 25.0
+_LIMITS = {
+    "interval_ms": 50,
+    "lease_ms": 900,
+    "lease_margin_ms": 100,
+    "call_timeout_ms": 300,
+    "drain_timeout_ms": 1_000,
+}
+_CONSENSUS = {
+    "heartbeat_ms": 50,
+    "election_timeout_min_ms": 200,
+    "election_timeout_max_ms": 300,
+}
+
+
+@dataclasses.dataclass
+class _Applied:
+    index: int
+    result: bytes
+
+
+class _Replication:
+    """Commits every proposal at once on one fleet."""
+
+    def __init__(self, driver: builders.FleetDriver) -> None:
+        self._driver = driver
+        self.is_leader = True
+        self.leader_since_s: float | None = time.monotonic()
+
+    async def propose(
+        self, payload: bytes, timeout_s: float
+    ) -> _Applied | errors.Failure:
+        del timeout_s
+        if not self.is_leader:
+            return errors.Failure(errors.ErrorKind.NO_LEADER, "not the leader")
+        driver = self._driver
+        driver.index += 1
+        driver.time_ms = max(driver.time_ms, int(time.time() * 1000))
+        result = driver.fleet.apply(driver.index, driver.time_ms, payload)
+        return _Applied(driver.index, result)
+
+
+class _Cluster:
+    """A fleet of stand-in workers in one pool."""
+
+    def __init__(
+        self, test: unittest.TestCase, block: int, *options: list[str], **fields
+    ) -> None:
+        self.driver = builders.FleetDriver()
+        self.driver.time_ms = int(time.time() * 1000)
+        builders.populate(self.driver, instances=0, **fields)
+        self.fleet = self.driver.fleet
+        self.addresses: dict[str, str] = {}
+        self._processes: dict[str, subprocess.Popen] = {}
+        test.addCleanup(self._stop)
+        for number, extra in enumerate(options):
+            self._add(f"w{number}", f"127.25.{block}.{number + 1}:7000", extra)
+        self.replication = _Replication(self.driver)
+        self._settings = builders.build_settings(
+            controller=_LIMITS, consensus=_CONSENSUS
+        )
+
+    def _add(self, name: str, address: str, extra: list[str]) -> None:
+        command = [sys.executable, "-m", "tests.standin_worker"]
+        command += ["--address", address, "--instance-id", name, *extra]
+        self._processes[name] = subprocess.Popen(command)
+        self.addresses[name] = address
+        instance = builders.build_instance(
+            name, address=address, rack=ids.Rack(f"rack-{name}")
+        )
+        self.driver.must(commands.PutInstance(instance))
+
+    def _stop(self) -> None:
+        for process in self._processes.values():
+            process.terminate()
+            process.wait(10)
+
+    def call(self, name: str, path: str, content: dict | None = None) -> list:
+        data = None if content is None else json.dumps(content).encode()
+        url = f"http://{self.addresses[name]}/standin/v1/{path}"
+        method = "GET" if data is None else "PUT"
+        request = urllib.request.Request(url, data, method=method)
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return json.load(answer)
+
+    def events(self, name: str, event: str) -> list[dict]:
+        return [e for e in self.call(name, "log") if e["event"] == event]
+
+    def state(self, name: str) -> pools.Instance:
+        return self.fleet.instances[ids.InstanceId(name)]
+
+    def job(self, name: str) -> jobs.Job:
+        return self.fleet.jobs[ids.JobId(name)]
+
+    def submit(self, *names: str, urgent: bool = False, **actual) -> None:
+        demand = jobs.Demand(actual.pop("declared_cores", 4.0), 1024)
+        submitted = tuple(
+            jobs.Job(
+                ids.JobId(name),
+                ids.ServiceId("service"),
+                None,
+                demand,
+                10.0,
+                command=json.dumps(actual),
+                urgent=urgent,
+            )
+            for name in names
+        )
+        self.driver.must(commands.SubmitJobs(submitted), role="operator")
+
+    def start_wave(self, *names: str) -> None:
+        selection = waves.Selection(
+            instances=tuple(ids.InstanceId(name) for name in names)
+        )
+        wave_id = ids.WaveId("wave")
+        propose = commands.ProposeWave(wave_id, ids.FirmId("firm-a"), selection)
+        self.driver.must(propose, role="operator")
+        self.driver.must(commands.ApproveWave(wave_id), role="operator")
+
+    def run(self, scenario) -> None:
+        """Runs a controller beside the scenario, an async callable."""
+
+        async def main() -> None:
+            loop = controller.Controller(
+                self._settings,
+                self.fleet,
+                self.replication,
+                timer.TimerService(),
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(loop.run)
+                await scenario()
+                group.cancel_scope.cancel()
+
+        asyncio.run(main())
+
+    async def wait(self, condition, what: str) -> None:
+        deadline_s = time.monotonic() + _DEADLINE_S
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise AssertionError(f"not reached: {what}")
+            await anyio.sleep(0.02)
+
+
+class ControllerTest(unittest.TestCase):
+    """Guards against faults between committed state and worker processes."""
+
+    def test_wave_reboots_each_worker_once_and_ends(self) -> None:
+        """Guards against a wave that hangs, or a reboot that is repeated."""
+        cluster = _Cluster(
+            self, 1, [], [], ["--reboot-s", "2"], owed=profiles.Capacity(3)
+        )
+
+        async def scenario() -> None:
+            cluster.start_wave("w0", "w1", "w2")
+            wave = cluster.fleet.waves
+            finished = waves.WaveState.FINISHED
+            await cluster.wait(
+                lambda: wave[ids.WaveId("wave")].state is finished,
+                "wave finished",
+            )
+
+        cluster.run(scenario)
+        self.assertEqual(len(cluster.fleet.waves[ids.WaveId("wave")].done), 3)
+        for name in cluster.addresses:
+            self.assertEqual(len(cluster.events(name, "reboot")), 1)
+            self.assertIs(cluster.state(name).state, _STATE.IN_SERVICE)
+
+    def test_job_of_a_silent_worker_restarts_only_after_its_lease(self) -> None:
+        """Guards against a job that runs on two workers at once."""
+        cluster = _Cluster(self, 2, [], ["--clock-offset-ms", "900000000"])
+
+        async def scenario() -> None:
+            cluster.submit("job", run_s=60.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: cluster.job("job").state is running, "job runs"
+            )
+            first = cluster.job("job").instance_id
+            cluster.call(first, "faults", {"silent": True})
+            await cluster.wait(
+                lambda: (
+                    cluster.job("job").instance_id not in (first, None)
+                    and cluster.job("job").state is running
+                ),
+                "job runs elsewhere",
+            )
+            self.assertIs(cluster.state(first).state, _STATE.LOST)
+            cluster.call(first, "faults", {"silent": False})
+            await cluster.wait(
+                lambda: cluster.state(first).state is _STATE.IN_SERVICE,
+                "worker back in service",
+            )
+            (ended,) = cluster.events(first, "lease_end")
+            second = cluster.job("job").instance_id
+            (started,) = cluster.events(second, "start")
+            # The stand-in ends tasks when it is next asked, which is after
+            # the lease ended; the lease itself ends 0.9 s after a renewal.
+            self.assertEqual(ended["task_id"], "job~1")
+            self.assertGreaterEqual(started["at_ms"], ended["lease_until_ms"])
+
+        cluster.run(scenario)
+
+    def test_worker_that_fails_every_task_is_quarantined(self) -> None:
+        """Guards against a broken worker that eats the queue."""
+        cluster = _Cluster(self, 3, ["--fail-tasks"], [], [], [])
+
+        async def scenario() -> None:
+            names = [f"job{number}" for number in range(24)]
+            cluster.submit(*names, run_s=0.1, declared_cores=16.0)
+            final = cluster.fleet.jobs.values
+            await cluster.wait(
+                lambda: all(job.state.is_final for job in final()),
+                "all jobs ended",
+            )
+
+        cluster.run(scenario)
+        failed = [
+            job
+            for job in cluster.fleet.jobs.values()
+            if job.state is jobs.JobState.FAILED
+        ]
+        self.assertEqual(len(failed), 3)
+        self.assertIs(cluster.state("w0").state, _STATE.QUARANTINED)
+
+    def test_new_leader_repeats_no_action(self) -> None:
+        """Guards against a second reboot or a lost wave after an election."""
+        cluster = _Cluster(self, 4, ["--reboot-s", "2"], [], [], [])
+
+        async def scenario() -> None:
+            cluster.start_wave("w0", "w1")
+            maintained = _STATE.IN_MAINTENANCE
+            for _ in range(2):
+                await cluster.wait(
+                    lambda: any(
+                        item.state is maintained
+                        for item in cluster.fleet.instances.values()
+                    ),
+                    "an instance in maintenance",
+                )
+                cluster.replication.is_leader = False
+                await anyio.sleep(0.2)
+                cluster.replication.leader_since_s = time.monotonic()
+                cluster.replication.is_leader = True
+            wave = cluster.fleet.waves
+            await cluster.wait(
+                lambda: len(wave[ids.WaveId("wave")].done) == 2, "wave done"
+            )
+
+        cluster.run(scenario)
+        for name in ("w0", "w1"):
+            self.assertEqual(len(cluster.events(name, "reboot")), 1)
+        for name in cluster.addresses:
+            self.assertEqual(len(cluster.events(name, "lease_end")), 0)
+
+    def test_urgent_job_gets_room_and_the_victim_runs_later(self) -> None:
+        """Guards against urgent work that waits, and against lost victims."""
+        tolerance = profiles.Tolerance(
+            actions=(profiles.Interruption.CHECKPOINT,)
+        )
+        cluster = _Cluster(self, 5, [], tolerance=tolerance)
+
+        async def scenario() -> None:
+            cluster.submit("normal", run_s=1.5, declared_cores=16.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: cluster.job("normal").state is running, "normal runs"
+            )
+            cluster.submit("urgent", urgent=True, run_s=0.2)
+            await cluster.wait(
+                lambda: cluster.job("normal").state is jobs.JobState.SUCCEEDED,
+                "both done",
+            )
+
+        cluster.run(scenario)
+        (saved,) = cluster.events("w0", "checkpoint")
+        starts = [e["task_id"] for e in cluster.events("w0", "start")]
+        self.assertEqual(starts, ["normal~1", "urgent~1", "normal~2"])
+        urgent = cluster.events("w0", "start")[1]
+        self.assertLess(saved["at_ms"], urgent["at_ms"])
+        waited_ms = urgent["at_ms"] - cluster.job("urgent").submitted_at_ms
+        self.assertLess(waited_ms, 5_700)
+
+    def test_moved_instance_is_drained_and_fenced_first(self) -> None:
+        """Guards against work of the old pool on an instance that moved."""
+        cluster = _Cluster(self, 6, [], [], owed=profiles.Capacity(1))
+        other = pools.Pool(ids.PoolId("other"), ids.FirmId("firm-a"))
+        cluster.driver.must(commands.PutPool(other))
+
+        async def scenario() -> None:
+            cluster.submit("a", "b", run_s=30.0, declared_cores=16.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: all(cluster.job(n).state is running for n in "ab"),
+                "both run",
+            )
+            command = commands.MoveInstance(ids.InstanceId("w0"), other.pool_id)
+            cluster.driver.must(command, role="operator")
+            await cluster.wait(
+                lambda: (
+                    cluster.state("w0").pool_id == other.pool_id
+                    and cluster.state("w0").state is _STATE.IN_SERVICE
+                ),
+                "moved",
+            )
+
+        cluster.run(scenario)
+        log = [entry["event"] for entry in cluster.call("w0", "log")]
+        self.assertEqual(
+            log, ["lease", "start", "drain", "stop", "lease", "drain"]
+        )
+        waiting = [n for n in "ab" if cluster.job(n).instance_id is None]
+        self.assertEqual(len(waiting), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
