Test claims of idempotency keys with the fleet's rules

Change: seven tests with two entries, the real state machine, a log whose replies can be lost and real upstream processes, one of them a hundred simultaneous resends through both entries.

--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,271 @@
+"""Tests of claims of idempotency keys with the real fleet rules."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import dataclasses
+import json
+import pathlib
+import tempfile
+from typing import Any
+import unittest
+
+import anyio
+
+from tarragoncleat import caller_api
+from tarragoncleat import claims
+from tarragoncleat import errors
+from tarragoncleat import fleet
+from tarragoncleat import ids
+from tarragoncleat import timer
+from tests import builders
+from tests import request_path_rig as rig
+
+_URL = "/services/bidding/lots/7"
+_ENTRIES = {"entry-1": f"{rig.HOST}:9300", "entry-2": f"{rig.HOST}:9301"}
+_UPSTREAMS = {"up-1": f"{rig.HOST}:9302", "up-2": f"{rig.HOST}:9303"}
+
+
+@dataclasses.dataclass
+class _Applied:
+    result: bytes
+
+
+@dataclasses.dataclass
+class _Received:
+    message: object
+    reply: Callable[[object], None]
+
+
+class _Log:
+    """A log that applies each record to one fleet, with a short delay."""
+
+    def __init__(self) -> None:
+        self.cut_off_since_ms: int | None = None
+        self.lost_replies = 0
+        self.records = 0
+        self._fleet = fleet.Fleet()
+
+    async def propose(self, payload: bytes, timeout_s: float) -> Any:
+        await anyio.sleep(0.01)
+        self.records += 1
+        result = self._fleet.apply(self.records, self.records, payload)
+        if self.lost_replies:
+            self.lost_replies -= 1
+            return errors.Failure(errors.ErrorKind.UNDECIDED, "reply lost")
+        return _Applied(result)
+
+
+class _Links:
+    """Links of one process; entries reach each other through `network`."""
+
+    def __init__(self, network: dict, entry_id: str) -> None:
+        self._network = network
+        send, self._receive = anyio.create_memory_object_stream(1_000)
+        network[entry_id] = send
+
+    def subscribe(self, *message_types: type) -> Any:
+        return self._receive
+
+    async def request(
+        self, entry_id: ids.EntryId, message: object, timeout_s: float
+    ) -> Any:
+        if entry_id not in self._network:
+            return errors.Failure(errors.ErrorKind.CUT_OFF, "no link")
+        done, replies = anyio.Event(), []
+
+        def reply(answer: object) -> None:
+            replies.append(answer)
+            done.set()
+
+        self._network[entry_id].send_nowait(_Received(message, reply))
+        await done.wait()
+        return replies[0]
+
+
+class ClaimsTest(unittest.TestCase):
+    """Guards against a request with a key that runs twice or not at all."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls._log_file = pathlib.Path(folder) / "runs"
+        for name, address in _UPSTREAMS.items():
+            arguments = ["--upstream-id", name, "--address", address]
+            arguments += ["--service", "bidding"]
+            arguments += ["--log-file", str(cls._log_file)]
+            cls.enterClassContext(rig.standin(*arguments))
+
+    def setUp(self) -> None:
+        self._log = _Log()
+        self._network: dict[str, Any] = {}
+
+    def _run(self, test: Callable[[], Awaitable], **sections: Any) -> None:
+        async def run() -> None:
+            with anyio.fail_after(30):
+                async with contextlib.AsyncExitStack() as stack:
+                    for name in _ENTRIES:
+                        await stack.enter_async_context(
+                            self._entry(name, **sections)
+                        )
+                    await test()
+
+        anyio.run(run)
+
+    @contextlib.asynccontextmanager
+    async def _entry(
+        self, name: str, **sections: Any
+    ) -> AsyncIterator[caller_api.CallerApi]:
+        upstreams = rig.Upstreams()
+        for upstream, address in _UPSTREAMS.items():
+            upstreams.add("bidding", upstream, address, slots=128)
+        store = claims.Claims(
+            builders.build_settings(entry_id=name, **sections),
+            timer.TimerService(),
+            self._log,
+            _Links(self._network, name),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(store.run)
+            async with rig.entry(
+                _ENTRIES[name], upstreams, claim_store=store
+            ) as api:
+                yield api
+            group.cancel_scope.cancel()
+
+    def _runs(self, key: str) -> int:
+        lines = self._log_file.read_text().splitlines()
+        fields = [json.loads(line) for line in lines]
+        return sum(
+            line["event"] == "run" and line["key"] == key for line in fields
+        )
+
+    async def _bid(
+        self, entry: str, key: str, body: bytes = b"100", **headers: str
+    ) -> rig.Reply:
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        named["Idempotency-Key"] = key
+        async with contextlib.aclosing(rig.Caller(_ENTRIES[entry])) as caller:
+            return await caller.request("POST", _URL, named, body)
+
+    def test_hundred_simultaneous_resends_run_once(self) -> None:
+        """Guards against two entries that run the same bid."""
+        replies: list[rig.Reply] = []
+
+        async def bid(number: int) -> None:
+            entry = f"entry-{number % 2 + 1}"
+            reply = await self._bid(entry, "many", x_standin_delay_ms="50")
+            replies.append(reply)
+
+        async def check() -> None:
+            async with anyio.create_task_group() as group:
+                for number in range(100):
+                    group.start_soon(bid, number)
+            # The stored answer reaches resends through both entries.
+            for entry in _ENTRIES:
+                replies.append(await self._bid(entry, "many"))
+
+        self._run(check)
+        self.assertEqual(self._runs("many"), 1)
+        answered = [reply for reply in replies if reply.status == 200]
+        self.assertEqual(len({reply.body for reply in answered}), 1)
+        self.assertGreaterEqual(len(answered), 3)
+        for reply in replies:
+            if reply.status != 200:
+                self.assertEqual(reply.status, 409)
+                self.assertEqual(reply.outcome, "unknown")
+
+    def test_other_request_under_a_used_key_is_refused(self) -> None:
+        """Guards against answering a bid with the answer of another."""
+
+        async def check() -> None:
+            await self._bid("entry-1", "reused")
+            reply = await self._bid("entry-2", "reused", b"999")
+            self.assertEqual((reply.status, reply.outcome), (422, "not-run"))
+
+        self._run(check)
+        self.assertEqual(self._runs("reused"), 1)
+
+    def test_refused_request_gives_its_claim_up(self) -> None:
+        """Guards against a key that is spent without a run."""
+
+        async def check() -> None:
+            reply = await self._bid(
+                "entry-1", "refused", x_standin_fault="refuse"
+            )
+            self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+            reply = await self._bid("entry-2", "refused")
+            self.assertEqual(reply.status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("refused"), 1)
+
+    def test_unknown_outcome_keeps_the_claim(self) -> None:
+        """Guards against running a bid again whose upstream reset."""
+
+        async def check() -> None:
+            reply = await self._bid(
+                "entry-1", "reset", x_standin_fault="reset-before-answer"
+            )
+            self.assertEqual((reply.status, reply.outcome), (502, "unknown"))
+            for entry in _ENTRIES:
+                reply = await self._bid(entry, "reset")
+                self.assertEqual(reply.status, 409)
+                self.assertEqual(reply.outcome, "unknown")
+
+        self._run(check)
+        self.assertEqual(self._runs("reset"), 1)
+
+    def test_cut_off_entry_refuses_keys_only(self) -> None:
+        """Guards against a keyed run that the other side can't see."""
+
+        async def check() -> None:
+            self._log.cut_off_since_ms = 1
+            reply = await self._bid("entry-1", "cut")
+            self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+            self.assertIn("retry-after", reply.headers)
+            async with contextlib.aclosing(
+                rig.Caller(_ENTRIES["entry-1"])
+            ) as caller:
+                reply = await caller.request("POST", _URL, {}, b"1")
+            self.assertEqual(reply.status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("cut"), 0)
+
+    def test_undecided_claim_does_not_run_and_is_released(self) -> None:
+        """Guards against a lost reply of the log that blocks a key."""
+
+        async def check() -> None:
+            self._log.lost_replies = 1
+            reply = await self._bid("entry-1", "lost")
+            self.assertEqual((reply.status, reply.outcome), (504, "not-run"))
+            self.assertEqual(self._runs("lost"), 0)
+            status = 409
+            while status == 409:
+                await anyio.sleep(0.05)
+                status = (await self._bid("entry-2", "lost")).status
+            self.assertEqual(status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("lost"), 1)
+
+    def test_caller_that_gives_up_early_leaves_no_claim(self) -> None:
+        """Guards against a key held by a request that was never sent."""
+
+        async def check() -> None:
+            reply = await self._bid(
+                "entry-1", "early", tarragoncleat_deadline_ms="2"
+            )
+            self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+            status = 409
+            while status == 409:
+                await anyio.sleep(0.05)
+                status = (await self._bid("entry-2", "early")).status
+            self.assertEqual(status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("early"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
