--- a/tests/peer_cluster.py
+++ b/tests/peer_cluster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable, Sequence
 import contextlib
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -93,14 +94,14 @@
         self,
         between: Callable[[int, int], bool],
         direction: str = "both",
-        **faults: object,
+        **faults: Any,
     ) -> None:
         """Changes the faults of the links from one entry to another."""
         for pair, proxy in self.proxies.items():
             if between(*pair):
                 proxy.change(direction, **faults)
 
-    def cut_zone(self, zone: str, **faults: object) -> None:
+    def cut_zone(self, zone: str, **faults: Any) -> None:
         """Changes the faults of all links between a zone and the others."""
         inside = {
             index for index, node in enumerate(self.nodes) if node.zone == zone
