Keep one object for each request

Cause: a request was spread over four objects, headers were walked through three times and answers passed through more calls than needed.

Change: visits.Visit holds the request and how far it has come; headers of an answer are read once.

--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/caller_api.py
@@ -2,17 +2,16 @@
 
 import collections
 from collections.abc import Callable, Mapping
-import dataclasses
 from typing import Any, Protocol
 
 import anyio
+import h11
 
 from tarragoncleat import answers
 from tarragoncleat import caller_requests
 from tarragoncleat import claims as claims_module
 from tarragoncleat import dispatching
 from tarragoncleat import errors
-from tarragoncleat import exchanges
 from tarragoncleat import forwarding
 from tarragoncleat import ids
 from tarragoncleat import limits
@@ -22,6 +21,7 @@
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
 from tarragoncleat import upstream_connections
+from tarragoncleat import visits
 
 __all__ = ["Authenticate", "CallerApi", "ClaimStore", "ServiceDirectory"]
 
@@ -75,17 +75,6 @@
         """Keeps the answer for resends."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Visit:
-    """One request as it came in."""
-
-    request: caller_requests.CallerRequest
-    body: caller_requests.CallerBody
-    send: answers.Send
-    progress: exchanges.Progress
-    firm: str
-
-
 class CallerApi:
     """Serves `/services/{service}/{path}`, `/healthz` and `/readyz`."""
 
@@ -119,7 +108,6 @@
             settings.callers.max_connections_per_caller,
             settings.callers.max_connections,
         )
-        self._requests: dict[ids.RequestId, ids.ServiceId] = {}
         self._finished: collections.Counter[tuple[str, str]]
         self._finished = collections.Counter()
         self._watch = request_watch.RequestWatch(timer)
@@ -128,7 +116,10 @@
     @property
     def in_flight(self) -> Mapping[ids.RequestId, ids.ServiceId]:
         """Requests that are not answered yet, with their service."""
-        return self._requests
+        return {
+            request_id: visit.request.service
+            for request_id, visit in self._watch.in_flight.items()
+        }
 
     def start_leaving(self) -> None:
         """Makes readyz fail and asks callers to close their connections."""
@@ -156,7 +147,7 @@
         """Returns the state for the state dump."""
         return {
             "leaving": self._leaving,
-            "requests": len(self._requests),
+            "requests": len(self._watch.in_flight),
             "callers": len(self._callers),
             "idle_connections": len(self._pool),
             "dispatcher": self._dispatcher.dump(),
@@ -175,27 +166,37 @@
             await self._send_health(scope["raw_path"], send)
             return
         request_id = caller_requests.new_request_id()
-        progress = exchanges.Progress()
+        request = caller_requests.parse(scope, request_id, self._settings)
+        if isinstance(request, errors.Failure):
+            await self._refuse(scope, receive, send, request_id, request, False)
+            return
+        visit = visits.Visit(
+            request,
+            caller_requests.CallerBody(
+                receive, request.content_length, self._settings.callers
+            ),
+            send,
+            [_CLOSE] if self._leaving else [],
+            self._timer.monotonic_s(),
+            anyio.CancelScope(),
+        )
         try:
-            failure = await self._admit(
-                scope, receive, send, request_id, progress
-            )
+            failure = await self._admit(scope, visit)
         except Exception:
-            if not progress.answering:
+            if not visit.answering:
                 failure = errors.Failure(
                     errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
                 )
-                await self._send_failure(
-                    scope, send, request_id, failure, progress
+                await self._refuse(
+                    scope, receive, send, request_id, failure, visit.sent
                 )
             raise
-        if failure is None or progress.answering:
-            # An answer that has begun but is not complete makes the server
-            # abort the caller's connection.
-            return
-        if _has_long_body(scope):
-            send = _LingeringSend(receive, send)
-        await self._send_failure(scope, send, request_id, failure, progress)
+        # An answer that has begun but is not complete makes the server abort
+        # the caller's connection.
+        if failure is not None and not visit.answering:
+            await self._refuse(
+                scope, receive, send, request_id, failure, visit.sent
+            )
 
     async def _send_health(self, path: bytes, send: answers.Send) -> None:
         ready = path == b"/healthz" or not self._leaving
@@ -204,62 +205,50 @@
         answer = answers.CompleteAnswer(200 if ready else 503, headers, body)
         await answers.send_complete(send, answer, [])
 
-    async def _send_failure(
+    async def _refuse(
         self,
         scope: caller_requests.Scope,
+        receive: caller_requests.Receive,
         send: answers.Send,
         request_id: ids.RequestId,
         failure: errors.Failure,
-        progress: exchanges.Progress,
+        sent: bool,
     ) -> None:
-        unknown = progress.sent or (
-            failure.kind is errors.ErrorKind.DUPLICATE_REQUEST
-        )
+        unknown = sent or failure.kind is errors.ErrorKind.DUPLICATE_REQUEST
         outcome = errors.Outcome.UNKNOWN if unknown else errors.Outcome.NOT_RUN
         answer = answers.build_error(failure, outcome, request_id)
-        extra = [_CLOSE] if self._leaving or _has_long_body(scope) else []
+        has_long_body = _has_long_body(scope)
+        if has_long_body:
+            send = _LingeringSend(receive, send)
+        extra = [_CLOSE] if self._leaving or has_long_body else []
         await answers.send_complete(send, answer, extra)
 
     async def _admit(
-        self,
-        scope: caller_requests.Scope,
-        receive: caller_requests.Receive,
-        send: answers.Send,
-        request_id: ids.RequestId,
-        progress: exchanges.Progress,
+        self, scope: caller_requests.Scope, visit: visits.Visit
     ) -> errors.Failure | None:
-        request = caller_requests.parse(scope, request_id, self._settings)
-        if isinstance(request, errors.Failure):
-            return request
         token = self._authenticate(scope["headers"])
         if isinstance(token, errors.Failure):
             return token
-        owner = self._fleet.owner_of(request.service)
-        if token is not None and not _is_allowed(token, request.service, owner):
+        service = visit.request.service
+        owner = self._fleet.owner_of(service)
+        client = scope.get("client")
+        address = client[0] if client else ""
+        if token is None:
+            visit.firm = owner or ""
+            return await self._count(visit, address, "")
+        if not _is_allowed(token, service, owner):
             return errors.Failure(
                 errors.ErrorKind.FORBIDDEN,
-                f"the token does not allow {request.service}",
+                f"the token does not allow {service}",
             )
-        visit = _Visit(
-            request,
-            caller_requests.CallerBody(
-                receive, request.content_length, self._settings.callers
-            ),
-            send,
-            progress,
-            owner or "" if token is None else token.firm,
-        )
-        callers = [f"address {(scope.get('client') or ('',))[0]}"]
-        if token is not None:
-            callers.append(f"token {token.name}")
-        return await self._count(visit, callers)
+        visit.firm = token.firm
+        return await self._count(visit, address, f"token {token.name}")
 
     async def _count(
-        self, visit: _Visit, callers: list[str]
+        self, visit: visits.Visit, address: str, token: str
     ) -> errors.Failure | None:
+        callers = (address, token) if token else (address,)
         entered = [name for name in callers if self._callers.enter(name)]
-        request = visit.request
-        self._requests[request.request_id] = request.service
         try:
             if len(entered) < len(callers):
                 failure: errors.Failure | None = errors.Failure(
@@ -269,39 +258,30 @@
             else:
                 failure = await self._run(visit)
         finally:
-            del self._requests[request.request_id]
             for name in entered:
                 self._callers.leave(name)
         # The instruments are too slow for each request; `run` passes the
         # counts on.
         outcome = "answered" if failure is None else failure.kind.value
-        self._finished[request.service, outcome] += 1
+        self._finished[visit.request.service, outcome] += 1
         return failure
 
-    async def _run(self, visit: _Visit) -> errors.Failure | None:
+    async def _run(self, visit: visits.Visit) -> errors.Failure | None:
         failure: errors.Failure | None = None
-        # The watch sets the deadline of the scope.
-        with anyio.CancelScope() as scope:
-            watched = request_watch.Watched(
-                visit.request,
-                visit.body,
-                visit.progress,
-                scope,
-                self._timer.monotonic_s(),
-                anyio.current_time() + visit.request.deadline_s,
-            )
-            self._watch.add(watched)
-            try:
+        self._watch.add(visit)
+        try:
+            # The watch sets the deadline of the scope.
+            with visit.scope:
                 failure = await self._prepare(visit)
-            finally:
-                self._watch.remove(visit.request.request_id)
-        if not scope.cancelled_caught:
+        finally:
+            self._watch.remove(visit)
+        if not visit.scope.cancelled_caught:
             return failure
         if visit.body.disconnected:
             return errors.Failure(
                 errors.ErrorKind.BAD_REQUEST, "the caller disconnected"
             )
-        if visit.progress.sent:
+        if visit.sent:
             return errors.Failure(
                 errors.ErrorKind.DEADLINE_EXCEEDED,
                 "the answer did not arrive before the deadline",
@@ -311,34 +291,32 @@
             "the request was not sent before its deadline",
         )
 
-    async def _prepare(self, visit: _Visit) -> errors.Failure | None:
+    async def _prepare(self, visit: visits.Visit) -> errors.Failure | None:
         body = visit.body
-        failure = await body.read_ahead(
-            self._settings.routing.replay_body_bytes
-        )
-        if failure is not None:
-            return failure
+        if not body.complete:
+            failure = await body.read_ahead(
+                self._settings.routing.replay_body_bytes
+            )
+            if failure is not None:
+                return failure
         head = caller_requests.build_head(
             visit.request, len(body.buffered) if body.complete else None
         )
         if isinstance(head, errors.Failure):
             return head
-        job = forwarding.Job(
-            visit.request,
-            head,
-            body,
-            self._fleet.standing_of(visit.request.service),
-            visit.send,
-            visit.progress,
-            [_CLOSE] if self._leaving else [],
-        )
         if visit.request.key is not None:
-            return await self._forward_once(visit, job)
-        result = await self._forwarder.forward(job)
+            return await self._forward_once(visit, head)
+        result = await self._forward(visit, head)
         return result if isinstance(result, errors.Failure) else None
 
+    async def _forward(
+        self, visit: visits.Visit, head: h11.Request
+    ) -> answers.CompleteAnswer | errors.Failure | None:
+        standing = self._fleet.standing_of(visit.request.service)
+        return await self._forwarder.forward(visit, head, standing)
+
     async def _forward_once(
-        self, visit: _Visit, job: forwarding.Job
+        self, visit: visits.Visit, head: h11.Request
     ) -> errors.Failure | None:
         replay_bytes = self._settings.routing.replay_body_bytes
         claim = claims_module.build_request(
@@ -348,11 +326,11 @@
         if isinstance(verdict, errors.Failure):
             return verdict
         if isinstance(verdict, claims_module.Held):
-            return await self._answer_resend(visit, job, verdict)
+            return await self._answer_resend(visit, verdict)
         try:
-            result = await self._forwarder.forward(job)
+            result = await self._forward(visit, head)
         finally:
-            if not visit.progress.sent:
+            if not visit.sent:
                 with anyio.CancelScope(shield=True):
                     await self._claims.release(claim)
         if isinstance(result, errors.Failure):
@@ -362,15 +340,17 @@
         return None
 
     async def _answer_resend(
-        self, visit: _Visit, job: forwarding.Job, held: claims_module.Held
+        self, visit: visits.Visit, held: claims_module.Held
     ) -> errors.Failure | None:
         if held.answer is None:
             return errors.Failure(
                 errors.ErrorKind.DUPLICATE_REQUEST,
                 "the key was used by a request whose answer is not known",
             )
-        visit.progress.answering = True
-        await answers.send_complete(visit.send, held.answer, job.extra_headers)
+        visit.answering = True
+        await answers.send_complete(
+            visit.send, held.answer, visit.extra_headers
+        )
         return None
 
 
--- a/tarragoncleat/caller_requests.py
+++ b/tarragoncleat/caller_requests.py
@@ -97,16 +97,32 @@
 
     Names must be in lower case.
     """
-    kept = [pair for pair in headers if pair[0] not in dropped]
-    named: set[bytes] = set()
-    for name, value in headers:
-        if name == b"connection":
-            named.update(item.strip().lower() for item in value.split(b","))
-    if named - {b"close", b"keep-alive"}:
-        kept = [pair for pair in kept if pair[0] not in named]
+    kept = []
+    for pair in headers:
+        name = pair[0]
+        if name not in dropped:
+            kept.append(pair)
+        elif name == b"connection":
+            return _without_named(headers, dropped)
     return kept
 
 
+def _without_named(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> Headers:
+    named = {
+        item.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for item in value.split(b",")
+    }
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in dropped and pair[0] not in named
+    ]
+
+
 def parse(
     scope: Scope,
     request_id: ids.RequestId,
--- a/tarragoncleat/forwarding.py
+++ b/tarragoncleat/forwarding.py
@@ -5,7 +5,6 @@
 import h11
 
 from tarragoncleat import answers
-from tarragoncleat import caller_requests
 from tarragoncleat import dispatching
 from tarragoncleat import errors
 from tarragoncleat import exchanges
@@ -15,8 +14,9 @@
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
 from tarragoncleat import upstream_connections
+from tarragoncleat import visits
 
-__all__ = ["Forwarder", "Job"]
+__all__ = ["Forwarder"]
 
 # Failures of the upstream; all others are the caller's.
 _RETRIABLE = frozenset(
@@ -24,29 +24,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request that is ready to be forwarded.
-
-    Attributes:
-        request: What the caller asks for.
-        head: Head of the request for the upstream.
-        body: Its body, read ahead up to the replay limit.
-        standing: Standing of the service.
-        send: ASGI send function of the caller.
-        progress: Filled in while the request runs.
-        extra_headers: Headers to add to the answer.
-    """
-
-    request: caller_requests.CallerRequest
-    head: h11.Request
-    body: caller_requests.CallerBody
-    standing: profiles.Standing
-    send: answers.Send
-    progress: exchanges.Progress
-    extra_headers: caller_requests.Headers
-
-
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """What became of one attempt.
@@ -89,31 +66,34 @@
         )
 
     async def forward(
-        self, job: Job
+        self,
+        visit: visits.Visit,
+        head: h11.Request,
+        standing: profiles.Standing,
     ) -> answers.CompleteAnswer | errors.Failure | None:
         """Forwards a request and its answer.
 
         Returns:
-            A failure that the caller has to be told, unless `job.progress`
-            says that the answer has begun; otherwise the answer if the request
-            has a key and the answer is small, or None.
+            A failure that the caller has to be told, unless the answer has
+            begun; otherwise the answer if the request has a key and the answer
+            is small, or None.
         """
         self._budget.add_fresh()
-        service = job.request.service
-        demand = dispatching.Demand(service, job.standing)
+        service = visit.request.service
+        demand = dispatching.Demand(service, standing)
         last: errors.Failure | None = None
         while True:
             lease = await self._dispatcher.acquire(demand)
             if isinstance(lease, errors.Failure):
                 return lease if last is None else last
             try:
-                attempt = await self._attempt(job, lease)
+                attempt = await self._attempt(visit, head, lease)
             finally:
                 self._dispatcher.release(lease)
             if attempt.failure is None:
                 return attempt.answer
             last = attempt.failure
-            if not self._may_retry(job, attempt):
+            if not self._may_retry(visit, attempt):
                 return last
             self._metrics.count_retry(service)
             demand = dataclasses.replace(
@@ -121,9 +101,9 @@
                 excluded=demand.excluded | {lease.upstream.upstream_id},
             )
 
-    def _may_retry(self, job: Job, attempt: _Attempt) -> bool:
-        replayable = job.body.replayable and not job.body.disconnected
-        if job.progress.answering or not replayable:
+    def _may_retry(self, visit: visits.Visit, attempt: _Attempt) -> bool:
+        replayable = visit.body.replayable and not visit.body.disconnected
+        if visit.answering or not replayable:
             return False
         if attempt.failure is None or attempt.failure.kind not in _RETRIABLE:
             return False
@@ -133,8 +113,13 @@
             self._timer.monotonic_s()
         )
 
-    async def _attempt(self, job: Job, lease: dispatching.Lease) -> _Attempt:
-        idempotent = job.request.idempotent
+    async def _attempt(
+        self,
+        visit: visits.Visit,
+        head: h11.Request,
+        lease: dispatching.Lease,
+    ) -> _Attempt:
+        idempotent = visit.request.idempotent
         connection = await self._pool.check_out(
             lease.upstream, fresh=not idempotent
         )
@@ -143,22 +128,18 @@
             return _Attempt(connection, retry_free=True)
         exchange = exchanges.Exchange(
             connection,
-            job.request,
-            job.head,
-            job.body,
-            job.send,
-            job.progress,
-            self._keep_bytes if job.request.key is not None else 0,
-            job.extra_headers,
+            visit,
+            head,
+            self._keep_bytes if visit.request.key is not None else 0,
         )
-        job.progress.started = True
+        visit.started = True
         ended = False
         try:
             failure = await exchange.run()
             ended = failure is None or exchange.refused
         finally:
             if connection.wrote and not exchange.refused:
-                job.progress.sent = True
+                visit.sent = True
             if ended:
                 self._pool.check_in(connection)
             else:
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -104,7 +104,7 @@
         return await self._write(data)
 
     async def _write(self, data: bytes) -> errors.Failure | None:
-        rest = memoryview(data)
+        rest: bytes | memoryview = data
         # Stays set when the task is cancelled or the peer resets: the codec
         # counts a request as sent once it is encoded.
         self._writing = True
@@ -117,7 +117,7 @@
             except OSError as error:
                 return _failed(f"sending failed: {_name(error)}")
             self._wrote = True
-            rest = rest[sent:]
+            rest = memoryview(rest)[sent:] if sent < len(rest) else b""
         self._writing = False
         return None
 
