Write the head of an answer together with its body

Cause: uvicorn writes the head and the body of an answer in two system calls.

Change: the listener holds the head back until the first part of the body, at most until the next turn of the event loop.

--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 import pathlib
-from typing import Any
+from typing import Any, cast
 
 import loguru
 import uvicorn
@@ -32,6 +32,51 @@
     slow_headers: int = 0
 
 
+class _JoiningTransport:
+    """Writes the head of an answer together with its first part.
+
+    uvicorn writes them separately, which costs a system call and a packet for
+    each answer. A head without a prompt first part is written in the next
+    turn of the event loop.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._transport = transport
+        self._loop = loop
+        self._head: bytes | None = b""
+        self._flush_handle: asyncio.Handle | None = None
+
+    def write(self, data: bytes) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+            data = self._take_head() + data
+        elif self._head is not None:
+            self._head = data
+            self._flush_handle = self._loop.call_soon(self._flush)
+            return
+        self._transport.write(data)
+
+    def close(self) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush()
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def _flush(self) -> None:
+        self._flush_handle = None
+        self._transport.write(self._take_head())
+
+    def _take_head(self) -> bytes:
+        head, self._head = self._head, None
+        return head or b""
+
+
 class _LimitedProtocol(httptools_impl.HttpToolsProtocol):
     """Bounds the size and the duration of a request's header section.
 
@@ -88,6 +133,8 @@
         self.headers_open = False
         self._stop_header_timer()
         super().on_headers_complete()
+        joining = _JoiningTransport(self.transport, self.loop)
+        self.cycle.transport = cast(asyncio.Transport, joining)
         if self.closing_after_request:
             self.cycle.keep_alive = False
 
