Make request ids and idle checks cheaper

Cause: each request read the system's random source and each idle check raised an exception.

Change: request ids are a random prefix of the process and a number; the check polls the socket.

--- a/tarragoncleat/caller_requests.py
+++ b/tarragoncleat/caller_requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable
 import dataclasses
+import itertools
 import re
 import secrets
 from typing import Any
@@ -55,6 +56,9 @@
 # Name, colon, space and line end around each header.
 _HEADER_OVERHEAD_BYTES = 4
 _MAX_KEY_BYTES = 255
+# Random for each process, so that no restart or other entry repeats an id.
+_PROCESS_ID = secrets.token_hex(8)
+_REQUEST_NUMBERS = itertools.count()
 _MAX_DEADLINE_MS = 3_600_000
 
 
@@ -87,7 +91,7 @@
 
 def new_request_id() -> ids.RequestId:
     """Returns an id that no other request has."""
-    return ids.RequestId(secrets.token_hex(16))
+    return ids.RequestId(f"{_PROCESS_ID}{next(_REQUEST_NUMBERS):016x}")
 
 
 def end_to_end_headers(
@@ -138,8 +142,9 @@
         return _bad("HTTP/1.1 is required")
     headers: Headers = scope["headers"]
     limits = settings.callers
-    size = sum(len(name) + len(value) for name, value in headers)
-    size += _HEADER_OVERHEAD_BYTES * len(headers)
+    size = _HEADER_OVERHEAD_BYTES * len(headers)
+    for name, value in headers:
+        size += len(name) + len(value)
     if size > limits.max_header_bytes:
         return errors.Failure(
             errors.ErrorKind.HEADERS_TOO_LARGE,
@@ -147,21 +152,22 @@
         )
     by_name = dict(headers)
     length = _content_length(by_name)
-    deadline_ms = _deadline_ms(by_name, settings.routing.default_deadline_ms)
-    idempotent = _idempotent(by_name, scope["method"])
-    key = _key(by_name)
-    for value in (length, deadline_ms, idempotent, key):
-        if isinstance(value, errors.Failure):
-            return value
-    assert not isinstance(length, errors.Failure)
-    assert not isinstance(deadline_ms, errors.Failure)
-    assert not isinstance(idempotent, errors.Failure)
-    assert not isinstance(key, errors.Failure)
+    if isinstance(length, errors.Failure):
+        return length
     if length is not None and length > limits.max_body_bytes:
         return errors.Failure(
             errors.ErrorKind.TOO_LARGE,
             f"the body may have at most {limits.max_body_bytes} bytes",
         )
+    deadline_ms = _deadline_ms(by_name, settings.routing.default_deadline_ms)
+    if isinstance(deadline_ms, errors.Failure):
+        return deadline_ms
+    idempotent = _idempotent(by_name, scope["method"])
+    if isinstance(idempotent, errors.Failure):
+        return idempotent
+    key = _key(by_name)
+    if isinstance(key, errors.Failure):
+        return key
     query = scope["query_string"]
     path = match.group(2) or b"/"
     return CallerRequest(
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -6,6 +6,7 @@
 
 import errno
 import os
+import select
 import socket
 
 import anyio
@@ -42,6 +43,8 @@
         self.idle_since_s = 0.0
         self.reused = False
         self._socket = sock
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -79,13 +82,7 @@
 
     def is_quiet(self) -> bool:
         """Whether the peer has neither sent anything nor closed."""
-        try:
-            self._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return not self._poll.poll(0)
 
     def close(self) -> None:
         """Closes the socket."""
