Print the entries' logs when a system test fails

Cause: one of five runs of the lost-disk test timed out on a busy machine and left nothing to look at. Change: the rig prints the last 40 lines of each entry's log. Conclusion: needed to find the cause.

--- a/tests/system_rig.py
+++ b/tests/system_rig.py
@@ -22,6 +22,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _WAIT_S = 30.0
 _EXIT_TIMEOUT_S = 30.0
+_LOG_LINES = 40
 _SETTINGS = """
 [entry]
 entry_id = "{name}"
@@ -155,6 +156,12 @@
         self._proxy.kill()
         self._proxy.wait()
 
+    def print_logs(self) -> None:
+        """Prints the end of each entry's log, for a test that failed."""
+        for name in self.names:
+            text = (self.folder / f"{name}.log").read_text(encoding="utf-8")
+            print(name, *text.splitlines()[-_LOG_LINES:], sep="\n  ")
+
     # Faults.
 
     def start_proxy(self) -> None:
@@ -262,5 +269,8 @@
                     f"committed configuration at {name}",
                 )
             yield system
+        except BaseException:
+            system.print_logs()
+            raise
         finally:
             system.close()
