Give each test process its own loopback addresses

Cause: two checkouts that ran the tests at once shared addresses, and entries of one run answered the other. Change: tests take the second octet of their addresses from the process id. Conclusion: runs in parallel no longer meet.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import os
 import pathlib
 import types
 from typing import Any
@@ -15,6 +16,7 @@
 from tarragoncleat import upstreams
 
 __all__ = [
+    "LOOPBACK",
     "FleetDriver",
     "LocalLog",
     "build_announcement",
@@ -24,6 +26,10 @@
     "populate",
 ]
 
+# First half of the addresses of this process's tests. Runs in parallel, such as
+# in two checkouts, don't meet.
+LOOPBACK = f"127.{100 + os.getpid() % 120}"
+
 
 def build_settings(
     entry_id: str = "entry-1",
--- a/tests/system_rig.py
+++ b/tests/system_rig.py
@@ -14,6 +14,7 @@
 
 from tarragoncleat import admin_client
 from tarragoncleat import errors
+from tests import builders
 from tests import fault_proxy
 from tests import request_path_rig
 
@@ -65,7 +66,7 @@
 class System:
     """Entries, their links through proxies, and stand-in upstreams.
 
-    Entry names are ZONE-NUMBER. Entry I listens on 127.20.NET.I; it dials
+    Entry names are ZONE-NUMBER. Entry I listens on LOOPBACK.NET.I; it dials
     entry J through a proxy on its own address, so that every direction
     between two entries can be cut.
     """
@@ -81,7 +82,7 @@
         }
         self.names = list(self._zone_of)
         self._ips = {
-            name: f"127.20.{net}.{index}"
+            name: f"{builders.LOOPBACK}.{net}.{index}"
             for index, name in enumerate(self.names, 1)
         }
         self._net = net
@@ -98,7 +99,7 @@
             for index, far in enumerate(self.names)
             if near != far
         }
-        self._control = f"127.20.{net}.200:9999"
+        self._control = f"{builders.LOOPBACK}.{net}.200:9999"
 
     # Entries.
 
@@ -147,6 +148,9 @@
     def address(self, name: str) -> str:
         return f"{self._ips[name]}:8080"
 
+    def spare_address(self, host: int) -> str:
+        return f"{builders.LOOPBACK}.{self._net}.{host}:7000"
+
     def close(self) -> None:
         self._standins.close()
         for process in self._processes.values():
@@ -236,7 +240,7 @@
         self._runs.append(runs)
         entries = [n for n, z in self._zone_of.items() if z == zone]
         arguments = ["--upstream-id", name, "--service", "bidding"]
-        arguments += ["--address", f"127.20.{self._net}.{100 + number}:7000"]
+        arguments += ["--address", self.spare_address(100 + number)]
         arguments += ["--availability-zone", zone, "--log-file", str(runs)]
         arguments += ["--entry", *map(self.address, entries), *options]
         self._standins.enter_context(request_path_rig.standin(*arguments))
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -28,7 +28,7 @@
 from tarragoncleat import waves
 from tests import builders
 
-_HOST, _PORT = "127.24.3.1", 8124
+_HOST, _PORT = f"{builders.LOOPBACK}.80.1", 8124
 _PROFILE = {"owed": {"instances": 4}, "settle_s": 0}
 
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -79,7 +79,11 @@
         self._processes: dict[str, subprocess.Popen] = {}
         test.addCleanup(self._stop)
         for number, extra in enumerate(options):
-            self._add(f"w{number}", f"127.25.{block}.{number + 1}:7000", extra)
+            self._add(
+                f"w{number}",
+                f"{builders.LOOPBACK}.{block}.{number + 1}:7000",
+                extra,
+            )
         self.replication = _Replication(self.driver)
         self._settings = builders.build_settings(
             controller=_LIMITS, consensus=_CONSENSUS
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -17,7 +17,7 @@
 from tarragoncleat import timer
 from tests import builders
 
-_HOST = "127.20.90.1"
+_HOST = f"{builders.LOOPBACK}.90.1"
 _DELAY_S = 0.5
 
 
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -250,7 +250,7 @@
 
     def start(self, numbers: Any) -> None:
         for number in numbers:
-            address = f"127.20.10.{150 + number}:7000"
+            address = self._system.spare_address(150 + number)
             name = f"worker-{number}"
             self._processes[number] = subprocess.Popen(
                 [
