Leave start-up objects out of garbage collection

Cause: the p99 of a busy closed loop was 2.7 times that of the bare loop; full collections went through every object of the imported libraries.

Change: the listener freezes the objects that exist when it starts to serve.

--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
+import gc
 import json
 import pathlib
 from typing import Any, cast
@@ -231,6 +232,10 @@
 
     async def serve(self) -> None:
         """Serves until `stop` was called and all requests have finished."""
+        # What exists at the start stays; leaving it out of each full garbage
+        # collection shortens the pauses that requests see.
+        gc.collect()
+        gc.freeze()
         await self._server.serve()
 
     def stop(self) -> None:
