Never answer a request in flight with a refusal of the listener

Cause: bytes that don't parse, or oversized headers, behind a request in flight made the listener write its own refusal, which the caller would take for the answer to that request: `not-run` for a request that may have run. Malformed requests got an answer without an outcome. Upstreams that let requests run into the default deadline were never ejected, failed connects were not reported to the membership, and idle connections of all entries could exceed the connections of an upstream.

Change: the listener only closes such a connection and answers malformed requests in the common form; a request that ran into the default deadline or a longer one counts as a failure of its upstream; failed connects are reported; each entry keeps at most its share of idle connections.

Conclusion: proved by two new tests of tests.test_request_path.

--- a/tarragoncleat/dispatching.py
+++ b/tarragoncleat/dispatching.py
@@ -31,6 +31,9 @@
     ) -> None:
         """Takes this entry's in-flight count for the other entries."""
 
+    def report_suspect(self, upstream_id: ids.UpstreamId) -> None:
+        """Withholds an upstream until a probe connects to it."""
+
     def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
         """Returns what the other entries last reported."""
 
@@ -145,6 +148,19 @@
         if router.record_failure(lease.upstream.upstream_id, now_s):
             self._metrics.count_ejection(lease.service)
 
+    def record_connect_failure(self, lease: Lease) -> None:
+        """Notes that no connection to the upstream could be opened."""
+        self.record_failure(lease)
+        self._upstreams.report_suspect(lease.upstream.upstream_id)
+
+    def idle_limit(self, upstream: routing.Upstream) -> int:
+        """Returns how many idle connections this entry may keep.
+
+        All entries together stay within the upstream's connections.
+        """
+        share = upstream.connections // max(1, self._upstreams.live_entries())
+        return max(1, share)
+
     def serve_waiting(self) -> None:
         """Grants leases while a waiting request can have one."""
         progress = True
--- a/tarragoncleat/forwarding.py
+++ b/tarragoncleat/forwarding.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import anyio
 import h11
 
 from tarragoncleat import answers
@@ -18,6 +19,7 @@
 
 __all__ = ["Forwarder"]
 
+_MS_PER_S = 1000
 # Failures of the upstream; all others are the caller's.
 _RETRIABLE = frozenset(
     {errors.ErrorKind.UPSTREAM_FAILED, errors.ErrorKind.UPSTREAM_REFUSED}
@@ -57,7 +59,9 @@
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._pool = pool
-        self._replay_bytes = settings.routing.replay_body_bytes
+        self._default_deadline_s = (
+            settings.routing.default_deadline_ms / _MS_PER_S
+        )
         self._keep_bytes = settings.claims.stored_answer_bytes
         self._budget = limits.RetryBudget(
             settings.routing.retry_fraction,
@@ -124,7 +128,8 @@
             lease.upstream, fresh=not idempotent
         )
         if isinstance(connection, errors.Failure):
-            self._note_failure(lease)
+            self._pool.close_idle(lease.upstream)
+            self._dispatcher.record_connect_failure(lease)
             return _Attempt(connection, retry_free=True)
         exchange = exchanges.Exchange(
             connection,
@@ -137,11 +142,16 @@
         try:
             failure = await exchange.run()
             ended = failure is None or exchange.refused
+        except anyio.get_cancelled_exc_class():
+            if self._is_upstream_late(visit):
+                self._note_failure(lease)
+            raise
         finally:
             if connection.wrote and not exchange.refused:
                 visit.sent = True
             if ended:
-                self._pool.check_in(connection)
+                limit = self._dispatcher.idle_limit(lease.upstream)
+                self._pool.check_in(connection, limit)
             else:
                 connection.close()
         if failure is None:
@@ -154,6 +164,13 @@
             retry_paid=idempotent or exchange.refused,
         )
 
+    def _is_upstream_late(self, visit: visits.Visit) -> bool:
+        # A shorter deadline of the caller's choice says nothing about the
+        # upstream.
+        ample = visit.request.deadline_s >= self._default_deadline_s
+        late_s = visit.arrived_s + visit.request.deadline_s
+        return ample and self._timer.monotonic_s() >= late_s
+
     def _judge(
         self,
         lease: dispatching.Lease,
--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -177,8 +177,16 @@
             f"headers took over {self.limits.header_timeout_ms} ms",
         )
 
+    def send_400_response(self, msg: str) -> None:
+        self._refuse(errors.ErrorKind.BAD_REQUEST, "the request is malformed")
+
     def _refuse(self, kind: errors.ErrorKind, reason: str) -> None:
         self._stop_header_timer()
+        if self.cycle is not None and not self.cycle.response_complete:
+            # The caller would take the refusal for the answer to the request
+            # in flight, which may have run.
+            self.transport.close()
+            return
         answer = errors.ANSWERS[kind]
         body = json.dumps(
             {"error": kind.value, "reason": reason, "request_id": None}
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -245,14 +245,18 @@
             connection.close()
         return await open_connection(upstream, self._connect_timeout_s)
 
-    def check_in(self, connection: Connection) -> None:
-        """Keeps a connection for later, or closes one that is not reusable."""
-        if not connection.reusable:
+    def check_in(self, connection: Connection, limit: int) -> None:
+        """Keeps a connection for later, at most `limit` of an upstream.
+
+        One that is not reusable is closed.
+        """
+        idle = self._idle.setdefault(connection.key, [])
+        if not connection.reusable or len(idle) >= limit:
             connection.close()
             return
         connection.start_next_cycle()
         connection.idle_since_s = self._timer.monotonic_s()
-        self._idle.setdefault(connection.key, []).append(connection)
+        idle.append(connection)
 
     def close_idle(self, upstream: routing.Upstream) -> None:
         """Closes the idle connections of an upstream that failed."""
--- a/tarragoncleat_bench/request_path_servers.py
+++ b/tarragoncleat_bench/request_path_servers.py
@@ -206,6 +206,9 @@
     ) -> None:
         self._reported[upstream_id] = in_flight
 
+    def report_suspect(self, upstream_id: ids.UpstreamId) -> None:
+        raise NotImplementedError
+
     def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
         return 0
 
--- a/tests/request_path_rig.py
+++ b/tests/request_path_rig.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self.by_service: dict[str, list[Candidate]] = {}
         self.reported: dict[str, int] = {}
+        self.suspects: set[str] = set()
 
     def add(self, service: str, name: str, address: str, **more: Any) -> None:
         host, _, port = address.rpartition(":")
@@ -72,6 +73,9 @@
     ) -> None:
         self.reported[upstream_id] = in_flight
 
+    def report_suspect(self, upstream_id: ids.UpstreamId) -> None:
+        self.suspects.add(upstream_id)
+
     def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
         return 0
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -101,6 +101,7 @@
                 reply = await self._call("POST", b"1")
                 self.assertEqual(reply.status, 200)
                 self.assertEqual(len(self._runs(reply)), 1)
+            self.assertEqual(self._upstreams.suspects, {"up-0"})
 
         self._run(check)
 
@@ -296,6 +297,46 @@
 
         self._run(check)
 
+    def test_garbage_behind_a_request_is_no_answer_to_it(self) -> None:
+        """Guards against `not-run` for a request in flight."""
+
+        async def check(api: Any) -> None:
+            host, _, port = _ENTRY.rpartition(":")
+            head = b"POST /services/bidding/a HTTP/1.1\r\nHost: entry\r\n"
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(head + b"X-Standin-Delay-Ms: 300\r\n\r\n")
+                while not any(self._upstreams.reported.values()):
+                    await anyio.sleep(0.01)
+                await stream.send(b"\0\0\0\r\n\r\n")
+                with self.assertRaises(anyio.EndOfStream):
+                    self.fail(await stream.receive())
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b"\0\0\0\r\n\r\n")
+                answer = await stream.receive()
+                self.assertIn(b"tarragoncleat-outcome: not-run", answer)
+
+        self._run(check)
+
+    def test_late_upstream_is_ejected_but_not_for_short_deadlines(
+        self,
+    ) -> None:
+        """Guards against a stuck upstream that keeps its share of callers."""
+
+        async def check(api: Any) -> None:
+            late = {"x_standin_delay_ms": "2000"}
+            for deadline_ms, ejected in (("50", 0), ("100", 1)):
+                for _ in range(4):
+                    reply = await self._get(
+                        tarragoncleat_deadline_ms=deadline_ms, **late
+                    )
+                    self.assertEqual(reply.status, 504)
+                states = api.dump()["dispatcher"]["services"]["bidding"]
+                out = [s for s in states.values() if s["ejected_for_s"] > 0]
+                self.assertEqual(len(out) >= 1, bool(ejected))
+
+        limits = {"default_deadline_ms": 100, "eject_after_failures": 2}
+        self._run(check, routing=limits)
+
     def test_disconnect_cancels_an_idempotent_request(self) -> None:
         """Guards against work for callers that have gone away."""
 
