Close connections without a Hello and bound the membership dump

Cause: a connection that sent keep-alives but no Hello stayed open for ever, and the state dump listed every upstream.

Change: a connection without a Hello is closed after the silence limit; the dump lists at most 200 upstreams of a zone and states how many there are.

Conclusion: strangers can't hold connections, and the dump stays small.

--- a/tarragoncleat/membership.py
+++ b/tarragoncleat/membership.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Sequence
+import itertools
 import math
 
 import anyio
@@ -42,6 +43,9 @@
 # An entry that knows a newer epoch of a leaving upstream says so when it
 # acknowledges, and the leave is repeated for that epoch.
 _LEAVE_ROUNDS = 3
+# Upstreams of a zone that the state dump lists; at 24,000 upstreams all of
+# them would be megabytes.
+_DUMPED_UPSTREAMS = 200
 
 
 class Membership:
@@ -210,6 +214,7 @@
             "vouched_age_s": _age_s(now_s, self._view.vouched_s(zone)),
             "usable": self._view.usable_until_s(zone) > now_s,
             "digest": f"{self._registry.digest(zone):016x}",
+            "records": len(self._registry.of_zone(zone)),
             "upstreams": {
                 held.record.upstream_id: {
                     "service": held.record.service,
@@ -222,7 +227,9 @@
                         held.record.upstream_id
                     ),
                 }
-                for held in self._registry.of_zone(zone)
+                for held in itertools.islice(
+                    self._registry.of_zone(zone), _DUMPED_UPSTREAMS
+                )
             },
         }
 
--- a/tarragoncleat/peer_connection.py
+++ b/tarragoncleat/peer_connection.py
@@ -71,6 +71,7 @@
     Attributes:
         patience: Factor of the times after which keep-alives are sent and
             silence closes the connection; both sides use the same.
+        greeted: Whether the other side has sent a valid Hello.
     """
 
     def __init__(
@@ -90,10 +91,17 @@
             bytes
         ](_QUEUE_MESSAGES)
         self.patience = 1
+        self.greeted = False
         now_s = timer.monotonic_s()
+        self._opened_at_s = now_s
         self._read_at_s = now_s
         self._written_at_s = now_s
 
+    @property
+    def opened_at_s(self) -> float:
+        """When the connection was opened."""
+        return self._opened_at_s
+
     @property
     def read_at_s(self) -> float:
         """When bytes were last received."""
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -244,7 +244,11 @@
         idle_s = now_s - connection.written_at_s
         if idle_s >= _KEEP_ALIVE_HEARTBEATS * factor:
             connection.put_keep_alive()
-        if now_s - connection.read_at_s > _SILENT_HEARTBEATS * factor:
+        # Bytes other than a Hello don't keep an unknown connection open.
+        heard_s = connection.opened_at_s
+        if connection.greeted:
+            heard_s = connection.read_at_s
+        if now_s - heard_s > _SILENT_HEARTBEATS * factor:
             connection.count_silent()
             connection.close()
 
@@ -388,6 +392,7 @@
             self._refuse(f"entry {entry_id} answered for {self._dialled}")
             return
         self.peer = entry_id
+        self._connection.greeted = True
         if links._zone_by_entry[entry_id] != links._settings.availability_zone:
             self._connection.patience = links._other_zone_factor
         counters = links._counters[entry_id]
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -112,6 +112,22 @@
 
         anyio.run(run)
 
+    def test_missing_hello(self) -> None:
+        """Keep-alives alone must not hold a connection open for ever."""
+
+        async def run() -> None:
+            async with (
+                peer_cluster.run_cluster(["a", "b"]) as cluster,
+                _dial(cluster) as stream,
+            ):
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    for _ in range(100):
+                        await stream.send(frames.KEEP_ALIVE)
+                        await anyio.sleep(0.05)
+                    self.fail("the connection was not closed")
+
+        anyio.run(run)
+
     def test_silent_link(self) -> None:
         """A frozen peer must cost drops only, and the link must come back."""
 
