Bound every number that a request can carry

Cause: a size of 1e308 cores or NaN raised inside Fleet.apply, which would stop every replica at the same record; an integer over 64 bits or a lone surrogate raised while a command was encoded. A throttled job could go back to full speed although its room was taken.

Change: profiles, instances, jobs and reserved sizes have upper limits; JSON bodies refuse NaN, infinite and over-long numbers and lone surrogates; a throttled job runs at full speed again only if it still fits.

--- a/tarragoncleat/admin_api.py
+++ b/tarragoncleat/admin_api.py
@@ -21,6 +21,8 @@
 
 PREFIX = "/admin/v1/"
 
+_MAX_DIGITS = 18
+
 _READERS = frozenset(
     {
         settings_module.Role.OPERATOR,
@@ -287,7 +289,7 @@
     if text is None or text == "*":
         return None
     text = text.strip().strip('"')
-    if text.isdecimal():
+    if text.isdecimal() and len(text) <= _MAX_DIGITS:
         return int(text)
     return _bad("If-Match must be a revision, 0 for a new object")
 
--- a/tarragoncleat/admin_commands.py
+++ b/tarragoncleat/admin_commands.py
@@ -284,7 +284,8 @@
 ) -> Any:
     for name, value in values.items():
         # A null id is decided by the type of the field.
-        if name.endswith("_id") and value is not None:
+        named = name.endswith("_id") and value is not None
+        if named or (name == "firm" and value != commands.ANY_FIRM):
             failure = check_id(value, name)
             if failure is not None:
                 return failure
--- a/tarragoncleat/admin_http.py
+++ b/tarragoncleat/admin_http.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Mapping, MutableMapping
 import dataclasses
 import json
+import math
 from typing import Any
 import urllib.parse
 import uuid
@@ -27,6 +28,8 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
 _MAX_BODY_BYTES = 4 * 1024 * 1024
+# Numbers travel as 64 bits.
+_MAX_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,11 +162,35 @@
             return b"".join(chunks)
 
 
+def _parse_int(text: str) -> int:
+    if len(text) > _MAX_DIGITS:
+        raise ValueError(f"a number has more than {_MAX_DIGITS} digits")
+    return int(text)
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"the number {text} is too large")
+    return value
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f"{text} is not a number")
+
+
 def _parse_body(data: bytes) -> dict | errors.Failure:
     if not data:
         return {}
     try:
-        value = json.loads(data)
+        value = json.loads(
+            data,
+            parse_int=_parse_int,
+            parse_float=_parse_float,
+            parse_constant=_refuse_constant,
+        )
+        # A lone surrogate is valid JSON, but no text that can be stored.
+        json.dumps(value, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         return errors.Failure(
             errors.ErrorKind.BAD_REQUEST, f"the body is not JSON: {error}"
--- a/tarragoncleat/fleet_jobs.py
+++ b/tarragoncleat/fleet_jobs.py
@@ -118,7 +118,7 @@
     refused: list[dict] = []
     for item in command.changes:
         job = _find_job(change, item.job_id)
-        reason = _why_not_recorded(job, item)
+        reason = _why_not_recorded(change, job, item)
         if job is None or reason is not None:
             refused.append({"job_id": item.job_id, "reason": reason})
             continue
@@ -258,8 +258,12 @@
         return f"instance {instance_id} is not in pool {service.pool_id}"
     if instance.state is not pools.InstanceState.IN_SERVICE:
         return f"instance {instance_id} is {instance.state.value}"
-    size = fleet_state.amount_of(placement.size or job.demand)
-    used = state.used_by_instance(instance_id).plus(size)
+    size = placement.size or job.demand
+    failure = jobs.check_demand(size)
+    if failure is not None:
+        return failure.reason
+    used = state.used_by_instance(instance_id)
+    used = used.plus(fleet_state.amount_of(size))
     if not fleet_state.fits(used, fleet_state.size_of(instance)):
         return f"instance {instance_id} has no room"
     need = fleet_state.amount_of(job.demand)
@@ -294,14 +298,36 @@
 
 
 def _why_not_recorded(
-    job: jobs.Job | None, item: commands.JobChange
+    change: fleet_rules.Change, job: jobs.Job | None, item: commands.JobChange
 ) -> str | None:
     if job is None:
         return "there is no such job"
     if item.attempt != job.attempt:
         return f"attempt {item.attempt} is not the current one, {job.attempt}"
     failure = jobs.check_transition(job, item.state)
-    return None if failure is None else failure.reason
+    if failure is not None:
+        return failure.reason
+    return _why_no_full_speed(change, job, item.state)
+
+
+def _why_no_full_speed(
+    change: fleet_rules.Change, job: jobs.Job, state: jobs.JobState
+) -> str | None:
+    """Returns why a throttled job can't run at full speed again, or None.
+
+    The room that throttling made may be in use by another job.
+    """
+    if job.state is not _STATE.THROTTLED or state is not _STATE.RUNNING:
+        return None
+    assert job.instance_id is not None
+    faster = dataclasses.replace(job, state=state)
+    used = change.state.used_by_instance(job.instance_id)
+    used = used.plus(fleet_state.amount_of(job.occupied), -1)
+    used = used.plus(fleet_state.amount_of(faster.occupied))
+    instance = change.state.instances[job.instance_id]
+    if fleet_state.fits(used, fleet_state.size_of(instance)):
+        return None
+    return f"instance {job.instance_id} has no room at full speed"
 
 
 def _record(
--- a/tarragoncleat/jobs.py
+++ b/tarragoncleat/jobs.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 
 import pydantic
 
@@ -14,6 +13,7 @@
     "Demand",
     "Job",
     "JobState",
+    "check_demand",
     "check_job",
     "check_transition",
 ]
@@ -22,6 +22,14 @@
 # accelerators stay occupied.
 THROTTLED_CORE_SHARE = 0.5
 
+_MAX_CORES = 100_000
+_MAX_MEMORY_MB = 10**9
+_MAX_ACCELERATORS = 10_000
+_MAX_RUN_S = 366 * 86_400
+_MAX_PRIORITY = 1_000_000
+_MAX_NAME = 256
+_MAX_COMMAND = 16_384
+
 
 class JobState(enum.Enum):
     """Where a job is in its life."""
@@ -164,22 +172,44 @@
     )
 
 
+def check_demand(demand: Demand) -> errors.Failure | None:
+    """Checks that every part of a size is a number within the limits."""
+    parts = (
+        ("cores", demand.cores, 0.001, _MAX_CORES),
+        ("memory_mb", demand.memory_mb, 0, _MAX_MEMORY_MB),
+        ("accelerators", demand.accelerators, 0, _MAX_ACCELERATORS),
+    )
+    for name, value, least, most in parts:
+        if not least <= value <= most:
+            return errors.Failure(
+                errors.ErrorKind.BAD_REQUEST,
+                f"demand.{name} must be {least} to {most}, not {value}",
+            )
+    return None
+
+
 def check_job(job: Job) -> errors.Failure | None:
     """Checks what a submitted job declares.
 
     Returns:
         None, or a `Failure` of kind BAD_REQUEST that names the field.
     """
-    demand = job.demand
-    if not math.isfinite(demand.cores) or demand.cores <= 0:
-        return _bad(job, f"demand.cores must be above 0, not {demand.cores}")
-    if demand.memory_mb < 0 or demand.accelerators < 0:
+    failure = check_demand(job.demand)
+    if failure is not None:
+        return _bad(job, failure.reason)
+    if not 0 < job.declared_run_s <= _MAX_RUN_S:
         return _bad(
-            job, "demand.memory_mb and demand.accelerators must be 0 or more"
+            job,
+            f"declared_run_s must be above 0 and at most {_MAX_RUN_S}, "
+            f"not {job.declared_run_s}",
         )
-    if not math.isfinite(job.declared_run_s) or job.declared_run_s <= 0:
+    if abs(job.priority) > _MAX_PRIORITY:
+        return _bad(job, f"priority must be within +-{_MAX_PRIORITY}")
+    if len(job.name) > _MAX_NAME or len(job.command) > _MAX_COMMAND:
         return _bad(
-            job, f"declared_run_s must be above 0, not {job.declared_run_s}"
+            job,
+            f"name has at most {_MAX_NAME} and command {_MAX_COMMAND} "
+            "characters",
         )
     return None
 
--- a/tarragoncleat/pools.py
+++ b/tarragoncleat/pools.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 
 import pydantic
 
@@ -18,6 +17,10 @@
     "check_transition",
 ]
 
+_MAX_CORES = 100_000
+_MAX_MEMORY_MB = 10**9
+_MAX_ACCELERATORS = 10_000
+
 
 class InstanceState(enum.Enum):
     """What an instance is doing."""
@@ -116,13 +119,19 @@
     Returns:
         None, or a `Failure` of kind BAD_REQUEST that names the field.
     """
-    if not math.isfinite(instance.cores) or instance.cores <= 0:
-        return _bad(f"cores must be above 0, not {instance.cores}")
-    if instance.memory_mb <= 0:
-        return _bad(f"memory_mb must be above 0, not {instance.memory_mb}")
-    if instance.accelerators < 0:
+    if not 0 < instance.cores <= _MAX_CORES:
+        return _bad(
+            f"cores must be above 0 and at most {_MAX_CORES}, "
+            f"not {instance.cores}"
+        )
+    if not 0 < instance.memory_mb <= _MAX_MEMORY_MB:
+        return _bad(
+            f"memory_mb must be 1 to {_MAX_MEMORY_MB}, not {instance.memory_mb}"
+        )
+    if not 0 <= instance.accelerators <= _MAX_ACCELERATORS:
         return _bad(
-            f"accelerators must be 0 or more, not {instance.accelerators}"
+            f"accelerators must be 0 to {_MAX_ACCELERATORS}, "
+            f"not {instance.accelerators}"
         )
     try:
         settings.host_and_port(instance.address)
--- a/tarragoncleat/profiles.py
+++ b/tarragoncleat/profiles.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 
 import pydantic
 
@@ -23,6 +22,10 @@
     "check_profile",
 ]
 
+# Sums over a whole fleet must stay within 64 bits.
+_MAX_AMOUNT = 10**12
+_MAX_TIME_S = 366 * 86_400
+
 
 class Standing(enum.Enum):
     """Order under scarcity: LOW is refused first, URGENT last."""
@@ -140,11 +143,13 @@
 
 
 def check_capacity(capacity: Capacity, what: str) -> errors.Failure | None:
-    """Checks that no part of an amount is negative or not a number."""
+    """Checks that every part of an amount is a number within the limits."""
     for field in dataclasses.fields(capacity):
         value = getattr(capacity, field.name)
-        if not math.isfinite(value) or value < 0:
-            return _bad(f"{what}.{field.name} must be 0 or more, not {value}")
+        if not 0 <= value <= _MAX_AMOUNT:
+            return _bad(
+                f"{what}.{field.name} must be 0 to {_MAX_AMOUNT}, not {value}"
+            )
     return None
 
 
@@ -163,8 +168,10 @@
 
 
 def _check_settling(profile: Profile) -> errors.Failure | None:
-    if profile.settle_s < 0:
-        return _bad(f"settle_s must be 0 or more, not {profile.settle_s}")
+    if not 0 <= profile.settle_s <= _MAX_TIME_S:
+        return _bad(
+            f"settle_s must be 0 to {_MAX_TIME_S}, not {profile.settle_s}"
+        )
     return None
 
 
@@ -184,9 +191,10 @@
         return _bad(
             f"tolerance.max_out_fraction must be 0 to 1, not {fraction}"
         )
-    if tolerance.max_out_s <= 0:
+    if not 0 < tolerance.max_out_s <= _MAX_TIME_S:
         return _bad(
-            f"tolerance.max_out_s must be above 0, not {tolerance.max_out_s}"
+            f"tolerance.max_out_s must be 1 to {_MAX_TIME_S}, "
+            f"not {tolerance.max_out_s}"
         )
     if len(set(tolerance.actions)) != len(tolerance.actions):
         return _bad("tolerance.actions names an action twice")
@@ -197,9 +205,9 @@
     zones = placement.availability_zones
     if len(set(zones)) != len(zones):
         return _bad("placement.availability_zones names a zone twice")
-    if placement.max_per_rack < 0:
+    if not 0 <= placement.max_per_rack <= _MAX_AMOUNT:
         return _bad(
-            "placement.max_per_rack must be 0 (no limit) or more, "
+            f"placement.max_per_rack must be 0 (no limit) to {_MAX_AMOUNT}, "
             f"not {placement.max_per_rack}"
         )
     return None
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -221,6 +221,10 @@
             ({"owed": {}, "state": "x"}, "state"),
             ({**_PROFILE, "tolerance": {"max_out": 9}}, "max_out"),
             ([], "object"),
+            ({"owed": {"cores": float("inf")}}, "not a number"),
+            ({"owed": {"cores": 1e300}}, "owed.cores"),
+            ({"owed": {"instances": 10**30}}, "digits"),
+            ({"owed": {}, "firm": "\ud800"}, "surrogates"),
         ):
             reply = self.call("a", "PUT", "/admin/v1/profiles/new", body)
             self.assertEqual(reply.status, 400)
