--- a/tarragoncleat/fleet_view.py
+++ b/tarragoncleat/fleet_view.py
@@ -83,8 +83,10 @@
     Attributes:
         pool: The pool.
         profile: Profile of its service; None for a spare pool.
-        instances: Its instances in the order of their ids.
-        active: Jobs that hold capacity, by instance.
+        instances: Its instances in the order of their ids; the same tuple as
+            long as none of them changes.
+        active: Jobs that hold capacity, by instance; the same tuple as long as
+            none of them changes.
         waiting: Jobs that wait for an instance.
     """
 
@@ -176,6 +178,8 @@
         self._waiting: dict[ids.ServiceId, dict[ids.JobId, jobs.Job]] = (
             collections.defaultdict(dict)
         )
+        self._members: dict[ids.PoolId, tuple[pools.Instance, ...]] = {}
+        self._active_tuples: dict[ids.InstanceId, tuple[jobs.Job, ...]] = {}
         self._pools: dict[ids.PoolId, PoolView] = {}
 
     def refresh(self, fleet: FleetReader) -> FleetView:
@@ -210,21 +214,39 @@
             if new is not None:
                 self._instances[new.pool_id][new.instance_id] = new
                 dirty.add(new.pool_id)
+        for pool_id in dirty:
+            members = self._instances[pool_id]
+            ordered = tuple(members[name] for name in sorted(members))
+            self._members[pool_id] = ordered
         return dirty
 
     def _group_jobs(self, fleet: FleetReader) -> set[ids.PoolId]:
         dirty: set[ids.PoolId] = set()
+        touched: set[ids.InstanceId] = set()
         for old, new in self._job_changes.find(fleet.jobs):
             if old is not None:
                 self._waiting[old.service_id].pop(old.job_id, None)
                 if old.instance_id is not None:
                     self._active[old.instance_id].pop(old.job_id, None)
-                dirty.update(_pools_of_job(fleet, old))
             if new is not None:
                 self._add_job(new)
-                dirty.update(_pools_of_job(fleet, new))
+            for job in (old, new):
+                if job is not None:
+                    dirty.update(_pools_of_job(fleet, job))
+                    if job.instance_id is not None:
+                        touched.add(job.instance_id)
+        for name in touched:
+            self._regroup_active(name)
         return dirty
 
+    def _regroup_active(self, instance_id: ids.InstanceId) -> None:
+        active = self._active[instance_id]
+        if active:
+            self._active_tuples[instance_id] = tuple(active.values())
+        else:
+            del self._active[instance_id]
+            self._active_tuples.pop(instance_id, None)
+
     def _add_job(self, job: jobs.Job) -> None:
         if job.state in WAITING_JOB_STATES:
             self._waiting[job.service_id][job.job_id] = job
@@ -247,11 +269,11 @@
         pool: pools.Pool,
         served: Iterable[ids.ServiceId],
     ) -> PoolView:
-        members = self._instances[pool.pool_id]
+        grouped = self._active_tuples
         active = {
-            name: tuple(self._active[name].values())
-            for name in members
-            if self._active.get(name)
+            name: grouped[name]
+            for name in self._instances[pool.pool_id]
+            if name in grouped
         }
         waiting = tuple(
             job
@@ -261,7 +283,7 @@
         return PoolView(
             pool,
             _profile_of(fleet, pool),
-            tuple(members[name] for name in sorted(members)),
+            self._members.get(pool.pool_id, ()),
             types.MappingProxyType(active),
             waiting,
         )
--- a/tarragoncleat/placer.py
+++ b/tarragoncleat/placer.py
@@ -108,6 +108,7 @@
         """Creates a placer that takes sizes and run times from `model`."""
         self._model = model
         self._teams = team_use.TeamUse()
+        self._capacities: dict[ids.PoolId, pool_capacity.PoolCapacity] = {}
         self._examined: dict[ids.PoolId, _Examined] = {}
 
     def place(
@@ -150,6 +151,9 @@
         held: Collection[ids.JobId],
     ) -> dict[ids.PoolId, _PoolRound]:
         rounds = {}
+        for pool_id in self._capacities.keys() - view.pools.keys():
+            del self._capacities[pool_id]
+            del self._examined[pool_id]
         for pool_id, pool in view.pools.items():
             if not pool.waiting:
                 continue
@@ -163,9 +167,11 @@
             if last is not None and last.still_holds(pool, ready, kept, now_ms):
                 continue
             self._examined[pool_id] = _Examined(pool, ready, kept, now_ms)
-            capacity = pool_capacity.PoolCapacity(
-                view, pool, ready, self._model
-            )
+            capacity = self._capacities.get(pool_id)
+            if capacity is None:
+                capacity = pool_capacity.PoolCapacity(self._model)
+                self._capacities[pool_id] = capacity
+            capacity.update(pool, ready, now_ms)
             rounds[pool_id] = _PoolRound(pool, capacity)
         return rounds
 
@@ -221,7 +227,9 @@
 
     def _block(self, pool: _PoolRound, job: jobs.Job, draft: "_Draft") -> None:
         pool.tried += 1
-        draft.waiting.append(Note(job, pool.capacity.blocked_reason(job)))
+        is_first = pool.reservation is None
+        reason = pool.capacity.blocked_reason(job, is_first)
+        draft.waiting.append(Note(job, reason))
         if pool.reservation is not None:
             return
         earliest = pool.capacity.earliest_room(job, draft.now_ms)
--- a/tarragoncleat/pool_capacity.py
+++ b/tarragoncleat/pool_capacity.py
@@ -19,6 +19,7 @@
 __all__ = ["Host", "PoolCapacity"]
 
 _MS_PER_S = 1000
+_RELEARN_MS = 5_000
 # Sums of fractional processors carry rounding errors of this order.
 _EPSILON = 1e-9
 
@@ -35,6 +36,7 @@
     accelerators: int
     ready: bool
     active: dict[ids.JobId, jobs.Job]
+    source: tuple[jobs.Job, ...]
 
     def fits(self, demand: jobs.Demand) -> bool:
         """Tells whether a job of this size fits now."""
@@ -59,39 +61,85 @@
 
 
 class PoolCapacity:
-    """The hosts of one pool, grouped by rack."""
+    """The hosts of one pool, grouped by rack.
 
-    def __init__(
+    It is kept from one decision to the next. `update` takes over what was
+    committed since; only hosts whose jobs changed are worked out again, and
+    all of them when an instance, the profile or the leases changed, or after
+    `_RELEARN_MS`, because learned sizes change too.
+    """
+
+    def __init__(self, model: usage.UsageModel) -> None:
+        """Creates an empty pool.
+
+        Args:
+            model: Learned sizes and run times.
+        """
+        self._model = model
+        self._pool: fleet_view.PoolView | None = None
+        self._ready: Collection[ids.InstanceId] = ()
+        self._learned_ms = 0
+        self._placement = profiles.Placement()
+        self._zone_jobs: collections.Counter[str] = collections.Counter()
+        self._zone_hosts: collections.Counter[str] = collections.Counter()
+        self._racks: dict[_Rack, _RackGroup] = {}
+        self._hosts: dict[ids.InstanceId, Host] = {}
+        self._touched: set[ids.InstanceId] = set()
+        self._shapes: set[jobs.Demand] = set()
+        self._largest = jobs.Demand(0, 0)
+
+    def update(
         self,
-        view: fleet_view.FleetView,
         pool: fleet_view.PoolView,
         ready: Collection[ids.InstanceId],
-        model: usage.UsageModel,
+        now_ms: int,
     ) -> None:
-        """Works out the free capacity from the active jobs.
+        """Takes over the committed state.
 
         Args:
-            view: The fleet.
             pool: The pool.
             ready: Instances that can start a job now.
-            model: Learned sizes and run times.
+            now_ms: Time in milliseconds since the epoch.
         """
-        self._model = model
+        last = self._pool
+        self._pool = pool
+        if (
+            last is None
+            or last.instances is not pool.instances
+            or last.profile is not pool.profile
+            or self._ready != ready
+            or now_ms - self._learned_ms >= _RELEARN_MS
+        ):
+            self._ready = ready
+            self._learned_ms = now_ms
+            self._rebuild(pool)
+            return
+        for name, host in self._hosts.items():
+            active = pool.active.get(name, ())
+            if host.source is not active or name in self._touched:
+                self._fill(host, active)
+        self._touched.clear()
+
+    def _rebuild(self, pool: fleet_view.PoolView) -> None:
         self._placement = _placement_of(pool)
-        self._zone_jobs: collections.Counter[str] = collections.Counter()
-        self._zone_hosts: collections.Counter[str] = collections.Counter()
-        self._racks: dict[_Rack, _RackGroup] = {}
-        self._hosts: dict[ids.InstanceId, Host] = {}
-        self._allowed = self._allowed_instances(pool)
-        self._largest = _largest(self._allowed)
-        for instance in self._allowed:
-            can_start = (
-                instance.instance_id in ready
-                and instance.state is pools.InstanceState.IN_SERVICE
-                and instance.moving_to is None
-            )
-            active = pool.active.get(instance.instance_id, ())
-            self._add_host(instance, can_start, active)
+        self._zone_jobs.clear()
+        self._zone_hosts.clear()
+        self._racks.clear()
+        self._hosts.clear()
+        self._touched.clear()
+        zones = self._placement.availability_zones
+        allowed = [
+            item
+            for item in pool.instances
+            if not zones or item.availability_zone in zones
+        ]
+        self._shapes = {
+            jobs.Demand(item.cores, item.memory_mb, item.accelerators)
+            for item in allowed
+        }
+        self._largest = _largest(self._shapes)
+        for instance in allowed:
+            self._add_host(instance, pool.active.get(instance.instance_id, ()))
 
     @property
     def ready_hosts(self) -> Iterator[Host]:
@@ -122,13 +170,13 @@
         can be moved into it.
         """
         declared = job.demand
-        if not self._allowed:
+        if not self._shapes:
             return None
-        for item in self._allowed:
+        for shape in self._shapes:
             if (
-                declared.cores <= item.cores
-                and declared.memory_mb <= item.memory_mb
-                and declared.accelerators <= item.accelerators
+                declared.cores <= shape.cores
+                and declared.memory_mb <= shape.memory_mb
+                and declared.accelerators <= shape.accelerators
             ):
                 return None
         return (
@@ -159,6 +207,7 @@
     def occupy(self, job: jobs.Job, instance_id: ids.InstanceId) -> None:
         """Reserves room for a job that is placed now."""
         host = self._hosts[instance_id]
+        self._touched.add(instance_id)
         host.take(self.demand(job))
         host.active[job.job_id] = job
         self._count_job(host, 1)
@@ -167,6 +216,7 @@
         """Frees what the interruption of a running job frees."""
         assert job.instance_id is not None
         host = self._hosts[job.instance_id]
+        self._touched.add(job.instance_id)
         host.take(self.demand(job), -1)
         if action is profiles.Interruption.THROTTLE:
             slowed = dataclasses.replace(job, state=jobs.JobState.THROTTLED)
@@ -187,18 +237,21 @@
         jobs_then = self._racks[_rack(host.instance)].jobs - freed_jobs
         return not limit or jobs_then < limit
 
-    def blocked_reason(self, job: jobs.Job) -> str:
-        """Says why a job that fits an empty instance has to wait."""
-        ready = sum(host.ready for host in self._hosts.values())
+    def blocked_reason(self, job: jobs.Job, is_first: bool) -> str:
+        """Says why a job that fits an empty instance has to wait.
+
+        Args:
+            job: The job.
+            is_first: Whether no job of the pool waits ahead of it.
+        """
+        if not self._ready:
+            return "the pool has no instance that can start jobs"
         demand = self.demand(job)
-        if not ready:
-            return "the pool has no instance in service"
-        roomy = [h for h in self.ready_hosts if h.fits(demand)]
-        if roomy:
-            return "room is kept for a job ahead, or the rack limit is reached"
+        ahead = "" if is_first else " beside the jobs that wait ahead"
         return (
             f"no room for {demand.cores:g} cores, {demand.memory_mb} MB and "
-            f"{demand.accelerators} accelerators on {ready} instances"
+            f"{demand.accelerators} accelerators{ahead} on "
+            f"{len(self._ready)} instances"
         )
 
     def earliest_room(
@@ -237,38 +290,31 @@
         started_ms = job.started_at_ms or now_ms
         return max(now_ms, started_ms + self._model.run_s(job) * _MS_PER_S)
 
-    def _allowed_instances(
-        self, pool: fleet_view.PoolView
-    ) -> list[pools.Instance]:
-        zones = self._placement.availability_zones
-        return [
-            item
-            for item in pool.instances
-            if not zones or item.availability_zone in zones
-        ]
-
     def _add_host(
-        self,
-        instance: pools.Instance,
-        ready: bool,
-        active: Collection[jobs.Job],
+        self, instance: pools.Instance, active: tuple[jobs.Job, ...]
     ) -> None:
-        host = Host(
-            instance,
-            instance.cores,
-            instance.memory_mb,
-            instance.accelerators,
-            ready,
-            {job.job_id: job for job in active},
+        can_start = (
+            instance.instance_id in self._ready
+            and instance.state is pools.InstanceState.IN_SERVICE
+            and instance.moving_to is None
         )
-        for job in active:
-            host.take(self.demand(job))
+        host = Host(instance, 0, 0, 0, can_start, {}, ())
         rack = _rack(instance)
         group = self._racks.setdefault(rack, _RackGroup(rack[0], []))
         group.hosts.append(host)
         self._hosts[instance.instance_id] = host
         self._zone_hosts[group.zone] += 1
-        self._count_job(host, len(active))
+        self._fill(host, active)
+
+    def _fill(self, host: Host, active: tuple[jobs.Job, ...]) -> None:
+        self._count_job(host, len(active) - len(host.active))
+        host.cores = host.instance.cores
+        host.memory_mb = host.instance.memory_mb
+        host.accelerators = host.instance.accelerators
+        host.source = active
+        host.active = {job.job_id: job for job in active}
+        for job in active:
+            host.take(self.demand(job))
 
     def _count_job(self, host: Host, count: int) -> None:
         group = self._racks[_rack(host.instance)]
@@ -297,7 +343,7 @@
     return instance.availability_zone, instance.rack
 
 
-def _largest(instances: Collection[pools.Instance]) -> jobs.Demand:
+def _largest(instances: Collection[jobs.Demand]) -> jobs.Demand:
     return jobs.Demand(
         max((item.cores for item in instances), default=0),
         max((item.memory_mb for item in instances), default=0),
--- a/tarragoncleat/usage.py
+++ b/tarragoncleat/usage.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Collection
 import dataclasses
 import math
 
@@ -35,21 +36,33 @@
     finished: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Peak:
+    """Maximum over the recent tasks, and whether enough have finished."""
+
+    cores: float
+    memory_mb: float
+    is_known: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Kind:
     tasks: collections.OrderedDict[str, _Task]
     last_run_s: float | None = None
+    peak: _Peak | None = None
 
 
 class UsageModel:
     """Corrects declared sizes and run times by what similar jobs used."""
 
-    def __init__(self, predict_run_times: bool = True) -> None:
+    def __init__(self, predict_run_times: bool = False) -> None:
         """Creates an empty model.
 
         Args:
             predict_run_times: Whether `run_s` uses the last similar run; when
-                false it returns the declared run time.
+                false it returns the declared run time. The benchmark of the
+                placement showed longer waits with the prediction, so it is
+                off.
         """
         self._predict_run_times = predict_run_times
         self._kinds: collections.OrderedDict[_Key, _Kind]
@@ -60,13 +73,16 @@
     ) -> None:
         """Records the usage of a task; its maximum counts."""
         task = self._task(job, task_id)
-        task.cores = max(task.cores, cores)
-        task.memory_mb = max(task.memory_mb, memory_mb)
+        if cores > task.cores or memory_mb > task.memory_mb:
+            task.cores = max(task.cores, cores)
+            task.memory_mb = max(task.memory_mb, memory_mb)
+            self._kind(job).peak = None
 
     def finish(self, job: jobs.Job, task_id: str, run_s: float) -> None:
         """Records that a task ran to its end."""
         kind = self._kind(job)
         kind.last_run_s = run_s
+        kind.peak = None
         if task_id in kind.tasks:
             kind.tasks[task_id].finished = True
 
@@ -83,13 +99,14 @@
         declared = job.demand
         if kind is None or not kind.tasks:
             return declared
-        finished = [task for task in kind.tasks.values() if task.finished]
-        known = len(finished) >= _MIN_FINISHED
-        cores = max(task.cores for task in kind.tasks.values())
-        memory = max(task.memory_mb for task in kind.tasks.values())
-        wanted_cores = _corrected(declared.cores, cores, known, largest.cores)
+        peak = kind.peak
+        if peak is None:
+            peak = kind.peak = _peak_of(kind.tasks.values())
+        wanted_cores = _corrected(
+            declared.cores, peak.cores, peak.is_known, largest.cores
+        )
         wanted_memory = _corrected(
-            declared.memory_mb, memory, known, largest.memory_mb
+            declared.memory_mb, peak.memory_mb, peak.is_known, largest.memory_mb
         )
         # The fleet adds up whole thousandths of a core and whole megabytes.
         return jobs.Demand(
@@ -121,6 +138,7 @@
         tasks = self._kind(job).tasks
         if task_id not in tasks:
             tasks[task_id] = _Task()
+            self._kind(job).peak = None
             if len(tasks) > _RECENT_TASKS:
                 tasks.popitem(last=False)
         return tasks[task_id]
@@ -130,6 +148,14 @@
     return job.service_id, job.team_id, job.name or job.command
 
 
+def _peak_of(tasks: Collection[_Task]) -> _Peak:
+    return _Peak(
+        max(task.cores for task in tasks),
+        max(task.memory_mb for task in tasks),
+        sum(task.finished for task in tasks) >= _MIN_FINISHED,
+    )
+
+
 def _corrected(
     declared: float, used: float, known: bool, largest: float
 ) -> float:
