Keep one connection of each worker, and name how many spares a wave needs

A wave that more instances can't help, for example because its profile lets none out, would have pulled one spare after another into its pool.

Change: the platform client keeps one idle connection of each worker itself. The planner works out how many instances in domains of their own would give a stuck wave room, and asks for none where they don't. Task ids are quoted in URLs.

--- a/tarragoncleat/controller.py
+++ b/tarragoncleat/controller.py
@@ -38,8 +38,7 @@
         self._replication = replication
         self._clock = clock
         self._client = platform_client.PlatformClient(
-            self._limits.call_timeout_ms / _MS_PER_S,
-            self._limits.parallel_calls,
+            self._limits.call_timeout_ms / _MS_PER_S
         )
         self._term: control_term.Term | None = None
 
--- a/tarragoncleat/planner.py
+++ b/tarragoncleat/planner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 import dataclasses
 
+from tarragoncleat import budget
 from tarragoncleat import fleet_view
 from tarragoncleat import ids
 from tarragoncleat import pools
@@ -17,10 +18,12 @@
 from tarragoncleat import wave_choice
 from tarragoncleat import waves
 
-__all__ = ["STEPPING", "WavePlanner", "WaveStep"]
+__all__ = ["STEPPING", "Wanted", "WavePlanner", "WaveStep"]
 
 _MS_PER_S = 1000
 _DEFAULT_MAX_OUT_S = 3600
+# A pool that lacks more instances than this isn't filled up for a wave.
+_MAX_WANTED = 4
 
 _AWAY_STATES = frozenset(
     {
@@ -32,6 +35,14 @@
 STEPPING = frozenset({waves.WaveState.APPROVED, waves.WaveState.RUNNING})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """How many more instances give a wave room in a pool."""
+
+    pool_id: ids.PoolId
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaveStep:
     """What a wave does next; empty when it can only wait.
@@ -42,8 +53,8 @@
         finish: Instances that are out and in service again.
         skip: Instances that the wave gives up, with the reason.
         blocked_by: Pools that can't give an instance now, with the reason.
-        stuck_pools: Those of them in which nothing is out or settling, so that
-            only another instance in the pool lets the wave go on.
+        wanted: Instances that some of them lack: nothing there is out or
+            settling, so that only more instances let the wave go on.
     """
 
     wave_id: ids.WaveId
@@ -51,7 +62,7 @@
     finish: tuple[ids.InstanceId, ...] = ()
     skip: tuple[waves.Skipped, ...] = ()
     blocked_by: tuple[waves.Blocker, ...] = ()
-    stuck_pools: tuple[ids.PoolId, ...] = ()
+    wanted: tuple[Wanted, ...] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -116,7 +127,7 @@
                 finished[wave.wave_id],
                 skipped[wave.wave_id],
                 tuple(blockers[wave.wave_id]),
-                _stuck(view, blockers[wave.wave_id], now_ms),
+                _wanted_instances(view, blockers[wave.wave_id], now_ms),
             )
             for wave in running
         )
@@ -248,21 +259,54 @@
     return wanted
 
 
-def _stuck(
+def _wanted_instances(
     view: fleet_view.FleetView,
     blockers: Iterable[waves.Blocker],
     now_ms: int,
-) -> tuple[ids.PoolId, ...]:
-    return tuple(
-        blocker.pool_id
-        for blocker in blockers
-        if _is_stuck(view.pools[blocker.pool_id], now_ms)
-    )
+) -> tuple[Wanted, ...]:
+    found = []
+    for blocker in blockers:
+        pool = view.pools[blocker.pool_id]
+        count = _missing_instances(pool, now_ms)
+        if count:
+            found.append(Wanted(blocker.pool_id, count))
+    return tuple(found)
+
 
+def _missing_instances(pool: fleet_view.PoolView, now_ms: int) -> int:
+    """Returns how many more instances a stuck pool needs, or 0.
 
-def _is_stuck(pool: fleet_view.PoolView, now_ms: int) -> bool:
+    It is 0 as well where more instances don't help, for example when the
+    profile allows none to be out.
+    """
+    profile = pool.profile
     away = any(item.state in _AWAY_STATES for item in pool.instances)
-    return not away and _next_settling_ms(pool, now_ms) == float("inf")
+    settling = _next_settling_ms(pool, now_ms) < float("inf")
+    if profile is None or away or settling or not pool.instances:
+        return 0
+    if budget.spendable(profile, pool.instances, now_ms).allowed:
+        return 0
+    for count in range(1, _MAX_WANTED + 1):
+        more = [_stand_in(pool.instances[0], n) for n in range(count)]
+        members = (*pool.instances, *more)
+        if budget.spendable(profile, members, now_ms).allowed:
+            return count
+    return 0
+
+
+def _stand_in(example: pools.Instance, number: int) -> pools.Instance:
+    """Returns a settled instance in a failure domain of its own."""
+    return dataclasses.replace(
+        example,
+        instance_id=ids.InstanceId(f"{example.instance_id}+{number}"),
+        availability_zone=ids.AvailabilityZone(f"+{number}"),
+        rack=ids.Rack(f"+{number}"),
+        state=pools.InstanceState.IN_SERVICE,
+        in_service_since_ms=0,
+        maintained_at_ms=0,
+        moving_to=None,
+        wave_id=None,
+    )
 
 
 def _next_settling_ms(pool: fleet_view.PoolView, now_ms: int) -> float:
--- a/tarragoncleat/platform_client.py
+++ b/tarragoncleat/platform_client.py
@@ -5,8 +5,12 @@
 example of an old fence number) gives one of kind CONFLICT.
 """
 
+import collections
+from collections.abc import AsyncIterator
+import contextlib
 import json
 from typing import Any, NoReturn
+import urllib.parse
 
 import anyio
 import httpcore
@@ -16,11 +20,13 @@
 from tarragoncleat import jobs
 from tarragoncleat import platform_messages
 from tarragoncleat import profiles
+from tarragoncleat import settings
 
 __all__ = ["PlatformClient"]
 
 _MAX_ANSWER_BYTES = 4 * 1024 * 1024
 _IDLE_S = 10.0
+_DEFAULT_MAX_IDLE = 2_048
 _OK = 200
 _CONFLICT = 409
 _REPORT = pydantic.TypeAdapter(platform_messages.Report)
@@ -28,25 +34,33 @@
 
 
 class PlatformClient:
-    """Calls workers with a timeout and a bounded number of connections."""
+    """Calls workers with a timeout and keeps one idle connection of each.
 
-    def __init__(self, timeout_s: float, max_connections: int) -> None:
+    A connection pool of httpcore looks through all its connections for every
+    call, which limits it to some hundreds of calls a second.
+    """
+
+    def __init__(
+        self, timeout_s: float, max_idle: int = _DEFAULT_MAX_IDLE
+    ) -> None:
         """Creates a client; connections open with the first calls.
 
         Args:
             timeout_s: Limit for a whole call.
-            max_connections: Limit over all workers.
+            max_idle: Limit of the idle connections over all workers; the
+                longest idle one is closed.
         """
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=_IDLE_S,
-        )
+        self._max_idle = max_idle
+        self._idle: collections.OrderedDict[
+            str, httpcore.AsyncHTTPConnection
+        ] = collections.OrderedDict()
 
     async def close(self) -> None:
-        """Closes the connections."""
-        await self._pool.aclose()
+        """Closes the idle connections."""
+        while self._idle:
+            _, connection = self._idle.popitem()
+            await connection.aclose()
 
     async def read_report(
         self, address: str
@@ -78,7 +92,7 @@
             "accelerators": demand.accelerators,
             "command": command,
         }
-        path = f"tasks/{task_id}"
+        path = f"tasks/{_quote(task_id)}"
         return _failure_of(await self._call("PUT", address, path, content))
 
     async def interrupt_task(
@@ -89,7 +103,7 @@
         action_id: str,
     ) -> errors.Failure | None:
         """Checkpoints, throttles or stops a task."""
-        path = f"tasks/{task_id}/{action.value}"
+        path = f"tasks/{_quote(task_id)}/{action.value}"
         content = {"action_id": action_id}
         return _failure_of(await self._call("PUT", address, path, content))
 
@@ -119,9 +133,12 @@
         headers = [("content-type", "application/json")] if data else []
         try:
             with anyio.fail_after(self._timeout_s):
-                async with self._pool.stream(
-                    method, url, headers=headers, content=data
-                ) as response:
+                async with (
+                    self._connection(address) as connection,
+                    connection.stream(
+                        method, url, headers=headers, content=data
+                    ) as response,
+                ):
                     body = await _read(response)
         except _CALL_ERRORS as error:
             detail = str(error) or type(error).__name__
@@ -134,6 +151,41 @@
             return errors.Failure(errors.ErrorKind.CONFLICT, reason)
         return _unreachable(reason)
 
+    @contextlib.asynccontextmanager
+    async def _connection(
+        self, address: str
+    ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+        """Lends the idle connection of a worker, or a new one."""
+        connection = self._idle.pop(address, None)
+        if connection is not None and connection.has_expired():
+            await connection.aclose()
+            connection = None
+        if connection is None:
+            host, port = settings.host_and_port(address)
+            origin = httpcore.Origin(b"http", host.encode(), port)
+            connection = httpcore.AsyncHTTPConnection(
+                origin, keepalive_expiry=_IDLE_S
+            )
+        try:
+            yield connection
+        except BaseException:
+            # The state of the exchange is unknown, also when cancelled.
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
+            raise
+        await self._keep(address, connection)
+
+    async def _keep(
+        self, address: str, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        if address in self._idle or not connection.is_idle():
+            await connection.aclose()
+            return
+        self._idle[address] = connection
+        if len(self._idle) > self._max_idle:
+            _, oldest = self._idle.popitem(last=False)
+            await oldest.aclose()
+
 
 class _AnswerTooLargeError(Exception):
     """A worker sent more than the limit."""
@@ -141,6 +193,7 @@
 
 _CALL_ERRORS = (
     TimeoutError,
+    httpcore.ConnectionNotAvailable,
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
@@ -148,6 +201,10 @@
 )
 
 
+def _quote(task_id: str) -> str:
+    return urllib.parse.quote(task_id, safe="")
+
+
 async def _read(response: httpcore.Response) -> bytes:
     body = bytearray()
     async for chunk in response.aiter_stream():
--- a/tarragoncleat/stuck_pools.py
+++ b/tarragoncleat/stuck_pools.py
@@ -23,13 +23,17 @@
         share = against / total if total else 1.0
         self._patience_ms = share * _MAX_PATIENCE_MS
         self._since_ms: dict[ids.WaveId, dict[ids.PoolId, int]] = {}
+        self._wanted: dict[ids.PoolId, int] = {}
 
     def note(self, step: planner.WaveStep, now_ms: int) -> None:
         """Takes over which pools a wave is stuck in."""
         known = self._since_ms.get(step.wave_id, {})
         self._since_ms[step.wave_id] = {
-            pool_id: known.get(pool_id, now_ms) for pool_id in step.stuck_pools
+            item.pool_id: known.get(item.pool_id, now_ms)
+            for item in step.wanted
         }
+        for item in step.wanted:
+            self._wanted[item.pool_id] = item.count
 
     def keep_only(self, wave_ids: Collection[ids.WaveId]) -> None:
         """Drops waves that don't step any more."""
@@ -37,9 +41,9 @@
             del self._since_ms[wave_id]
 
     def wanted(self, now_ms: int) -> Mapping[ids.PoolId, int]:
-        """Returns the pools that one more instance is wanted for."""
+        """Returns how many more instances are wanted, by pool."""
         return {
-            pool_id: 1
+            pool_id: self._wanted[pool_id]
             for pools in self._since_ms.values()
             for pool_id, since_ms in pools.items()
             if now_ms - since_ms >= self._patience_ms
--- a/tarragoncleat_bench/planning.py
+++ b/tarragoncleat_bench/planning.py
@@ -13,6 +13,7 @@
 from tarragoncleat_bench import planning_jobs
 from tarragoncleat_bench import planning_waves
 from tarragoncleat_bench import rows
+from tarragoncleat_bench import worker_calls
 
 __all__ = ["run"]
 
@@ -36,6 +37,7 @@
         *_planner_sizes(seed),
         *_placement(seed),
         *_predictions(seed),
+        *worker_calls.run(seed),
     ]
 
 
--- /dev/null
+++ b/tarragoncleat_bench/worker_calls.py
@@ -0,0 +1,91 @@
+"""Measures the calls to workers, against stand-in worker processes."""
+
+from collections.abc import Iterator
+import contextlib
+import subprocess
+import sys
+import time
+
+import anyio
+
+from tarragoncleat import errors
+from tarragoncleat import platform_client
+from tarragoncleat_bench import rows
+
+__all__ = ["run"]
+
+_WORKERS = 16
+_PARALLEL = 16
+_DURATION_S = 4.0
+_START_TIMEOUT_S = 10.0
+_MS_PER_S = 1000
+
+
+def run(seed: int) -> list[rows.Row]:
+    """Measures visits (report and lease) and their processor time."""
+    with _workers() as addresses:
+        calls, failures, elapsed_s, processor_s = anyio.run(_load, addresses)
+    label = f"{_PARALLEL} in parallel, {_WORKERS} workers"
+    figures = (
+        ("worker calls a second", "calls/s", calls / elapsed_s),
+        ("processor time of a worker call", "ms", processor_s / calls * 1000),
+        ("failed worker calls", "calls", failures),
+    )
+    return [
+        rows.Row("workers", f"{what}: {label}", unit, figure, seed=seed)
+        for what, unit, figure in figures
+    ]
+
+
+@contextlib.contextmanager
+def _workers() -> Iterator[list[str]]:
+    addresses = [f"127.25.200.{n + 1}:7000" for n in range(_WORKERS)]
+    processes = []
+    try:
+        for number, address in enumerate(addresses):
+            command = [sys.executable, "-m", "tests.standin_worker"]
+            command += ["--address", address, "--instance-id", f"w{number}"]
+            processes.append(subprocess.Popen(command))
+        yield addresses
+    finally:
+        for process in processes:
+            process.terminate()
+            process.wait(10)
+
+
+async def _load(addresses: list[str]) -> tuple[int, int, float, float]:
+    client = platform_client.PlatformClient(1.0)
+    calls = failures = 0
+    for address in addresses:
+        await _wait_until_up(client, address)
+    started_s, processor_s = time.monotonic(), time.process_time()
+    until_s = started_s + _DURATION_S
+
+    async def visit(address: str) -> None:
+        nonlocal calls, failures
+        while time.monotonic() < until_s:
+            report = await client.read_report(address)
+            calls += 1
+            if isinstance(report, errors.Failure):
+                failures += 1
+                continue
+            lease_ms = report.clock_ms + 3 * _MS_PER_S
+            failure = await client.renew_lease(address, 1, lease_ms)
+            calls += 1
+            failures += failure is not None
+
+    async with anyio.create_task_group() as group:
+        for number in range(_PARALLEL):
+            group.start_soon(visit, addresses[number % len(addresses)])
+    elapsed_s = time.monotonic() - started_s
+    await client.close()
+    processor_s = time.process_time() - processor_s
+    return calls, failures, elapsed_s, processor_s
+
+
+async def _wait_until_up(
+    client: platform_client.PlatformClient, address: str
+) -> None:
+    with anyio.fail_after(_START_TIMEOUT_S):
+        while isinstance(await client.read_report(address), errors.Failure):
+            await anyio.sleep(0.05)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,6 +14,7 @@
 from tarragoncleat import pools
 from tarragoncleat import profiles
 from tarragoncleat import settings
+from tarragoncleat import stuck_pools
 from tarragoncleat import waves
 from tests import builders
 
@@ -203,6 +204,38 @@
         (step,) = simulation.step()
         self.assertEqual(step.take, ("i4",))
 
+    def test_stuck_wave_asks_for_a_spare_only_where_it_helps(self) -> None:
+        """Guards against a wave that never ends, and against useless moves."""
+        for max_out, expected in ((1, 1), (0, None)):
+            tolerance = profiles.Tolerance(
+                max_out=max_out, failure_reserve=_DOMAIN.INSTANCE
+            )
+            owed = profiles.Capacity(instances=4)
+            simulation = _Simulation(
+                {"owed": owed, "tolerance": tolerance}, 4, 1
+            )
+            stuck = stuck_pools.StuckPools(settings.ObjectiveSettings())
+            (step,) = simulation.step()
+            stuck.note(step, 0)
+            self.assertEqual(step.take, ())
+            self.assertEqual(stuck.wanted(0), {})
+            wanted = {} if expected is None else {ids.PoolId("pool"): expected}
+            self.assertEqual(stuck.wanted(10**9), wanted)
+
+    def test_spare_moves_in_for_a_stuck_wave(self) -> None:
+        """Guards against a request for room that no decision answers."""
+        driver = builders.FleetDriver()
+        builders.populate(driver, instances=4)
+        spare = pools.Pool(ids.PoolId("spare"), ids.FirmId("firm-a"))
+        driver.must(commands.PutPool(spare))
+        driver.must(commands.PutInstance(builders.build_instance("s", "spare")))
+        view = fleet_view.FleetIndex().refresh(driver.fleet)
+        chooser = balancer.Balancer(settings.ObjectiveSettings())
+        pool_id = ids.PoolId("pool")
+        moves = chooser.balance(view, 0, {}, {pool_id: 1})
+        move = balancer.Move(ids.InstanceId("s"), spare.pool_id, pool_id)
+        self.assertEqual(moves, (move,))
+
 
 def _pool(driver: builders.FleetDriver, suffix: str, count: int) -> None:
     builders.populate(
