Announce commits at once and reserve the space of log segments

Cause: followers learned of a commit with the next heartbeat, and each sync of a growing segment also wrote the file system's own records. Change: the leader tells idle followers of a commit at once. Segments are written with zeros in advance and synced with fdatasync; a trailer byte ends each frame, so that reserved zeros count as missing bytes when a torn write is judged.

--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -397,10 +397,9 @@
         if index <= self._commit_index:
             return
         self._commit_index = index
+        leadership.announce_commit(index, now)
         settled = self._log.configuration_index <= index
         if settled and not self.is_member:
-            # Tells the others that the removal is committed before it stops.
-            leadership.send_heartbeats(index, now)
             self._become_follower(self.term, None, now)
 
     def _send(
--- a/tarragoncleat/consensus_leader.py
+++ b/tarragoncleat/consensus_leader.py
@@ -24,6 +24,7 @@
     next_index: int
     contact_s: float
     match_index: int = 0
+    sent_commit: int = 0
     acked_sequence: int = 0
     snapshot_index: int | None = None
     chunk_offset: int = 0
@@ -151,6 +152,17 @@
         for member, progress in self._progress.items():
             self._fill_window(member, progress, commit_index, now)
 
+    def announce_commit(
+        self, commit_index: int, now: consensus_output.Now
+    ) -> None:
+        """Tells followers of a commit instead of at the next heartbeat.
+
+        A follower that still has records to confirm is left out: its
+        confirmation brings the next message to it.
+        """
+        for member, progress in self._progress.items():
+            self._announce(member, progress, commit_index, now)
+
     def on_append_reply(
         self,
         reply: consensus_messages.AppendReply,
@@ -165,6 +177,7 @@
         if reply.accepted:
             self._advance(progress, reply.match_index)
             self._fill_window(reply.follower, progress, commit_index, now)
+            self._announce(reply.follower, progress, commit_index, now)
         elif progress.snapshot_index is None:
             # Only one request is sent until the logs are known to agree; the
             # rejections of a whole window would each send it again.
@@ -218,6 +231,18 @@
         while self._may_send(progress):
             self._send_append(member, progress, commit_index, now)
 
+    def _announce(
+        self,
+        member: ids.EntryId,
+        progress: _Progress,
+        commit_index: int,
+        now: consensus_output.Now,
+    ) -> None:
+        is_idle = progress.next_index == progress.match_index + 1
+        is_behind = progress.sent_commit < commit_index
+        if is_idle and is_behind and progress.snapshot_index is None:
+            self._send_append(member, progress, commit_index, now)
+
     def _may_send(self, progress: _Progress) -> bool:
         if progress.snapshot_index is not None or progress.probing:
             return False
@@ -255,6 +280,7 @@
             self._sequence,
         )
         progress.next_index += len(records)
+        progress.sent_commit = commit_index
         self._output.early.append(consensus_output.Envelope(member, request))
 
     def _start_snapshot(
--- a/tarragoncleat/log_files.py
+++ b/tarragoncleat/log_files.py
@@ -43,10 +43,11 @@
 _FRAME_FIELDS = struct.Struct(">2sIQIQ")
 _FIELDS_CHECKSUM = struct.Struct(">I")
 _FRAME_HEADER_BYTES = _FRAME_FIELDS.size + _FIELDS_CHECKSUM.size
+# A frame never ends with a zero, so that the zeros of the reserved space
+# behind the last frame can be told from it.
+_TRAILER = b"\xa5"
 # File systems lose unsynced data in whole sectors, which read as zeros.
 _SECTOR_BYTES = 512
-# Fewer zeros than this at the end of the last sector may belong to a record.
-_MIN_ZERO_TAIL_BYTES = 16
 _FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
 
 
@@ -71,6 +72,11 @@
     frames: Sequence[Frame]
     torn_at: int | None
 
+    @property
+    def end(self) -> int:
+        """Offset behind the last complete write."""
+        return self.frames[-1].end if self.frames else _SEGMENT_HEADER.size
+
     @property
     def next_batch(self) -> int:
         """Number of the write that follows the segment."""
@@ -155,6 +161,7 @@
         parts.append(fields)
         parts.append(_FIELDS_CHECKSUM.pack(xxhash.xxh32_intdigest(fields)))
         parts.append(body)
+        parts.append(_TRAILER)
     return b"".join(parts)
 
 
@@ -172,23 +179,23 @@
     except OSError as error:
         return failure_of(error, path)
     first_batch = _read_header(content)
+    # Reserved space that was not written yet reads as zeros.
+    used = len(content.rstrip(b"\0"))
     if first_batch is None:
         # The header is synced before the first record is written.
-        is_short = len(content) < _SEGMENT_HEADER.size
-        is_unwritten = content == bytes(_SEGMENT_HEADER.size)
-        if is_last and (is_short or is_unwritten):
+        if is_last and used < _SEGMENT_HEADER.size:
             return Segment(0, (), 0)
         return _damage(path, 0, "the header is damaged")
+    content = content[: max(used, _SEGMENT_HEADER.size)]
     frames = list(_valid_frames(content, _SEGMENT_HEADER.size))
     end = frames[-1].end if frames else _SEGMENT_HEADER.size
     complete = _complete_writes(frames)
-    complete_end = complete[-1].end if complete else _SEGMENT_HEADER.size
     segment = Segment(first_batch, complete, None)
-    if complete_end == len(content):
+    if segment.end == len(content):
         return segment
     if not is_last or not _is_last_write(content, end, segment.next_batch):
         return _damage(path, end, "a synced record is damaged")
-    return dataclasses.replace(segment, torn_at=complete_end)
+    return dataclasses.replace(segment, torn_at=segment.end)
 
 
 def _damage(path: pathlib.Path, offset: int, what: str) -> errors.Failure:
@@ -231,9 +238,12 @@
     length, batch, remaining, checksum = fields
     start = offset + _FRAME_HEADER_BYTES
     body = content[start : start + length]
-    if len(body) < length or xxhash.xxh3_64_intdigest(body) != checksum:
+    end = start + length + len(_TRAILER)
+    if content[start + length : end] != _TRAILER:
         return None
-    return Frame(body, batch, remaining, start + length)
+    if xxhash.xxh3_64_intdigest(body) != checksum:
+        return None
+    return Frame(body, batch, remaining, end)
 
 
 def _valid_frames(content: bytes, offset: int) -> Iterator[Frame]:
@@ -268,16 +278,12 @@
     start = offset + _FRAME_HEADER_BYTES
     if end == len(content):
         fields = _frame_fields(content, offset)
-        if start > end or (fields is not None and start + fields[0] > end):
+        if start > end or (fields is not None and start + fields[0] >= end):
             return True
     region = content[offset:end]
     if not region.strip(b"\0"):
         return True
     first = -(-offset // _SECTOR_BYTES) * _SECTOR_BYTES
-    tail_start = end // _SECTOR_BYTES * _SECTOR_BYTES
-    sectors = range(first, max(first, tail_start), _SECTOR_BYTES)
+    sectors = range(first, end - _SECTOR_BYTES + 1, _SECTOR_BYTES)
     zeros = bytes(_SECTOR_BYTES)
-    if any(content[at : at + _SECTOR_BYTES] == zeros for at in sectors):
-        return True
-    tail = content[max(tail_start, offset) : end]
-    return len(tail) >= _MIN_ZERO_TAIL_BYTES and not tail.strip(b"\0")
+    return any(content[at : at + _SECTOR_BYTES] == zeros for at in sectors)
--- a/tarragoncleat/log_store.py
+++ b/tarragoncleat/log_store.py
@@ -26,9 +26,9 @@
 _SEGMENT_PATTERN = "log-*.seg"
 _SNAPSHOT_PATTERN = "snapshot-*.snap"
 _TEMPORARY_PATTERN = "*.tmp"
-# Small enough that a snapshot soon frees space, large enough that creating
-# and syncing a new file is rare.
-_SEGMENT_BYTES = 4_194_304
+# The space of a segment is written with zeros in advance, so that syncing a
+# write into it needs no update of the file system's own records.
+_SEGMENT_BYTES = 1_048_576
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +49,7 @@
 class _Closed:
     path: pathlib.Path
     last_index: int
+    size: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +70,7 @@
         self._descriptor: int | None = None
         self._path = folder
         self._size = 0
+        self._reserved = 0
         self._open_last_index = 0
         self._must_cut = False
         self._next_batch = 1
@@ -131,14 +133,10 @@
 
     def size_bytes(self) -> dict[str, int]:
         """Returns the bytes in segments and in snapshots."""
+        snapshots = self._folder.glob(_SNAPSHOT_PATTERN)
         return {
-            name: sum(
-                path.stat().st_size for path in self._folder.glob(pattern)
-            )
-            for name, pattern in (
-                ("log", _SEGMENT_PATTERN),
-                ("snapshot", _SNAPSHOT_PATTERN),
-            )
+            "log": self._size + sum(closed.size for closed in self._closed),
+            "snapshot": sum(path.stat().st_size for path in snapshots),
         }
 
     # Reading.
@@ -227,13 +225,17 @@
                 self._cut(path, segment.torn_at)
             if segment.torn_at == 0:
                 continue
+            # Frees the reserved space; it needs no sync, because zeros behind
+            # the last write do no harm.
+            if path.stat().st_size > segment.end:
+                os.truncate(path, segment.end)
             if expected_batch not in (None, segment.first_batch):
                 return self._refuse(
                     f"{path.name} does not continue the segment before it"
                 )
             expected_batch = segment.next_batch
             last_index = _replay(segment, loaded)
-            self._closed.append(_Closed(path, last_index))
+            self._closed.append(_Closed(path, last_index, segment.end))
         self._next_batch = expected_batch or 1
         if paths:
             self._next_segment = _segment_number(paths[-1]) + 1
@@ -299,15 +301,14 @@
         if not bodies:
             return
         frames = log_files.pack_frames(bodies, self._next_batch)
-        if self._size + len(frames) > _SEGMENT_BYTES:
+        # A write that failed halfway leaves bytes behind the last good one,
+        # which must not be taken for a part of the next.
+        if self._must_cut or self._size + len(frames) > self._reserved:
             self._close_segment()
-        descriptor = self._open_segment()
-        if self._must_cut:
-            os.ftruncate(descriptor, self._size)
-            os.lseek(descriptor, self._size, os.SEEK_SET)
+        descriptor = self._open_segment(len(frames))
         self._must_cut = True
         log_files.write_all(descriptor, frames)
-        os.fsync(descriptor)
+        os.fdatasync(descriptor)
         self._must_cut = False
         self._size += len(frames)
         self._next_batch += 1
@@ -315,39 +316,44 @@
         indexes = [record.index for record in records]
         self._open_last_index = max(self._open_last_index, *indexes, 0)
 
-    def _open_segment(self) -> int:
+    def _open_segment(self, needed_bytes: int) -> int:
         if self._descriptor is not None:
             return self._descriptor
         path = self._folder / f"log-{self._next_segment:010d}.seg"
         header = log_files.pack_segment_header(self._next_batch)
+        reserved = max(_SEGMENT_BYTES, len(header) + needed_bytes)
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
         descriptor = os.open(path, flags, 0o600)
         try:
-            log_files.write_all(descriptor, header)
+            log_files.write_all(descriptor, header.ljust(reserved, b"\0"))
             os.fsync(descriptor)
+            os.lseek(descriptor, len(header), os.SEEK_SET)
             log_files.sync_folder(self._folder)
         except OSError:
             os.close(descriptor)
+            path.unlink()
             raise
         self._descriptor = descriptor
         self._path = path
         self._size = len(header)
+        self._reserved = reserved
         self._open_last_index = 0
-        self._must_cut = False
         self._next_segment += 1
         return descriptor
 
     def _close_segment(self) -> None:
         if self._descriptor is None:
             return
+        os.ftruncate(self._descriptor, self._size)
         if self._must_cut:
-            os.ftruncate(self._descriptor, self._size)
             os.fsync(self._descriptor)
             self._must_cut = False
         os.close(self._descriptor)
         self._descriptor = None
+        self._closed.append(
+            _Closed(self._path, self._open_last_index, self._size)
+        )
         self._size = 0
-        self._closed.append(_Closed(self._path, self._open_last_index))
 
     def _remove_journal(self) -> None:
         self._close_segment()
