--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/http_server.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 import pathlib
-from typing import Any
+from typing import Any, cast
 
 import loguru
 import uvicorn
@@ -32,6 +32,51 @@
     slow_headers: int = 0
 
 
+class _JoiningTransport:
+    """Writes the head of an answer together with its first part.
+
+    uvicorn writes them separately, which costs a system call and a packet for
+    each answer. A head without a prompt first part is written in the next
+    turn of the event loop.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._transport = transport
+        self._loop = loop
+        self._head: bytes | None = b""
+        self._flush_handle: asyncio.Handle | None = None
+
+    def write(self, data: bytes) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+            data = self._take_head() + data
+        elif self._head is not None:
+            self._head = data
+            self._flush_handle = self._loop.call_soon(self._flush)
+            return
+        self._transport.write(data)
+
+    def close(self) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush()
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def _flush(self) -> None:
+        self._flush_handle = None
+        self._transport.write(self._take_head())
+
+    def _take_head(self) -> bytes:
+        head, self._head = self._head, None
+        return head or b""
+
+
 class _LimitedProtocol(httptools_impl.HttpToolsProtocol):
     """Bounds the size and the duration of a request's header section.
 
@@ -56,6 +101,9 @@
                 errors.ErrorKind.TOO_MANY_CONNECTIONS,
                 "the entry has reached its limit of connections",
             )
+            return
+        # The keep-alive timeout begins only after a first answer.
+        self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.counts.connections -= 1
@@ -85,6 +133,8 @@
         self.headers_open = False
         self._stop_header_timer()
         super().on_headers_complete()
+        joining = _JoiningTransport(self.transport, self.loop)
+        self.cycle.transport = cast(asyncio.Transport, joining)
         if self.closing_after_request:
             self.cycle.keep_alive = False
 
@@ -97,10 +147,7 @@
         super().shutdown()
 
     def _check_headers(self, received: int) -> None:
-        if self.header_timer is None:
-            self.header_timer = self.loop.call_later(
-                self.limits.header_timeout_ms / 1000, self._on_header_timeout
-            )
+        self._start_header_timer()
         self.header_bytes += received
         if self.header_bytes <= self.limits.max_header_bytes:
             return
@@ -110,6 +157,12 @@
             f"headers exceed {self.limits.max_header_bytes} bytes",
         )
 
+    def _start_header_timer(self) -> None:
+        if self.header_timer is None:
+            self.header_timer = self.loop.call_later(
+                self.limits.header_timeout_ms / 1000, self._on_header_timeout
+            )
+
     def _stop_header_timer(self) -> None:
         if self.header_timer is not None:
             self.header_timer.cancel()
--- a/tarragoncleat/registry_exchange.py
+++ b/tarragoncleat/registry_exchange.py
@@ -102,16 +102,7 @@
         """Sends the batch of renewals."""
         if not self._renewals:
             return
-        renewals = tuple(
-            (
-                renewal.upstream_id,
-                renewal.identity,
-                renewal.renewal,
-                renewal.lease_ms,
-                renewal.remaining_ms,
-            )
-            for renewal in self._renewals.values()
-        )
+        renewals = tuple(self._renewals.values())
         self._renewals.clear()
         self._links.multicast(
             self.connected_mates(), messages.Renewals(renewals)
@@ -205,15 +196,19 @@
         self._absorb(received.message.copies, received.sender)
 
     def _on_leave_notice(self, received: peering.Received) -> None:
-        self._absorb((received.message.copy,), received.sender)
+        copy: upstreams.Copy = received.message.copy
+        self._absorb((copy,), received.sender)
+        now_s = self._timer.monotonic_s()
+        held = self._registry.get(copy.record.upstream_id)
+        newer = held is not None and held.record.epoch > copy.record.epoch
+        answer = self._registry.copy(held, now_s) if held and newer else None
         if received.reply is not None:
-            received.reply(messages.LeaveAck())
+            received.reply(messages.LeaveAck(answer))
 
     def _on_renewals(self, received: peering.Received) -> None:
         now_s = self._timer.monotonic_s()
         corrections = []
-        for fields in received.message.renewals:
-            renewal = messages.Renewal(*fields)
+        for renewal in received.message.renewals:
             held = self._registry.get(renewal.upstream_id)
             if held is None or held.identity != renewal.identity:
                 continue
@@ -314,7 +309,10 @@
 
         async def tell(entry_id: ids.EntryId) -> None:
             answer = await self._links.request(entry_id, notice, limit_s)
-            if not isinstance(answer, messages.LeaveAck):
+            if isinstance(answer, messages.LeaveAck):
+                if answer.newer is not None:
+                    self._absorb((answer.newer,), entry_id)
+            else:
                 self._unacknowledged_leaves += 1
                 loguru.logger.warning(
                     "entry {} did not acknowledge that upstream {} leaves: {}",
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/upstream_connections.py
@@ -6,6 +6,7 @@
 
 import errno
 import os
+import select
 import socket
 
 import anyio
@@ -42,6 +43,8 @@
         self.idle_since_s = 0.0
         self.reused = False
         self._socket = sock
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -79,13 +82,7 @@
 
     def is_quiet(self) -> bool:
         """Whether the peer has neither sent anything nor closed."""
-        try:
-            self._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return not self._poll.poll(0)
 
     def close(self) -> None:
         """Closes the socket."""
@@ -104,7 +101,7 @@
         return await self._write(data)
 
     async def _write(self, data: bytes) -> errors.Failure | None:
-        rest = memoryview(data)
+        rest: bytes | memoryview = data
         # Stays set when the task is cancelled or the peer resets: the codec
         # counts a request as sent once it is encoded.
         self._writing = True
@@ -117,13 +114,14 @@
             except OSError as error:
                 return _failed(f"sending failed: {_name(error)}")
             self._wrote = True
-            rest = rest[sent:]
+            rest = memoryview(rest)[sent:] if sent < len(rest) else b""
         self._writing = False
         return None
 
     async def receive(self) -> Event | errors.Failure:
         """Returns the next event of the answer."""
-        event = self.receive_ready()
+        # Before its first byte there is nothing that the codec could parse.
+        event = self.receive_ready() if self._read else None
         while event is None:
             failure = await self._read_more()
             if failure is not None:
