Decide as soon as a report brings news

Cause: each phase of an instance's maintenance (drained, rebooted, back) waited for the next lease renewal and then for one or two rounds of the controller, so that a wave spent most of its time waiting for itself.

Change: instances that are draining, in maintenance or returning are visited in every round; a report that differs in more than clocks and usage starts a round at once.

What remains is the settling time, the reboot, and a call that times out while the worker reboots.

--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/control_term.py
@@ -1,6 +1,6 @@
 """One leader's term: what it knows about the workers, and its decisions."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import anyio
@@ -55,6 +55,7 @@
         clock: timer.TimerService,
         client: platform_client.PlatformClient,
         since_s: float,
+        on_news: Callable[[], None],
     ) -> None:
         """Starts a term.
 
@@ -65,6 +66,7 @@
             clock: Clocks.
             client: Calls the workers.
             since_s: Monotonic time since when this process leads.
+            on_news: Called when a report may allow a new decision.
         """
         limits = configuration.controller
         wait_ms = (
@@ -80,7 +82,12 @@
         self._proposal_limiter = anyio.CapacityLimiter(_PARALLEL_PROPOSALS)
         self._leases = worker_leases.WorkerLeases(limits, self._decide_after_s)
         self._visits = worker_visits.WorkerVisits(
-            limits, client, clock, self._leases, lambda: replication.is_leader
+            limits,
+            client,
+            clock,
+            self._leases,
+            lambda: replication.is_leader,
+            on_news,
         )
         self._index = fleet_view.FleetIndex()
         self._model = usage.UsageModel()
--- a/tarragoncleat/controller.py
+++ b/tarragoncleat/controller.py
@@ -6,6 +6,8 @@
 election timeout within which a deposed leader notices.
 """
 
+import contextlib
+
 import anyio
 import anyio.abc
 
@@ -19,6 +21,8 @@
 __all__ = ["Controller"]
 
 _MS_PER_S = 1000
+# Reports that arrive together are looked at in one round.
+_MIN_ROUND_GAP_S = 0.02
 
 
 class Controller:
@@ -41,6 +45,8 @@
             self._limits.call_timeout_ms / _MS_PER_S
         )
         self._term: control_term.Term | None = None
+        # One waiting signal is enough: a round looks at all the news.
+        self._wake, self._woken = anyio.create_memory_object_stream[None](1)
 
     async def run(self) -> None:
         """Runs until it is cancelled."""
@@ -50,10 +56,12 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._visit_loop, group, interval_s)
-                async for _ in self._clock.subscribe(interval_s):
+                group.start_soon(self._tick_loop, interval_s)
+                async for _ in self._woken:
                     term = self._current_term()
                     if term is not None:
                         await term.decide(group)
+                    await self._clock.sleep_s(_MIN_ROUND_GAP_S)
         finally:
             with anyio.CancelScope(shield=True):
                 await self._client.close()
@@ -65,6 +73,14 @@
             return {"leads": False}
         return {"leads": True, **term.dump()}
 
+    def _signal(self) -> None:
+        with contextlib.suppress(anyio.WouldBlock):
+            self._wake.send_nowait(None)
+
+    async def _tick_loop(self, interval_s: float) -> None:
+        async for _ in self._clock.subscribe(interval_s):
+            self._signal()
+
     async def _visit_loop(
         self, group: anyio.abc.TaskGroup, interval_s: float
     ) -> None:
@@ -88,5 +104,6 @@
                 self._clock,
                 self._client,
                 since_s,
+                self._signal,
             )
         return self._term
--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -27,6 +27,13 @@
 __all__ = ["WorkerStatus", "WorkerVisits"]
 
 _MS_PER_S = 1000
+_IN_TRANSIT = frozenset(
+    {
+        pools.InstanceState.DRAINING,
+        pools.InstanceState.IN_MAINTENANCE,
+        pools.InstanceState.RETURNING,
+    }
+)
 # Two visits may fail before a lease ends.
 _VISITS_PER_LEASE = 3
 _LOST_VISIT_INTERVAL_LEASES = 1
@@ -78,6 +85,7 @@
         clock: timer.TimerService,
         leases: worker_leases.WorkerLeases,
         is_leader: Callable[[], bool],
+        on_news: Callable[[], None],
     ) -> None:
         """Creates the visits of one leader's term.
 
@@ -88,14 +96,17 @@
             leases: Counts the leases.
             is_leader: Asked before every call, so that a deposed leader
                 stops at once.
+            on_news: Called when a report may allow a new decision.
         """
         self._client = client
         self._clock = clock
         self._leases = leases
         self._is_leader = is_leader
+        self._on_news = on_news
         self._limiter = anyio.CapacityLimiter(limits.parallel_calls)
         lease_s = limits.lease_ms / _MS_PER_S
         self._interval_s = lease_s / _VISITS_PER_LEASE
+        self._transit_interval_s = limits.interval_ms / _MS_PER_S
         self._lost_interval_s = lease_s * _LOST_VISIT_INTERVAL_LEASES
         self._statuses: dict[ids.InstanceId, WorkerStatus] = {}
         self._jobs: Mapping[ids.JobId, jobs.Job] = {}
@@ -149,6 +160,9 @@
         interval_s = self._interval_s
         if instance.state is pools.InstanceState.LOST:
             interval_s = self._lost_interval_s
+        elif instance.state in _IN_TRANSIT:
+            # A wave waits for the next report of the instances that it took.
+            interval_s = self._transit_interval_s
         status.due_s = started_s + interval_s
         try:
             async with self._limiter:
@@ -178,12 +192,15 @@
         received_s = self._clock.monotonic_s()
         if worker_actions.wants_lease(instance, report):
             await self._renew(instance, report, requested_s, received_s)
+        has_news = _has_news(status.report, report)
         status.started = ()
         status.instance = instance
         status.active = active
         status.report = report
         status.reported_s = received_s
         status.is_new = True
+        if has_news:
+            self._on_news()
         await self._act(status, instance, active, report)
 
     async def _renew(
@@ -309,3 +326,18 @@
     if answer.done:
         status.reboot_done = answer.action_id
     return None
+
+
+def _has_news(
+    old: platform_messages.Report | None, new: platform_messages.Report
+) -> bool:
+    """Tells whether anything but clocks and usage differs."""
+    if old is None or old.boot_id != new.boot_id:
+        return True
+    if old.draining != new.draining or old.fence != new.fence:
+        return True
+    return _task_states(old) != _task_states(new)
+
+
+def _task_states(report: platform_messages.Report) -> dict[str, object]:
+    return {task.task_id: task.state for task in report.tasks}
