Keep other zones' records through missed confirmations

Cause: a zone whose digest changed at every heartbeat for 1.5 s would have lost all its records at other zones; and links were closed after a stop of 1.0 s although a heartbeat keeps a zone fresh for 1.5 s.

Change: records live on for 7.5 s after the last confirmation, since leaves and ended leases arrive as records; the limit for a stopped process is the freshness limit.

Conclusion: churn in one zone does not empty it elsewhere.

--- a/tarragoncleat/entry_view.py
+++ b/tarragoncleat/entry_view.py
@@ -10,6 +10,10 @@
 # An entry that missed this many heartbeats is no longer taken for the relay
 # of its zone.
 _RELAY_HEARTBEATS = 3
+# Leaves and ended leases are passed on as records, so a zone's confirmation may
+# be missed for a while, as when its digest changes at every heartbeat. A zone
+# that can't be heard is not used anyway.
+_VOUCH_FRESHNESS = 5
 
 
 class EntryView:
@@ -60,6 +64,11 @@
         """How long a zone counts as alive after it was last heard of."""
         return self._freshness_s
 
+    @property
+    def vouch_s(self) -> float:
+        """How long records of a zone live on after it confirmed them."""
+        return _VOUCH_FRESHNESS * self._freshness_s
+
     @property
     def mates(self) -> tuple[ids.EntryId, ...]:
         """The other entries of the own zone."""
@@ -110,8 +119,8 @@
         return self._vouched.get(zone, -math.inf)
 
     def vouched_zones(self, now_s: float) -> frozenset[ids.AvailabilityZone]:
-        """Zones that confirmed the records held of them within the limit."""
-        limit_s = now_s - self._freshness_s
+        """Zones that confirmed the records held of them recently."""
+        limit_s = now_s - self.vouch_s
         return frozenset(
             zone for zone, at_s in self._vouched.items() if at_s >= limit_s
         )
--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/heartbeats.py
@@ -155,7 +155,7 @@
             if heard_age_s > self._view.freshness_s:
                 continue
             vouched_age_s = min(
-                now_s - self._view.vouched_s(zone), 2 * self._view.freshness_s
+                now_s - self._view.vouched_s(zone), 2 * self._view.vouch_s
             )
             reports[zone] = messages.ZoneReport(
                 heard_age_ms=math.ceil(heard_age_s * _MS_PER_S),
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -83,6 +83,7 @@
         self._timer = timer
         self._heartbeat_s = settings.membership.heartbeat_ms / _MS_PER_S
         self._silent_s = _SILENT_HEARTBEATS * self._heartbeat_s
+        self._stale_s = settings.membership.zone_freshness_ms / _MS_PER_S
         self._hello = peer_connection.Hello(
             settings.entry_id, settings.availability_zone, time.time_ns()
         )
@@ -355,9 +356,10 @@
     def receive(self, body: bytes) -> None:
         links = self._links
         late_s = links._timer.monotonic_s() - links._ticked_at_s
-        if late_s > links._silent_s:
+        if late_s > links._stale_s:
             # The process was stopped or starved: what the socket buffered
-            # meanwhile may be older than any lease, so it is thrown away.
+            # meanwhile may be older than any lease, and a heartbeat among it
+            # is no sign that its sender's zone can be heard now.
             loguru.logger.warning(
                 "closing a link after {:.1f} s without a timer tick", late_s
             )
--- a/tarragoncleat/registry.py
+++ b/tarragoncleat/registry.py
@@ -29,7 +29,7 @@
 
 # Remaining time on the wire for a live record whose own lease is not tracked
 # here because its availability zone vouches for it.
-_VOUCHED_MS = 1_500
+_VOUCHED_MS = 3_000
 _MAX_LIVE = 100_000
 _MAX_GONE = 100_000
 _MS_PER_S = 1000
