Move the handling of received bodies out of peering

Change: peer_session checks the Hello and decodes bodies; PeerLinks is given what was received through a small protocol.

--- a/tarragoncleat/peer_connection.py
+++ b/tarragoncleat/peer_connection.py
@@ -125,6 +125,10 @@
         """Counts that the connection is closed because nothing arrived."""
         self._counters.closed_silent += 1
 
+    def count_message(self) -> None:
+        """Counts a received message."""
+        self._counters.received_messages += 1
+
     def count_decode_error(self) -> None:
         """Counts a message that could not be decoded."""
         self._counters.decode_errors += 1
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -6,7 +6,6 @@
 as up for sending only while the peer's bytes arrive on the dialled one.
 """
 
-from collections.abc import Callable
 import dataclasses
 import itertools
 import random
@@ -22,11 +21,14 @@
 from tarragoncleat import errors
 from tarragoncleat import ids
 from tarragoncleat import peer_connection
+from tarragoncleat import peer_session
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
 
 __all__ = ["PeerLinks", "Received"]
 
+Received = peer_session.Received
+
 # A link without bytes for this many heartbeats is closed. Links are checked at
 # every heartbeat, so that a keep-alive is sent at least every two and two of
 # them must be late before.
@@ -44,21 +46,6 @@
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """A message from another entry.
-
-    Attributes:
-        sender: Entry that sent it.
-        message: The decoded message.
-        reply: Sends the reply of a request; None for a one-way message.
-    """
-
-    sender: ids.EntryId
-    message: Any
-    reply: Callable[[object], None] | None = None
-
-
 class _PendingReply:
     def __init__(self, connection: peer_connection.Connection) -> None:
         self.connection = connection
@@ -295,7 +282,7 @@
         connection: peer_connection.Connection,
         dialled: ids.EntryId | None,
     ) -> None:
-        session = _Session(self, connection, dialled)
+        session = peer_session.Session(connection, dialled, self)
         connection.put(codec.encode(self._hello))
         self._open.add(connection)
         try:
@@ -323,118 +310,59 @@
             if pending.connection is connection:
                 pending.finish(failure)
 
-    def _deliver(self, received: Received) -> None:
-        subscribers = self._subscribers.get(type(received.message), ())
-        delivered = bool(subscribers)
-        for subscriber in subscribers:
-            try:
-                subscriber.send_nowait(received)
-            except (
-                anyio.WouldBlock,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
-                delivered = False
-        if not delivered:
-            self._counters[received.sender].undelivered_messages += 1
+    def is_stale(self) -> bool:
+        """Whether received bytes may be too old to be believed.
 
+        The process was stopped or starved: what the socket buffered meanwhile
+        may be older than any lease, and a heartbeat among it is no sign that
+        its sender's zone can be heard now.
+        """
+        late_s = self._timer.monotonic_s() - self._ticked_at_s
+        return late_s > self._stale_s
 
-class _Session:
-    """Handles what arrives on one connection."""
+    def knows(self, entry_id: ids.EntryId) -> bool:
+        """Whether an entry is among the peers of the settings."""
+        return entry_id in self._counters
 
-    def __init__(
+    def on_greeted(
         self,
-        links: PeerLinks,
         connection: peer_connection.Connection,
-        dialled: ids.EntryId | None,
+        entry_id: ids.EntryId,
+        was_dialled: bool,
     ) -> None:
-        self._links = links
-        self._connection = connection
-        self._dialled = dialled
-        self.peer: ids.EntryId | None = None
-
-    def receive(self, body: bytes) -> None:
-        links = self._links
-        late_s = links._timer.monotonic_s() - links._ticked_at_s
-        if late_s > links._stale_s:
-            # The process was stopped or starved: what the socket buffered
-            # meanwhile may be older than any lease, and a heartbeat among it
-            # is no sign that its sender's zone can be heard now.
-            loguru.logger.warning(
-                "closing a link after {:.1f} s without a timer tick", late_s
-            )
-            self._connection.close()
-            return
-        message = codec.decode(body)
-        if isinstance(message, errors.Failure):
-            self._count_damaged(message.reason)
-        elif self.peer is None:
-            self._greet(message)
-        else:
-            self._dispatch(self.peer, message)
-
-    def _count_damaged(self, reason: str) -> None:
-        self._connection.count_decode_error()
-        loguru.logger.warning(
-            "dropped a message from entry {}: {}", self.peer, reason
-        )
-        if self.peer is None:
-            self._connection.close()
-
-    def _greet(self, message: object) -> None:
-        links = self._links
-        if not isinstance(message, peer_connection.Hello):
-            self._refuse("its first message was no Hello")
-            return
-        entry_id = ids.EntryId(message.entry_id)
-        if entry_id not in links._counters:
-            self._refuse(f"entry {entry_id} is not among the peers")
-            return
-        if self._dialled is not None and entry_id != self._dialled:
-            self._refuse(f"entry {entry_id} answered for {self._dialled}")
-            return
-        self.peer = entry_id
-        self._connection.greeted = True
-        if links._zone_by_entry[entry_id] != links._settings.availability_zone:
-            self._connection.patience = links._other_zone_factor
-        counters = links._counters[entry_id]
-        self._connection.count_under(counters)
-        if self._dialled is not None:
+        """Takes a connection whose other side has sent its Hello."""
+        if self._zone_by_entry[entry_id] != self._settings.availability_zone:
+            connection.patience = self._other_zone_factor
+        counters = self._counters[entry_id]
+        connection.count_under(counters)
+        if was_dialled:
             counters.connects += 1
-            links._dialled[entry_id] = self._connection
+            self._dialled[entry_id] = connection
             loguru.logger.info("link to entry {} is up", entry_id)
             return
-        replaced = links._accepted.get(entry_id)
-        links._accepted[entry_id] = self._connection
+        replaced = self._accepted.get(entry_id)
+        self._accepted[entry_id] = connection
         if replaced is not None:
             replaced.close()
 
-    def _refuse(self, reason: str) -> None:
-        loguru.logger.warning("refused a peer connection: {}", reason)
-        self._connection.close()
-
-    def _dispatch(self, sender: ids.EntryId, message: Any) -> None:
-        links = self._links
-        links._counters[sender].received_messages += 1
-        if isinstance(message, peer_connection.Reply):
-            pending = links._pending.get(message.request_id)
-            if pending is not None:
-                pending.finish(codec.decode(message.body))
-            return
-        if not isinstance(message, peer_connection.Request):
-            links._deliver(Received(sender, message))
-            return
-        inner = codec.decode(message.body)
-        if isinstance(inner, errors.Failure):
-            self._count_damaged(inner.reason)
-            return
-        request_id = message.request_id
-
-        def reply(answer: object) -> None:
-            self._connection.put(
-                codec.encode(
-                    peer_connection.Reply(request_id, codec.encode(answer))
-                )
-            )
+    def on_reply(self, request_id: int, result: object) -> None:
+        """Hands a reply to the request that waits for it."""
+        pending = self._pending.get(request_id)
+        if pending is not None:
+            pending.finish(result)
 
-        links._deliver(Received(sender, inner, reply))
+    def on_message(self, received: Received) -> None:
+        """Hands a message to its subscribers."""
+        subscribers = self._subscribers.get(type(received.message), ())
+        delivered = bool(subscribers)
+        for subscriber in subscribers:
+            try:
+                subscriber.send_nowait(received)
+            except (
+                anyio.WouldBlock,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                delivered = False
+        if not delivered:
+            self._counters[received.sender].undelivered_messages += 1
