--- a/tarragoncleat/cli.py
+++ b/tarragoncleat/cli.py
@@ -16,6 +16,7 @@
 import pydantic
 
 from tarragoncleat import cli_options
+from tarragoncleat import cli_output
 from tarragoncleat import errors
 from tarragoncleat import reports
 
@@ -53,7 +54,7 @@
     service: str,
     since: str | None = None,
     until: str | None = None,
-    form: Literal["markdown", "html", "json"] = "markdown",
+    form: Literal["markdown", "html", "table", "json"] = "markdown",
     file: pathlib.Path | None = None,
 ) -> object:
     """Reports what a service was granted and denied.
@@ -63,7 +64,7 @@
         service: Service to report on.
         since: Start, as an ISO 8601 time or milliseconds since the epoch.
         until: End, exclusive, in the same form.
-        form: Form of the report; HTML has a plot.
+        form: Form of the report; HTML has a plot, a table only the entries.
         file: File to write instead of standard output.
     """
     query = {"service": service}
@@ -89,6 +90,8 @@
 def _render_report(body: Any, form: str) -> str:
     if form == "json":
         return json.dumps(body, indent=2)
+    if form == "table":
+        return cli_output.render(body["lines"], "table")
     report = _REPORT.validate_python(body)
     if form == "html":
         return reports.to_html(report)
--- a/tarragoncleat/fleet.py
+++ b/tarragoncleat/fleet.py
@@ -35,6 +35,9 @@
 # commands than this came in between.
 _RESULT_RETENTION_MS = 3_600_000
 _MAX_RESULTS = 20_000
+# The controller makes a new id for each command; only a record that was
+# proposed twice within moments finds the first result.
+_MAX_SYSTEM_RESULTS = 2_000
 
 _JOB_COMMANDS: tuple[type, ...] = (commands.SubmitJobs, commands.CancelJobs)
 _OPERATOR_COMMANDS: tuple[type, ...] = (
@@ -251,8 +254,11 @@
         )
 
     def _run_once(self, envelope: commands.Envelope, digest: bytes) -> bytes:
-        results = self._state.results
-        self._expire_results()
+        state = self._state
+        system = envelope.role not in _ALLOWED
+        results = state.system_results if system else state.results
+        limit = _MAX_SYSTEM_RESULTS if system else _MAX_RESULTS
+        self._expire(results, limit)
         key = (envelope.firm, envelope.command_id)
         stored = results.get(key)
         if stored is not None and stored.digest == digest:
@@ -272,12 +278,15 @@
         )
         return result
 
-    def _expire_results(self) -> None:
-        results = self._state.results
-        limit_ms = self._state.time_ms - _RESULT_RETENTION_MS
+    def _expire(
+        self,
+        results: dict[tuple[str, str], fleet_state.StoredResult],
+        limit: int,
+    ) -> None:
+        oldest_ms = self._state.time_ms - _RESULT_RETENTION_MS
         while results:
             key, oldest = next(iter(results.items()))
-            if len(results) < _MAX_RESULTS and oldest.time_ms > limit_ms:
+            if len(results) < limit and oldest.time_ms > oldest_ms:
                 return
             del results[key]
 
--- a/tarragoncleat/fleet_snapshot.py
+++ b/tarragoncleat/fleet_snapshot.py
@@ -97,12 +97,9 @@
         )
         for digest, claim in state.claims.items()
     ]
-    results = [
-        (*key, stored.digest, stored.time_ms, stored.result)
-        for key, stored in state.results.items()
-    ]
     tables["claims"] = msgpack.packb(claims)
-    tables["results"] = msgpack.packb(results)
+    tables["results"] = _encode_results(state.results)
+    tables["system_results"] = _encode_results(state.system_results)
     tables["finished_jobs"] = msgpack.packb(list(state.finished_jobs))
     tables["ended_waves"] = msgpack.packb(list(state.ended_waves))
     return codec.encode(
@@ -161,8 +158,8 @@
     )
     for digest, *fields in msgpack.unpackb(raw["claims"]):
         state.claims[digest] = fleet_state.ClaimRecord(*fields)
-    for firm, command_id, *fields in msgpack.unpackb(raw["results"]):
-        state.results[firm, command_id] = fleet_state.StoredResult(*fields)
+    state.results = _decode_results(raw["results"])
+    state.system_results = _decode_results(raw["system_results"])
     state.restore_order(
         msgpack.unpackb(raw["finished_jobs"]),
         msgpack.unpackb(raw["ended_waves"]),
@@ -170,6 +167,25 @@
     return state
 
 
+_Results = dict[tuple[str, str], fleet_state.StoredResult]
+
+
+def _encode_results(results: _Results) -> bytes:
+    return msgpack.packb(
+        [
+            (*key, stored.digest, stored.time_ms, stored.result)
+            for key, stored in results.items()
+        ]
+    )
+
+
+def _decode_results(data: bytes) -> _Results:
+    return {
+        (firm, command_id): fleet_state.StoredResult(*fields)
+        for firm, command_id, *fields in msgpack.unpackb(data)
+    }
+
+
 def _plain(value: object) -> object:
     if isinstance(value, enum.Enum):
         return value.value
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -231,7 +231,10 @@
         self.waves: dict[ids.WaveId, WaveRecord] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.claims: dict[bytes, ClaimRecord] = {}
+        # The controller's results are kept apart, because the commands that
+        # follow the loss of an availability zone would crowd out operators'.
         self.results: dict[tuple[str, str], StoredResult] = {}
+        self.system_results: dict[tuple[str, str], StoredResult] = {}
         self.ledger = ledger.Ledger()
         self.revision = 0
         self.applied_index = 0
--- a/tarragoncleat_bench/state.py
+++ b/tarragoncleat_bench/state.py
@@ -16,6 +16,7 @@
 from tarragoncleat import jobs
 from tarragoncleat import pools
 from tarragoncleat import profiles
+from tarragoncleat import settings
 from tarragoncleat import waves
 from tarragoncleat_bench import rows
 
@@ -35,6 +36,7 @@
 _CLAIMS = 200_000
 _RETENTION_S = 10**7
 _FINISHED_JOBS = 20_000
+_RESULTS = 20_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +59,7 @@
         for command in _set_up(size):
             self.apply(command)
 
-    def encode(self, command: Any) -> bytes:
+    def encode(self, command: Any, role: str) -> bytes:
         """Returns the payload of a command with a new id."""
         number = next(self._numbers)
         return codec.encode(
@@ -65,19 +67,21 @@
                 ids.CommandId(f"command-{number}"),
                 commands.ANY_FIRM,
                 "bench",
-                commands.CONTROLLER_ROLE,
+                role,
                 None,
                 command,
             )
         )
 
-    def apply(self, command: Any) -> float:
+    def apply(
+        self, command: Any, role: str = commands.CONTROLLER_ROLE
+    ) -> float:
         """Applies a command and returns the time of `Fleet.apply` in s.
 
         Raises:
             RuntimeError: The command was refused, so the time means nothing.
         """
-        payload = self.encode(command)
+        payload = self.encode(command, role)
         self._index += 1
         self._time_ms += 1
         started_s = time.perf_counter()
@@ -250,6 +254,9 @@
 
 def _fill_tables(bed: _Bed) -> None:
     """Fills ledger, claims, results and finished jobs to their limits."""
+    for number in range(_RESULTS):
+        command = next(_put_profile(bed, number))
+        bed.apply(command, settings.Role.OPERATOR.value)
     _fill_ledger(bed)
     for start in range(0, _CLAIMS, _BATCH):
         bed.apply(_claim(start))
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -374,6 +374,8 @@
         self.assertIn("unplaceable", text)
         text = self.run_cli("report", "--service=s", "--since=0")
         self.assertIn("needs 9.0 cores", text)
+        text = self.run_cli("report", "--service=s", "--form=table")
+        self.assertIn("denial", text)
         page = self.run_cli("report", "--service=s", "--form=html")
         self.assertIn("<svg", page)
         text = self.run_cli("instance", "list", "--output=json")
