Let waves end when their instances are removed

Cause: an instance of a spare pool could be removed while it was out for a wave, which then never emptied; a wave whose last instances were removed stayed running until the next step.

Change: removal is refused while an instance is out, and ends a wave that has nothing left. Ended waves are bounded by number too, because every read of the waves passes over them.

Conclusion: a test of the case passes.

--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/fleet_instances.py
@@ -83,23 +83,15 @@
     if failure is not None:
         return failure
     pool = state.pools[instance.pool_id]
-    idle = instance.state in (_STATE.LOST, _STATE.QUARANTINED)
-    if not idle and (pool.service_id is not None or instance.moving_to):
-        return fleet_rules.conflict(
-            f"instance {instance.instance_id} is {instance.state.value} in "
-            f"pool {pool.pool_id}; move it to a spare pool first",
-            revision=instance.revision,
-        )
-    if state.jobs_by_instance[instance.instance_id]:
-        return _runs_jobs(change, instance)
-    for record in state.waves.values():
-        if not record.head.state.is_final and (
-            instance.instance_id in record.remaining
-            or instance.instance_id in record.out
-        ):
+    failure = _check_removal(change, instance)
+    if failure is not None:
+        return failure
+    for record in list(state.waves.values()):
+        if instance.instance_id in record.remaining:
             fleet_waves.skip(
                 change, record, instance.instance_id, "instance removed"
             )
+            fleet_waves.finish_if_done(change, record.head.wave_id)
     state.drop_instance(instance.instance_id)
     change.configured()
     change.log(
@@ -113,6 +105,29 @@
     return {}
 
 
+def _check_removal(
+    change: fleet_rules.Change, instance: pools.Instance
+) -> errors.Failure | None:
+    """Checks that an instance neither serves nor is worked on."""
+    name = instance.instance_id
+    pool = change.state.pools[instance.pool_id]
+    idle = instance.state in (_STATE.LOST, _STATE.QUARANTINED)
+    if not idle and (pool.service_id is not None or instance.moving_to):
+        return fleet_rules.conflict(
+            f"instance {name} is {instance.state.value} in pool "
+            f"{pool.pool_id}; move it to a spare pool first",
+            revision=instance.revision,
+        )
+    if instance.wave_id is not None:
+        return fleet_rules.conflict(
+            f"instance {name} is out for wave {instance.wave_id}",
+            revision=instance.revision,
+        )
+    if change.state.jobs_by_instance[name]:
+        return _runs_jobs(change, instance)
+    return None
+
+
 @fleet_rules.apply_command.register
 def _move_instance(
     command: commands.MoveInstance, change: fleet_rules.Change
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -35,8 +35,10 @@
 
 # Finished jobs stay readable until this many newer ones have finished.
 _MAX_FINISHED_JOBS = 20_000
-# Ended waves stay readable until newer ones have this many members together.
+# Ended waves stay readable until newer ones have this many members together,
+# or are this many.
 _MAX_ENDED_MEMBERS = 50_000
+_MAX_ENDED_WAVES = 1_000
 _MILLI = 1000
 
 _Key = TypeVar("_Key", bound=Hashable)
@@ -387,11 +389,14 @@
         return self.profiles[self.services[service_id].profile_id]
 
     def _drop_ended_waves(self) -> None:
-        members = sum(len(self.waves[name]) for name in self._ended_waves)
-        while members > _MAX_ENDED_MEMBERS and len(self._ended_waves) > 1:
-            oldest = next(iter(self._ended_waves))
+        ended = self._ended_waves
+        members = sum(len(self.waves[name]) for name in ended)
+        while len(ended) > 1 and (
+            members > _MAX_ENDED_MEMBERS or len(ended) > _MAX_ENDED_WAVES
+        ):
+            oldest = next(iter(ended))
             members -= len(self.waves[oldest])
-            del self._ended_waves[oldest]
+            del ended[oldest]
             del self.waves[oldest]
 
     def _unlink_job(self, old: jobs.Job | None) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -262,6 +262,17 @@
             [item.instance_id for item in wave.skipped], ["i1", "i2"]
         )
 
+    def test_removed_instances_let_a_wave_end(self) -> None:
+        wave_id = self.start_wave("i0", "i1")
+        self.record("i1", _STATE.LOST)
+        self.driver.must(commands.RemoveInstance(ids.InstanceId("i1")))
+        self.driver.must(commands.StepWave(wave_id, _names("i0")))
+        self.record("i0", _STATE.LOST)
+        self.driver.must(commands.RemoveInstance(ids.InstanceId("i0")))
+        wave = self.fleet.waves[wave_id]
+        self.assertIs(wave.state, waves.WaveState.FINISHED)
+        self.assertEqual(len(wave.skipped), 2)
+
     def test_cancelled_wave_takes_nothing_and_lets_instances_back(
         self,
     ) -> None:
