--- a/tarragoncleat/fleet.py
+++ b/tarragoncleat/fleet.py
@@ -16,6 +16,7 @@
 from tarragoncleat import fleet_claims  # noqa: F401  (registers its rules)
 from tarragoncleat import fleet_instances  # noqa: F401  (registers its rules)
 from tarragoncleat import fleet_jobs  # noqa: F401  (registers its rules)
+from tarragoncleat import fleet_moves  # noqa: F401  (registers its rules)
 from tarragoncleat import fleet_profiles  # noqa: F401  (registers its rules)
 from tarragoncleat import fleet_rules
 from tarragoncleat import fleet_snapshot
--- a/tarragoncleat/fleet_jobs.py
+++ b/tarragoncleat/fleet_jobs.py
@@ -12,7 +12,7 @@
 from tarragoncleat import pools
 from tarragoncleat import profiles
 
-__all__ = ["requeue_all"]
+__all__ = ["requeue_all", "runs_jobs"]
 
 # Keeps one record well below the frame limit of 8 MiB.
 _MAX_JOBS_PER_COMMAND = 5_000
@@ -30,6 +30,17 @@
         _unplace(change, job, _STATE.QUEUED, cause)
 
 
+def runs_jobs(
+    change: fleet_rules.Change, instance: pools.Instance
+) -> errors.Failure:
+    """Returns the failure for an instance that must be idle."""
+    count = len(change.state.jobs_by_instance[instance.instance_id])
+    return fleet_rules.conflict(
+        f"instance {instance.instance_id} still runs {count} jobs",
+        revision=instance.revision,
+    )
+
+
 @fleet_rules.apply_command.register
 def _submit(
     command: commands.SubmitJobs, change: fleet_rules.Change
