Bound the budget checks of one wave step

Cause: a step with a long list in a large pool checked the budget once for each instance of the list.

Change: the checks stop once a step has taken as many as the profile allows out.

Conclusion: the result of a step is unchanged.

--- a/tarragoncleat/fleet_waves.py
+++ b/tarragoncleat/fleet_waves.py
@@ -347,9 +347,15 @@
     members = change.state.instances_of(pool_id)
     if budget.allows(profile, members, wanted, change.now_ms) is None:
         return wanted, []
+    # No step can take more, so a long list costs no more checks than this.
+    most = budget.max_out(profile)
+    full = f"profile {profile.profile_id} allows {most} instances out at once"
     fitting: list[ids.InstanceId] = []
     left: list[tuple[ids.InstanceId, str]] = []
     for name in wanted:
+        if len(fitting) == most:
+            left.append((name, full))
+            continue
         failure = budget.allows(
             profile, members, [*fitting, name], change.now_ms
         )
