--- a/tarragoncleat/fleet_snapshot.py
+++ b/tarragoncleat/fleet_snapshot.py
@@ -68,8 +68,11 @@
     "instances": _Table(pools.Instance),
     "waves": _Table(waves.Wave),
     "jobs": _Table(jobs.Job),
-    "ledger": _Table(ledger.Entry),
 }
+_LEDGER = _Table(ledger.Entry)
+# Entries of the ledger don't change, so the bytes of whole blocks are kept
+# from one snapshot to the next.
+_BLOCK_ENTRIES = 1_000
 
 
 def encode_state(state: fleet_state.State) -> bytes:
@@ -84,9 +87,9 @@
             ("instances", state.instances.values()),
             ("waves", fleet_state.WaveViews(state.waves).values()),
             ("jobs", state.jobs.values()),
-            ("ledger", state.ledger),
         )
     }
+    tables["ledger"] = _encode_ledger(state)
     claims = [
         (
             digest,
@@ -154,7 +157,9 @@
     for job in rows["jobs"]:
         state.put_job(job)
     state.ledger.restore(
-        rows["ledger"], snapshot.next_sequence, snapshot.complete_since_ms
+        _decode_ledger(raw["ledger"]),
+        snapshot.next_sequence,
+        snapshot.complete_since_ms,
     )
     for digest, *fields in msgpack.unpackb(raw["claims"]):
         state.claims[digest] = fleet_state.ClaimRecord(*fields)
@@ -167,6 +172,35 @@
     return state
 
 
+def _encode_ledger(state: fleet_state.State) -> bytes:
+    """Encodes the ledger in blocks that begin at round sequences."""
+    book = state.ledger
+    first = book.next_sequence - len(book)
+    kept = state.ledger_blocks
+    blocks = {}
+    start = first - first % _BLOCK_ENTRIES
+    while start < book.next_sequence:
+        end = start + _BLOCK_ENTRIES
+        whole = first <= start and end <= book.next_sequence
+        block = kept.get(start) if whole else None
+        if block is None:
+            block = _LEDGER.encode(book.between(start, end))
+        blocks[start] = block
+        if whole:
+            kept[start] = block
+        start = end
+    for dropped in [name for name in kept if name < first]:
+        del kept[dropped]
+    return msgpack.packb(list(blocks.values()))
+
+
+def _decode_ledger(data: bytes) -> list[ledger.Entry]:
+    entries: list[ledger.Entry] = []
+    for block in msgpack.unpackb(data):
+        entries.extend(_LEDGER.decode(block))
+    return entries
+
+
 _Results = dict[tuple[str, str], fleet_state.StoredResult]
 
 
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -238,6 +238,8 @@
         self.results: dict[tuple[str, str], StoredResult] = {}
         self.system_results: dict[tuple[str, str], StoredResult] = {}
         self.ledger = ledger.Ledger()
+        # Encoded blocks of the ledger by first sequence, for snapshots.
+        self.ledger_blocks: dict[int, bytes] = {}
         self.revision = 0
         self.applied_index = 0
         self.time_ms = 0
--- a/tarragoncleat/ledger.py
+++ b/tarragoncleat/ledger.py
@@ -144,6 +144,13 @@
             found.append(entry)
         return Page(tuple(found), None)
 
+    def between(self, start: int, end: int) -> Iterator[Entry]:
+        """Returns the entries of a range of sequences, `end` excluded."""
+        first = self._next_sequence - len(self._entries)
+        return itertools.islice(
+            self._entries, max(0, start - first), max(0, end - first)
+        )
+
     def restore(
         self,
         entries: Iterable[Entry],
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -340,6 +340,44 @@
         )
 
 
+class LedgerTest(_FleetTest):
+    """Guards against a ledger that grows for ever or hides what it lost."""
+
+    def test_bounded_ledger_says_since_when_and_restores(self) -> None:
+        denial = commands.Denial(ids.ServiceId("service"), "no room")
+        batch = commands.RecordDenials((denial,) * 700)
+        self.assertEqual(self.fleet.ledger.complete_since_ms, 0)
+        early = self.fleet.snapshot()
+        while len(self.fleet.ledger) < 50_000:
+            self.driver.time_ms += 1000
+            self.driver.must(batch)
+        for _ in range(3):
+            self.driver.time_ms += 1000
+            self.driver.must(batch)
+            data = self.fleet.snapshot()
+            restored = fleet.Fleet()
+            restored.restore(self.driver.index, data)
+            self.assertEqual(list(restored.ledger), list(self.fleet.ledger))
+            self.assertEqual(restored.snapshot(), data)
+        book = self.fleet.ledger
+        self.assertEqual(len(book), 50_000)
+        self.assertGreater(book.complete_since_ms, next(iter(book)).time_ms)
+        self.fleet.restore(self.driver.index, early)
+        self.assertEqual(self.fleet.snapshot()[-20:], early[-20:])
+
+    def test_pages_of_a_filter_cover_each_entry_once(self) -> None:
+        wanted = ledger.Filter(kinds=frozenset({ledger.LedgerKind.GRANT}))
+        start: int | None = 0
+        found: list[ledger.Entry] = []
+        while start is not None:
+            page = self.fleet.ledger.read(wanted, start, 2)
+            found.extend(page.entries)
+            start = page.next_sequence
+        grants = [e for e in self.fleet.ledger if wanted.matches(e)]
+        self.assertEqual(found, grants)
+        self.assertEqual(len(grants), 6)
+
+
 class ClaimTest(_FleetTest):
     """Guards against a key that runs twice or is forgotten too early."""
 
