Name jobs that hold up a drain, and end a round that can't commit

Cause: a wave whose draining instances ran jobs that their profile lets nobody end waited without a blocker. While the log took no record, a round of the controller tried every remaining proposal until its timeout.

Change: the planner names such pools; a round ends at the first record that was not committed; a worker is visited again in the next round after an action instead of after a third of its lease.

Conclusion: a wave that can't go on says why in every case the tests cover.

--- a/tarragoncleat/command_proposals.py
+++ b/tarragoncleat/command_proposals.py
@@ -11,11 +11,25 @@
 from tarragoncleat import ids
 from tarragoncleat import settings
 
-__all__ = ["Proposer", "Replication"]
+__all__ = ["Proposer", "Replication", "was_not_committed"]
 
 _MS_PER_S = 1000
 
 
+_NOT_COMMITTED = frozenset(
+    {
+        errors.ErrorKind.NO_LEADER,
+        errors.ErrorKind.UNDECIDED,
+        errors.ErrorKind.DISK_FULL,
+    }
+)
+
+
+def was_not_committed(result: object) -> bool:
+    """Tells whether the log takes no record now, so that a round ends."""
+    return isinstance(result, errors.Failure) and result.kind in _NOT_COMMITTED
+
+
 class Replication(Protocol):
     """The part of `replication.Replication` that the controller uses."""
 
--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/control_term.py
@@ -175,7 +175,7 @@
             wave = view.waves[step.wave_id]
             if step.is_empty and step.blocked_by == wave.blocked_by:
                 continue
-            await self._proposer.propose(
+            result = await self._proposer.propose(
                 commands.StepWave(
                     step.wave_id,
                     step.take,
@@ -184,6 +184,8 @@
                     step.blocked_by,
                 )
             )
+            if command_proposals.was_not_committed(result):
+                return
             self._visits.wake(step.take)
 
     async def _move_instances(self) -> None:
@@ -197,7 +199,9 @@
         )
         for move in moves:
             command = commands.MoveInstance(move.instance_id, move.to_pool)
-            await self._proposer.propose(command)
+            result = await self._proposer.propose(command)
+            if command_proposals.was_not_committed(result):
+                return
             self._visits.wake([move.instance_id])
 
     async def _place_jobs(self) -> None:
@@ -218,7 +222,9 @@
         )
         for start in range(0, len(placements), _JOBS_PER_RECORD):
             part = placements[start : start + _JOBS_PER_RECORD]
-            await self._proposer.propose(commands.PlaceJobs(part))
+            result = await self._proposer.propose(commands.PlaceJobs(part))
+            if command_proposals.was_not_committed(result):
+                return
         self._visits.wake({item.instance_id for item in decision.placements})
         await self._record_denials(decision.waiting)
 
--- a/tarragoncleat/planner.py
+++ b/tarragoncleat/planner.py
@@ -14,6 +14,7 @@
 from tarragoncleat import fleet_view
 from tarragoncleat import ids
 from tarragoncleat import pools
+from tarragoncleat import profiles
 from tarragoncleat import settings
 from tarragoncleat import wave_choice
 from tarragoncleat import waves
@@ -32,6 +33,9 @@
         pools.InstanceState.RETURNING,
     }
 )
+_ENDING = frozenset(
+    {profiles.Interruption.CHECKPOINT, profiles.Interruption.STOP}
+)
 STEPPING = frozenset({waves.WaveState.APPROVED, waves.WaveState.RUNNING})
 
 
@@ -120,6 +124,13 @@
         }
         wanted = _wanted_by_pool(running, view.instances, skipped)
         takes, blockers = self._take(view, wanted, now_ms)
+        for wave in running:
+            known = {item.pool_id for item in blockers[wave.wave_id]}
+            blockers[wave.wave_id].extend(
+                blocker
+                for blocker in _undrainable(wave, view)
+                if blocker.pool_id not in known
+            )
         return tuple(
             WaveStep(
                 wave.wave_id,
@@ -217,6 +228,31 @@
     )
 
 
+def _undrainable(
+    wave: waves.Wave, view: fleet_view.FleetView
+) -> Iterable[waves.Blocker]:
+    """Yields pools whose draining instances run jobs that nobody may end."""
+    waiting: dict[ids.PoolId, int] = {}
+    for name in wave.out:
+        instance = view.instances[name]
+        if instance.state is not pools.InstanceState.DRAINING:
+            continue
+        pool = view.pools[instance.pool_id]
+        if pool.profile is None or _ENDING & set(
+            pool.profile.tolerance.actions
+        ):
+            continue
+        jobs = pool.job_count(name)
+        if jobs:
+            waiting[pool.pool_id] = waiting.get(pool.pool_id, 0) + jobs
+    for pool_id, jobs in waiting.items():
+        reason = (
+            f"{jobs} jobs run on draining instances, and the profile allows "
+            "neither checkpoint nor stop"
+        )
+        yield waves.Blocker(pool_id, reason)
+
+
 def _skipped(
     wave: waves.Wave,
     view: fleet_view.FleetView,
--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -226,6 +226,8 @@
             if failure is not None:
                 self._log_failure(instance, type(call).__name__, failure)
                 return
+            # The next round looks at once at what the call did.
+            status.due_s = 0.0
 
     def _log_failure(
         self, instance: pools.Instance, what: str, failure: errors.Failure
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,6 +10,7 @@
 from tarragoncleat import commands
 from tarragoncleat import fleet_view
 from tarragoncleat import ids
+from tarragoncleat import jobs
 from tarragoncleat import planner
 from tarragoncleat import pools
 from tarragoncleat import profiles
@@ -204,6 +205,27 @@
         (step,) = simulation.step()
         self.assertEqual(step.take, ("i4",))
 
+    def test_jobs_that_nobody_may_end_are_named(self) -> None:
+        """Guards against a drain that waits for ever without a word."""
+        tolerance = profiles.Tolerance(max_out=1, actions=())
+        owed = profiles.Capacity(instances=1)
+        simulation = _Simulation({"owed": owed, "tolerance": tolerance}, 1, 1)
+        job = jobs.Job(
+            ids.JobId("job"),
+            ids.ServiceId("service"),
+            None,
+            jobs.Demand(1.0, 100),
+            60.0,
+        )
+        driver = simulation.driver
+        driver.must(commands.SubmitJobs((job,)), role="operator")
+        placed = commands.JobPlacement(job.job_id, ids.InstanceId("i0"))
+        driver.must(commands.PlaceJobs((placed,)))
+        (step,) = simulation.step()
+        self.assertEqual(step.take, ("i0",))
+        (step,) = simulation.step()
+        self.assertIn("neither checkpoint nor stop", step.blocked_by[0].reason)
+
     def test_stuck_wave_asks_for_a_spare_only_where_it_helps(self) -> None:
         """Guards against a wave that never ends, and against useless moves."""
         for max_out, expected in ((1, 1), (0, None)):
