Look only at workers that were visited, fell silent or are out

Cause: a round without any change looked at every worker: 17.7 ms for 24,000 workers, and 4.1 ms for each search of the lost ones.

Change: the watch passes over workers without a new report that are neither silent nor out, and the view keeps the lost instances.

--- a/tarragoncleat/fleet_view.py
+++ b/tarragoncleat/fleet_view.py
@@ -117,6 +117,7 @@
         services: Every service by id.
         profiles: Every profile by id.
         teams: Every team by id.
+        lost: Ids of the lost instances.
     """
 
     pools: Mapping[ids.PoolId, PoolView]
@@ -125,6 +126,7 @@
     services: _Services
     profiles: _Profiles
     teams: _Teams
+    lost: tuple[ids.InstanceId, ...]
 
     def profile_of_service(self, service_id: ids.ServiceId) -> _Profile | None:
         """Returns the profile that a service runs under."""
@@ -178,6 +180,7 @@
         self._waiting: dict[ids.ServiceId, dict[ids.JobId, jobs.Job]] = (
             collections.defaultdict(dict)
         )
+        self._lost: dict[ids.InstanceId, None] = {}
         self._members: dict[ids.PoolId, tuple[pools.Instance, ...]] = {}
         self._active_tuples: dict[ids.InstanceId, tuple[jobs.Job, ...]] = {}
         self._pools: dict[ids.PoolId, PoolView] = {}
@@ -203,6 +206,7 @@
             fleet.services,
             fleet.profiles,
             fleet.teams,
+            tuple(self._lost),
         )
 
     def _group_instances(self, fleet: FleetReader) -> set[ids.PoolId]:
@@ -210,8 +214,11 @@
         for old, new in self._instance_changes.find(fleet.instances):
             if old is not None:
                 self._instances[old.pool_id].pop(old.instance_id, None)
+                self._lost.pop(old.instance_id, None)
                 dirty.add(old.pool_id)
             if new is not None:
+                if new.state is pools.InstanceState.LOST:
+                    self._lost[new.instance_id] = None
                 self._instances[new.pool_id][new.instance_id] = new
                 dirty.add(new.pool_id)
         for pool_id in dirty:
--- a/tarragoncleat/worker_watch.py
+++ b/tarragoncleat/worker_watch.py
@@ -44,8 +44,15 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Since:
     state: pools.InstanceState
+    in_service_since_ms: int
     time_s: float
 
+    def is_about(self, instance: pools.Instance) -> bool:
+        return (
+            self.state is instance.state
+            and self.in_service_since_ms == instance.in_service_since_ms
+        )
+
 
 class WorkerWatch:
     """Examines the workers that were visited or fell silent."""
@@ -79,9 +86,16 @@
         """
         job_changes: list[commands.JobChange] = []
         instance_changes: list[_InstanceChange] = []
-        for instance in view.instances.values():
-            status = self._statuses.get(instance.instance_id)
-            if status is None or not self._needs_look(instance, status, now_s):
+        silent_since_s = now_s - self._silence_s
+        for name, status in self._statuses.items():
+            instance = view.instances.get(name)
+            if instance is None:
+                continue
+            if (
+                not status.is_new
+                and status.reported_s > silent_since_s
+                and instance.state not in _TIMED_STATES
+            ):
                 continue
             seen = self._seen(instance, status, now_s)
             change = observations.instance_change(
@@ -121,28 +135,12 @@
         self, view: fleet_view.FleetView, now_ms: int
     ) -> Mapping[ids.InstanceId, int]:
         """Returns since when each lost instance has been seen lost."""
-        lost = [
-            item.instance_id
-            for item in view.instances.values()
-            if item.state is pools.InstanceState.LOST
-        ]
         known = self._lost_since_ms
-        self._lost_since_ms = {name: known.get(name, now_ms) for name in lost}
+        self._lost_since_ms = {
+            name: known.get(name, now_ms) for name in view.lost
+        }
         return self._lost_since_ms
 
-    def _needs_look(
-        self,
-        instance: pools.Instance,
-        status: worker_visits.WorkerStatus,
-        now_s: float,
-    ) -> bool:
-        timed = instance.state in _TIMED_STATES
-        if not timed:
-            self._since.pop(instance.instance_id, None)
-        if status.is_new or timed:
-            return True
-        return self._leases.has_ended(instance.instance_id, now_s)
-
     def _seen(
         self,
         instance: pools.Instance,
@@ -165,8 +163,8 @@
         if instance.state not in _TIMED_STATES:
             return 0.0
         since = self._since.get(instance.instance_id)
-        if since is None or since.state is not instance.state:
-            since = _Since(instance.state, now_s)
+        if since is None or not since.is_about(instance):
+            since = _Since(instance.state, instance.in_service_since_ms, now_s)
             self._since[instance.instance_id] = since
         return now_s - since.time_s
 
