Keep leaders and elections working on slow disks

Cause: a follower answered heartbeats only after its disk, so that a slow disk looked like a lost follower; elections that lasted longer than their timeout repeated for ever. On a disk shared with busy writers a group of 9 stayed without leader for up to 38 s after kill -9. Change: heartbeats are answered at once, for synced records only. The election timeout doubles after each failed election, up to 8 times, and a granted pre-vote postpones the voter's own election. A broken link to the leader brings the election forward. The commit index is marked on disk every 5 s instead of every second, to save syncs.

--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -20,6 +20,8 @@
 
 __all__ = ["Consensus", "Role", "Saved"]
 
+_MAX_ELECTION_FACTOR = 8
+
 
 class Role(enum.Enum):
     """What an entry does in the replicated log."""
@@ -74,8 +76,11 @@
         self._leader_id: ids.EntryId | None = None
         self._leader_contact_s: float | None = None
         self._leader_commit_index = 0
+        self._synced_index = self._log.last_index
+        self._has_replaced = False
         self._leadership: consensus_leader.Leadership | None = None
         self._votes: set[ids.EntryId] = set()
+        self._failed_elections = 0
         self._arriving: _ArrivingSnapshot | None = None
         self._output = consensus_output.Output()
         self._election_due_s = 0.0
@@ -136,6 +141,7 @@
         """Returns the work since the last call and starts a new collection."""
         taken = self._output
         self._output = consensus_output.Output()
+        self._has_replaced = False
         if self._leadership is not None:
             self._leadership.use_output(self._output)
         return taken
@@ -242,16 +248,21 @@
     def acknowledge_sync(
         self, output: consensus_output.Output, now: consensus_output.Now
     ) -> None:
-        """Reports that the work of an earlier `take_output` is synced."""
+        """Reports that the work of the last `take_output` is synced."""
         is_candidate = self._role is Role.CANDIDATE
         if is_candidate and output.term_vote == self._term_vote:
             self._votes.add(self._entry_id)
             self._count_votes(now)
-        leadership = self._leadership
-        if leadership is None or not output.records:
+        if output.snapshot is not None:
+            self._synced_index = max(self._synced_index, output.snapshot.index)
+        # Once a record was replaced, the same record may come back behind it;
+        # what is synced of it counts with the next output.
+        if not output.records or self._has_replaced:
             return
         last = output.records[-1]
-        if self._log.term_at(last.index) == last.term:
+        self._synced_index = max(self._synced_index, last.index)
+        leadership = self._leadership
+        if leadership is not None:
             leadership.acknowledge_sync(last.index)
             self._advance_commit(leadership, now)
 
@@ -263,6 +274,18 @@
             keep_from = snapshot.index + 1 - keep_records
             self._log.compact(snapshot, keep_from)
 
+    def note_leader_lost(self, now: consensus_output.Now) -> None:
+        """Brings the election forward when the link to the leader broke.
+
+        The pre-vote keeps a working leader: replicas that still hear it
+        refuse.
+        """
+        if self._leadership is None and self._leader_id is not None:
+            self._leader_id = None
+            spread_s = self._times.election_min_s / 2
+            due_s = now.monotonic_s + self._random.uniform(0, spread_s)
+            self._election_due_s = min(self._election_due_s, due_s)
+
     def resign(self, now: consensus_output.Now) -> None:
         """Stops leading, for example when the disk is full."""
         if self._leadership is not None:
@@ -291,7 +314,10 @@
         timeout_s = self._random.uniform(
             self._times.election_min_s, self._times.election_max_s
         )
-        self._election_due_s = now.monotonic_s + timeout_s
+        # Votes wait for disks. When these are slower than the timeout, every
+        # election would end before its votes arrive; longer ones succeed.
+        factor = min(2**self._failed_elections, _MAX_ELECTION_FACTOR)
+        self._election_due_s = now.monotonic_s + factor * timeout_s
 
     def _hears_leader(self, now: consensus_output.Now) -> bool:
         if self._leadership is not None:
@@ -322,6 +348,8 @@
         self._postpone_election(now)
 
     def _start_election(self, now: consensus_output.Now) -> None:
+        if self._role is Role.CANDIDATE:
+            self._failed_elections += 1
         self._postpone_election(now)
         self._leader_id = None
         self._role = Role.FOLLOWER
@@ -360,6 +388,7 @@
 
     def _become_leader(self, now: consensus_output.Now) -> None:
         self._role = Role.LEADER
+        self._failed_elections = 0
         self._leader_id = self._entry_id
         leadership = consensus_leader.Leadership(
             self._entry_id, self.term, self._log, self._times, now, self._output
@@ -426,6 +455,10 @@
         )
         if request.pre_vote:
             granted = up_to_date and request.term > self.term
+            if granted and self._role is Role.FOLLOWER:
+                # Leaves time for the other one's election, instead of
+                # splitting the votes with an own one.
+                self._postpone_election(now)
         else:
             free = self._term_vote.voted_for in (None, request.candidate)
             granted = up_to_date and request.term == self.term and free
@@ -462,6 +495,7 @@
         if term > self.term or self._role is not Role.FOLLOWER:
             self._become_follower(term, leader, now)
         self._leader_id = leader
+        self._failed_elections = 0
         self._leader_contact_s = now.monotonic_s
         self._postpone_election(now)
         return True
@@ -482,6 +516,12 @@
             self._commit_index = max(
                 self._commit_index, min(request.commit_index, match_index)
             )
+        # A heartbeat is answered without waiting for the disk, so that a slow
+        # disk doesn't look like a lost follower; it confirms synced records
+        # only.
+        is_early = accepted and not request.records
+        if is_early:
+            match_index = min(match_index, self._synced_index)
         reply = consensus_messages.AppendReply(
             self.term,
             self._entry_id,
@@ -489,7 +529,9 @@
             match_index,
             request.sequence,
         )
-        self._send(request.leader, reply)
+        envelope = consensus_output.Envelope(request.leader, reply)
+        output = self._output
+        (output.early if is_early else output.messages).append(envelope)
 
     def _store_records(
         self, request: consensus_messages.AppendRequest
@@ -506,11 +548,17 @@
         for record in request.records:
             is_new = record.index > self._commit_index
             if is_new and self._log.term_at(record.index) != record.term:
+                self._note_replaced(record.index)
                 self._log.append(record)
                 self._output.records.append(record)
         last = previous + len(request.records)
         return True, last
 
+    def _note_replaced(self, index: int) -> None:
+        if index <= self._log.last_index:
+            self._has_replaced = True
+            self._synced_index = min(self._synced_index, index - 1)
+
     def _last_possible_match(self, previous: int) -> int:
         index = min(previous - 1, self._log.last_index)
         if previous <= self._log.last_index:
@@ -562,6 +610,7 @@
         )
         self._arriving = None
         if self._log.term_at(snapshot.index) != snapshot.term:
+            self._note_replaced(self._commit_index + 1)
             self._output.reset_log = True
             self._output.records = []
         self._log.compact(snapshot, snapshot.index + 1)
--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/replica.py
@@ -23,7 +23,7 @@
 _MS_PER_S = 1000
 _RETRY_INTERVAL_S = 1.0
 # The commit index reaches the disk with the next write, or after this time.
-_MARK_INTERVAL_S = 1.0
+_MARK_INTERVAL_S = 5.0
 
 
 class Replica:
@@ -75,6 +75,7 @@
             saved,
             self._now(),
         )
+        self._connected_leader: ids.EntryId | None = None
         self._wake = anyio.Event()
         self._blocked: errors.Failure | None = None
         self._unsaved: consensus_messages.Snapshot | None = None
--- a/tarragoncleat/replication_messages.py
+++ b/tarragoncleat/replication_messages.py
@@ -1,6 +1,6 @@
 """Messages between entries about proposals, reads and learners."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 import dataclasses
 from typing import Any, Protocol
 
@@ -40,7 +40,7 @@
     def send(self, entry_id: ids.EntryId, message: object) -> bool:
         """Queues a message; returns False when it is certainly not sent."""
 
-    def connected(self) -> Iterable[ids.EntryId]:
+    def connected(self) -> Collection[ids.EntryId]:
         """Returns the entries with a working link."""
 
 
