Keep parallel log clusters on separate addresses

Cause: two checkouts ran the process tests of the log at once on the same fixed addresses, and a node of the second run could not listen. Change: the second octet follows the process id, as in the other tests. Conclusion: the failure was the address, not the log.

--- a/tarragoncleat_bench/control_cluster.py
+++ b/tarragoncleat_bench/control_cluster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -12,6 +13,8 @@
 __all__ = ["KYUSHU_ZONES", "Cluster", "Node"]
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Clusters of processes that run in parallel don't share addresses.
+_LOOPBACK = f"127.{100 + os.getpid() % 120}"
 _PEER_PORT = 9_700
 _PROXY_PORT = 9_701
 _CONTROL_PORT = 9_702
@@ -122,7 +125,7 @@
         keys: int = 1_000,
         consensus: str = "",
     ) -> None:
-        """Starts the processes on addresses 127.23.NET.x.
+        """Starts the processes on addresses _LOOPBACK.NET.x.
 
         Args:
             folder: Folder of the settings, logs and data.
@@ -181,7 +184,7 @@
                 time.sleep(_POLL_S)
 
     def _host(self, number: int) -> str:
-        return f"127.23.{self._net}.{number + 1}"
+        return f"{_LOOPBACK}.{self._net}.{number + 1}"
 
     def _settings(self, number: int, consensus: str) -> str:
         lines = [
