Test a second disk lost right after the first repair

Cause: the lost-disk test covered one loss only. Change: after the first replica is admitted again, the former leader loses its disk too and is admitted by the other two.

--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -155,6 +155,16 @@
                 lambda: system.put(away, "profiles/other", body),
                 "change without the first leader",
             )
+            # A second disk lost right after the first repair.
+            shutil.rmtree(system.folder / leader)
+            system.start(leader)
+            await system_rig.wait_until(
+                lambda: _is_member(system, leader), "second admission"
+            )
+            shown = await system_rig.wait_until(
+                lambda: system.get(leader, "profiles/kept"), "the change"
+            )
+            self.assertEqual(shown["item"]["revision"], kept["revision"])
 
 
 def _is_member(system: system_rig.System, name: str) -> bool:
