Watch requests for disconnects after 250 ms

Cause: at 256 connections a request waits for more than 50 ms in the busy entry itself, so that nearly each one paid for a watching task and a timer.

Change: the watch begins after 250 ms.

--- a/tarragoncleat/request_watch.py
+++ b/tarragoncleat/request_watch.py
@@ -10,7 +10,7 @@
 __all__ = ["RequestWatch"]
 
 # Most requests end sooner and need neither a timer nor a task of their own.
-_UNWATCHED_S = 0.05
+_UNWATCHED_S = 0.25
 # Shorter deadlines could pass before a request is looked at.
 _SHORT_DEADLINE_S = 4 * _UNWATCHED_S
 
