--- a/tarragoncleat/planner.py
+++ b/tarragoncleat/planner.py
@@ -10,17 +10,21 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 import dataclasses
 
+from tarragoncleat import budget
 from tarragoncleat import fleet_view
 from tarragoncleat import ids
 from tarragoncleat import pools
+from tarragoncleat import profiles
 from tarragoncleat import settings
 from tarragoncleat import wave_choice
 from tarragoncleat import waves
 
-__all__ = ["STEPPING", "WavePlanner", "WaveStep"]
+__all__ = ["STEPPING", "Wanted", "WavePlanner", "WaveStep"]
 
 _MS_PER_S = 1000
 _DEFAULT_MAX_OUT_S = 3600
+# A pool that lacks more instances than this isn't filled up for a wave.
+_MAX_WANTED = 4
 
 _AWAY_STATES = frozenset(
     {
@@ -29,9 +33,20 @@
         pools.InstanceState.RETURNING,
     }
 )
+_ENDING = frozenset(
+    {profiles.Interruption.CHECKPOINT, profiles.Interruption.STOP}
+)
 STEPPING = frozenset({waves.WaveState.APPROVED, waves.WaveState.RUNNING})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """How many more instances give a wave room in a pool."""
+
+    pool_id: ids.PoolId
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaveStep:
     """What a wave does next; empty when it can only wait.
@@ -42,8 +57,8 @@
         finish: Instances that are out and in service again.
         skip: Instances that the wave gives up, with the reason.
         blocked_by: Pools that can't give an instance now, with the reason.
-        stuck_pools: Those of them in which nothing is out or settling, so that
-            only another instance in the pool lets the wave go on.
+        wanted: Instances that some of them lack: nothing there is out or
+            settling, so that only more instances let the wave go on.
     """
 
     wave_id: ids.WaveId
@@ -51,7 +66,7 @@
     finish: tuple[ids.InstanceId, ...] = ()
     skip: tuple[waves.Skipped, ...] = ()
     blocked_by: tuple[waves.Blocker, ...] = ()
-    stuck_pools: tuple[ids.PoolId, ...] = ()
+    wanted: tuple[Wanted, ...] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -109,6 +124,13 @@
         }
         wanted = _wanted_by_pool(running, view.instances, skipped)
         takes, blockers = self._take(view, wanted, now_ms)
+        for wave in running:
+            known = {item.pool_id for item in blockers[wave.wave_id]}
+            blockers[wave.wave_id].extend(
+                blocker
+                for blocker in _undrainable(wave, view)
+                if blocker.pool_id not in known
+            )
         return tuple(
             WaveStep(
                 wave.wave_id,
@@ -116,7 +138,7 @@
                 finished[wave.wave_id],
                 skipped[wave.wave_id],
                 tuple(blockers[wave.wave_id]),
-                _stuck(view, blockers[wave.wave_id], now_ms),
+                _wanted_instances(view, blockers[wave.wave_id], now_ms),
             )
             for wave in running
         )
@@ -206,6 +228,31 @@
     )
 
 
+def _undrainable(
+    wave: waves.Wave, view: fleet_view.FleetView
+) -> Iterable[waves.Blocker]:
+    """Yields pools whose draining instances run jobs that nobody may end."""
+    waiting: dict[ids.PoolId, int] = {}
+    for name in wave.out:
+        instance = view.instances[name]
+        if instance.state is not pools.InstanceState.DRAINING:
+            continue
+        pool = view.pools[instance.pool_id]
+        if pool.profile is None or _ENDING & set(
+            pool.profile.tolerance.actions
+        ):
+            continue
+        jobs = pool.job_count(name)
+        if jobs:
+            waiting[pool.pool_id] = waiting.get(pool.pool_id, 0) + jobs
+    for pool_id, jobs in waiting.items():
+        reason = (
+            f"{jobs} jobs run on draining instances, and the profile allows "
+            "neither checkpoint nor stop"
+        )
+        yield waves.Blocker(pool_id, reason)
+
+
 def _skipped(
     wave: waves.Wave,
     view: fleet_view.FleetView,
@@ -248,21 +295,54 @@
     return wanted
 
 
-def _stuck(
+def _wanted_instances(
     view: fleet_view.FleetView,
     blockers: Iterable[waves.Blocker],
     now_ms: int,
-) -> tuple[ids.PoolId, ...]:
-    return tuple(
-        blocker.pool_id
-        for blocker in blockers
-        if _is_stuck(view.pools[blocker.pool_id], now_ms)
-    )
+) -> tuple[Wanted, ...]:
+    found = []
+    for blocker in blockers:
+        pool = view.pools[blocker.pool_id]
+        count = _missing_instances(pool, now_ms)
+        if count:
+            found.append(Wanted(blocker.pool_id, count))
+    return tuple(found)
+
 
+def _missing_instances(pool: fleet_view.PoolView, now_ms: int) -> int:
+    """Returns how many more instances a stuck pool needs, or 0.
 
-def _is_stuck(pool: fleet_view.PoolView, now_ms: int) -> bool:
+    It is 0 as well where more instances don't help, for example when the
+    profile allows none to be out.
+    """
+    profile = pool.profile
     away = any(item.state in _AWAY_STATES for item in pool.instances)
-    return not away and _next_settling_ms(pool, now_ms) == float("inf")
+    settling = _next_settling_ms(pool, now_ms) < float("inf")
+    if profile is None or away or settling or not pool.instances:
+        return 0
+    if budget.spendable(profile, pool.instances, now_ms).allowed:
+        return 0
+    for count in range(1, _MAX_WANTED + 1):
+        more = [_stand_in(pool.instances[0], n) for n in range(count)]
+        members = (*pool.instances, *more)
+        if budget.spendable(profile, members, now_ms).allowed:
+            return count
+    return 0
+
+
+def _stand_in(example: pools.Instance, number: int) -> pools.Instance:
+    """Returns a settled instance in a failure domain of its own."""
+    return dataclasses.replace(
+        example,
+        instance_id=ids.InstanceId(f"{example.instance_id}+{number}"),
+        availability_zone=ids.AvailabilityZone(f"+{number}"),
+        rack=ids.Rack(f"+{number}"),
+        state=pools.InstanceState.IN_SERVICE,
+        in_service_since_ms=0,
+        maintained_at_ms=0,
+        moving_to=None,
+        wave_id=None,
+    )
 
 
 def _next_settling_ms(pool: fleet_view.PoolView, now_ms: int) -> float:
