--- a/tarragoncleat/reports.py
+++ b/tarragoncleat/reports.py
@@ -293,19 +293,22 @@
 
 
 def _table(names: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
-    """Returns a Markdown table; cells can't break out of their row."""
+    """Returns a Markdown table; no cell breaks its row or adds HTML."""
     lines = [
         f"| {' | '.join(names)} |",
         f"|{'---|' * len(names)}",
     ]
     for row in rows:
-        cells = (
-            str(cell).replace("|", "\\|").replace("\n", " ") for cell in row
-        )
+        cells = map(_markdown_cell, row)
         lines.append(f"| {' | '.join(cells)} |")
     return lines
 
 
+def _markdown_cell(value: object) -> str:
+    text = str(value).replace("|", "\\|").replace("\n", " ")
+    return text.replace("<", "&lt;")
+
+
 def _html_table(names: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
     head = "".join(f"<th>{html.escape(name)}</th>" for name in names)
     body = "\n".join(
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -6,6 +6,7 @@
 import io
 import json
 import pathlib
+import socket
 import tempfile
 import threading
 import time
@@ -389,6 +390,33 @@
         text = self.put("profile", "p", {"owed": 3}, status=1)
         self.assertIn("bad_request", text)
 
+    def test_lost_answer_is_asked_for_again_without_a_second_effect(
+        self,
+    ) -> None:
+        listener = socket.create_server((_HOST, 0))
+        self.addCleanup(listener.close)
+
+        def pass_on_and_hang_up() -> None:
+            """Lets the entry answer, and drops the answer."""
+            client, _ = listener.accept()
+            data = b""
+            with client, socket.create_connection((_HOST, _PORT)) as entry:
+                while not data.endswith(b"}"):
+                    data += client.recv(65_536)
+                entry.sendall(data)
+                entry.recv(65_536)
+
+        thread = threading.Thread(target=pass_on_and_hang_up)
+        thread.start()
+        self.addCleanup(thread.join)
+        host, port = listener.getsockname()
+        urls = [f"http://{host}:{port}", f"http://{_HOST}:{_PORT}"]
+        with admin_client.AdminClient(urls, "a") as client:
+            reply = client.give("PUT", "profiles/p", _PROFILE, if_match=0)
+        self.assertIsInstance(reply, admin_client.Reply, reply)
+        self.assertEqual(self.driver.index, 2)
+        self.assertEqual(len(self.driver.fleet.ledger), 1)
+
     def test_client_reports_an_unreachable_entry_as_not_run(self) -> None:
         with admin_client.AdminClient([f"http://{_HOST}:1"]) as client:
             reply = client.give("DELETE", "profiles/p")
