Bound the number of jobs that wait or run

Cause: submissions without end would fill the memory of every entry, since the jobs are replicated to all of them.

Conclusion: a test fills the queue, is refused, cancels one job and submits again.

--- a/tarragoncleat/fleet_jobs.py
+++ b/tarragoncleat/fleet_jobs.py
@@ -16,6 +16,8 @@
 
 # Keeps one record well below the frame limit of 8 MiB.
 _MAX_JOBS_PER_COMMAND = 5_000
+# Four for each worker of the target scale; a job takes about 0.6 KB of memory.
+_MAX_LIVE_JOBS = 100_000
 _MILLI = 1000
 _STATE = jobs.JobState
 
@@ -180,6 +182,12 @@
     """Checks every job first, so that a refused command submits nothing."""
     if not 0 < len(command.jobs) <= _MAX_JOBS_PER_COMMAND:
         return _too_many(len(command.jobs))
+    live = change.state.live_job_count
+    if live + len(command.jobs) > _MAX_LIVE_JOBS:
+        return errors.Failure(
+            errors.ErrorKind.OVERLOADED,
+            f"{live} jobs wait or run; at most {_MAX_LIVE_JOBS} may",
+        )
     names = set()
     for job in command.jobs:
         if job.job_id in names:
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -364,6 +364,11 @@
         """Returns the firm of the service that a job belongs to."""
         return self.services[job.service_id].firm
 
+    @property
+    def live_job_count(self) -> int:
+        """Number of jobs that have not ended."""
+        return len(self.jobs) - len(self._finished)
+
     @property
     def finished_jobs(self) -> Collection[ids.JobId]:
         """Finished jobs, the one that finished first in front."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -328,6 +328,19 @@
         self.driver.must(commands.CancelJobs((ids.JobId("a"),)))
         self.assertEqual(self.place("c").value["placed"], ["c"])
 
+    def test_endless_submissions_are_refused_and_lose_nothing(self) -> None:
+        job = dataclasses.replace(self.job("a"), team_id=None)
+        for batch in range(20):
+            names = (ids.JobId(f"j{batch}-{n}") for n in range(5_000))
+            self.driver.must(
+                commands.SubmitJobs(
+                    tuple(dataclasses.replace(job, job_id=n) for n in names)
+                )
+            )
+        self.refuse(commands.SubmitJobs((job,)), _KIND.OVERLOADED)
+        self.driver.must(commands.CancelJobs((ids.JobId("j0-0"),)))
+        self.driver.must(commands.SubmitJobs((job,)))
+
     def test_late_report_of_an_earlier_placement_is_ignored(self) -> None:
         self.driver.must(commands.SubmitJobs((self.job("a"),)))
         self.place("a")
