Start no cancelled job, and test cancellations and slow reboots

Cause: a job that was cancelled while its worker was being visited was started and stopped again a second later. Bursts of cancellations, a reboot that lasts longer than max_out_s, the bound of the quarantine and stale groups in the incremental view had no test.

Change: a visit checks the committed job again right before it starts the task. Four tests cover the cases above; the benchmark reports the p99 wait.

--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -216,10 +216,7 @@
             if not self._is_leader():
                 return
             if isinstance(call, worker_actions.StartTask):
-                now_s = self._clock.monotonic_s()
-                if not self._leases.is_held(
-                    instance.instance_id, instance.fence, now_s
-                ):
+                if not self._may_start(instance, call.task_id):
                     continue
                 status.started = (*status.started, call.task_id)
             failure = await _perform(call, self._client, instance, status)
@@ -229,6 +226,18 @@
             # The next round looks at once at what the call did.
             status.due_s = 0.0
 
+    def _may_start(self, instance: pools.Instance, task_id: str) -> bool:
+        """Checks again, because a job may be cancelled during a visit."""
+        named = platform_messages.job_of_task(task_id)
+        job = None if named is None else self._jobs.get(named[0])
+        if job is None or job.state is not jobs.JobState.PLACED:
+            return False
+        if platform_messages.task_id_of(job) != task_id:
+            return False
+        now_s = self._clock.monotonic_s()
+        name = instance.instance_id
+        return self._leases.is_held(name, instance.fence, now_s)
+
     def _log_failure(
         self, instance: pools.Instance, what: str, failure: errors.Failure
     ) -> None:
--- a/tarragoncleat_bench/planning.py
+++ b/tarragoncleat_bench/planning.py
@@ -142,6 +142,7 @@
         ("urgent start p99", "s", _p99(own.urgent_s), _p99(other.urgent_s)),
         ("urgent start max", "s", max(own.urgent_s), max(other.urgent_s)),
         ("mean wait", "s", _mean(own.waits_s), _mean(other.waits_s)),
+        ("wait p99", "s", _p99(own.waits_s), _p99(other.waits_s)),
         ("mean slowdown", "1", _mean(own.slowdowns), _mean(other.slowdowns)),
         ("interrupted", "jobs", own.interrupted, other.interrupted),
         ("still waiting", "jobs", own.waiting, other.waiting),
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -102,6 +102,7 @@
     def _stop(self) -> None:
         for process in self._processes.values():
             process.terminate()
+        for process in self._processes.values():
             process.wait(10)
 
     def call(self, name: str, path: str, content: dict | None = None) -> list:
@@ -341,6 +342,54 @@
         waiting = [n for n in "ab" if cluster.job(n).instance_id is None]
         self.assertEqual(len(waiting), 1)
 
+    def test_cancelled_jobs_are_stopped_on_their_worker(self) -> None:
+        """Guards against work that goes on after a burst of cancellations."""
+        cluster = _Cluster(self, 7, [])
+        names = [f"job{number}" for number in range(4)]
+
+        async def scenario() -> None:
+            cluster.submit(*names, run_s=30.0)
+            running = jobs.JobState.RUNNING
+            await cluster.wait(
+                lambda: all(cluster.job(n).state is running for n in names),
+                "all run",
+            )
+            cancel = commands.CancelJobs(tuple(map(ids.JobId, names)))
+            cluster.driver.must(cancel, role="operator")
+            await cluster.wait(
+                lambda: len(cluster.events("w0", "stop")) == 4, "all stopped"
+            )
+
+        cluster.run(scenario)
+        self.assertEqual(cluster.events("w0", "lease_end"), [])
+
+    def test_slow_reboot_does_not_hold_the_wave_for_ever(self) -> None:
+        """Guards against a wave that waits for a machine that is gone."""
+        tolerance = profiles.Tolerance(max_out=1, max_out_s=2)
+        owed = profiles.Capacity(instances=1)
+        cluster = _Cluster(
+            self, 8, ["--reboot-s", "6"], [], owed=owed, tolerance=tolerance
+        )
+
+        async def scenario() -> None:
+            cluster.start_wave("w0", "w1")
+            wave = cluster.fleet.waves
+            finished = waves.WaveState.FINISHED
+            await cluster.wait(
+                lambda: wave[ids.WaveId("wave")].state is finished,
+                "wave finished",
+            )
+            await cluster.wait(
+                lambda: cluster.state("w0").state is _STATE.IN_SERVICE,
+                "slow worker back in service",
+            )
+
+        cluster.run(scenario)
+        wave = cluster.fleet.waves[ids.WaveId("wave")]
+        self.assertEqual(wave.done, ("w1",))
+        self.assertEqual([item.instance_id for item in wave.skipped], ["w0"])
+        self.assertEqual(len(cluster.events("w0", "reboot")), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -11,8 +11,10 @@
 from tarragoncleat import ids
 from tarragoncleat import jobs
 from tarragoncleat import placer
+from tarragoncleat import pools
 from tarragoncleat import preemption
 from tarragoncleat import profiles
+from tarragoncleat import quarantine
 from tarragoncleat import settings
 from tarragoncleat import usage
 from tarragoncleat import worker_leases
@@ -62,6 +64,10 @@
     def place(self) -> placer.Decision:
         """Decides and commits; a refusal of the fleet is an error."""
         view = self.index.refresh(self.fleet)
+        fresh = fleet_view.FleetIndex().refresh(self.fleet)
+        for pool_id, pool in fresh.pools.items():
+            if not _same_pool(pool, view.pools[pool_id]):
+                raise AssertionError(f"stale view of {pool_id}")
         now_ms = self.driver.time_ms
         decision = self.placer.place(view, now_ms, lambda _: True)
         for item in decision.interruptions:
@@ -80,6 +86,14 @@
         return [j for j in self.fleet.jobs.values() if j.state.holds_instance]
 
 
+def _same_pool(first: fleet_view.PoolView, second: fleet_view.PoolView) -> bool:
+    def content(pool: fleet_view.PoolView) -> tuple:
+        active = {name: set(found) for name, found in pool.active.items()}
+        return pool.instances, pool.profile, active, set(pool.waiting)
+
+    return content(first) == content(second)
+
+
 _JOBS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from([0.5, 2.0, 7.5, 16.0, 17.0]),
@@ -252,6 +266,36 @@
         self.assertEqual(model.run_s(job), 5.0)
 
 
+class QuarantineTest(unittest.TestCase):
+    """Guards against broken jobs that empty a pool by quarantine."""
+
+    def test_at_most_the_stated_fraction_is_quarantined(self) -> None:
+        for size, limit in ((8, 2), (3, 0)):
+            desk = _Desk(size)
+            streaks = quarantine.FailureStreaks(settings.ControllerSettings())
+            for name in sorted(desk.fleet.instances):
+                for number in range(3):
+                    streaks.record(name, ids.JobId(f"j{number}"), True)
+            due = list(streaks.due(desk.index.refresh(desk.fleet)))
+            self.assertEqual(len(due), limit)
+            for item in due:
+                state = pools.InstanceState.QUARANTINED
+                desk.driver.must(
+                    commands.RecordInstanceState(item.instance_id, state)
+                )
+            view = desk.index.refresh(desk.fleet)
+            self.assertEqual(list(streaks.due(view)), [])
+
+    def test_a_success_or_the_same_job_again_is_no_streak(self) -> None:
+        desk = _Desk(8)
+        streaks = quarantine.FailureStreaks(settings.ControllerSettings())
+        name = ids.InstanceId("i0")
+        for job, failed in (("a", 1), ("a", 1), ("a", 1), ("b", 1), ("c", 0)):
+            streaks.record(name, ids.JobId(job), bool(failed))
+            view = desk.index.refresh(desk.fleet)
+            self.assertEqual(list(streaks.due(view)), [])
+
+
 class PreemptionOrderTest(unittest.TestCase):
     """Guards against urgent work behind other work of a high standing."""
 
