--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -28,7 +28,7 @@
 from tarragoncleat import waves
 from tests import builders
 
-_HOST, _PORT = "127.24.3.1", 8124
+_HOST, _PORT = f"{builders.LOOPBACK}.80.1", 8124
 _PROFILE = {"owed": {"instances": 4}, "settle_s": 0}
 
 
@@ -221,6 +221,10 @@
             ({"owed": {}, "state": "x"}, "state"),
             ({**_PROFILE, "tolerance": {"max_out": 9}}, "max_out"),
             ([], "object"),
+            ({"owed": {"cores": float("inf")}}, "not a number"),
+            ({"owed": {"cores": 1e300}}, "owed.cores"),
+            ({"owed": {"instances": 10**30}}, "digits"),
+            ({"owed": {}, "firm": "\ud800"}, "surrogates"),
         ):
             reply = self.call("a", "PUT", "/admin/v1/profiles/new", body)
             self.assertEqual(reply.status, 400)
@@ -370,6 +374,8 @@
         self.assertIn("unplaceable", text)
         text = self.run_cli("report", "--service=s", "--since=0")
         self.assertIn("needs 9.0 cores", text)
+        text = self.run_cli("report", "--service=s", "--form=table")
+        self.assertIn("denial", text)
         page = self.run_cli("report", "--service=s", "--form=html")
         self.assertIn("<svg", page)
         text = self.run_cli("instance", "list", "--output=json")
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -112,6 +112,22 @@
 
         anyio.run(run)
 
+    def test_missing_hello(self) -> None:
+        """Keep-alives alone must not hold a connection open for ever."""
+
+        async def run() -> None:
+            async with (
+                peer_cluster.run_cluster(["a", "b"]) as cluster,
+                _dial(cluster) as stream,
+            ):
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    for _ in range(100):
+                        await stream.send(frames.KEEP_ALIVE)
+                        await anyio.sleep(0.05)
+                    self.fail("the connection was not closed")
+
+        anyio.run(run)
+
     def test_silent_link(self) -> None:
         """A frozen peer must cost drops only, and the link must come back."""
 
@@ -157,9 +173,9 @@
                     peer.sendall(frames.pack(_HELLO))
                     await anyio.sleep(0.01)
                     peer.sendall(frames.pack(codec.encode(_UPDATE)))
-                    # Blocks the event loop for longer than a link may be
-                    # silent, with the message received but not yet read.
-                    time.sleep(1.2)
+                    # Blocks the event loop for longer than a heartbeat keeps a
+                    # zone fresh, with the message received but not yet read.
+                    time.sleep(1.7)
                     await anyio.sleep(0.1)
                 with self.assertRaises(anyio.WouldBlock):
                     updates.receive_nowait()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,10 +10,12 @@
 from tarragoncleat import commands
 from tarragoncleat import fleet_view
 from tarragoncleat import ids
+from tarragoncleat import jobs
 from tarragoncleat import planner
 from tarragoncleat import pools
 from tarragoncleat import profiles
 from tarragoncleat import settings
+from tarragoncleat import stuck_pools
 from tarragoncleat import waves
 from tests import builders
 
@@ -203,6 +205,59 @@
         (step,) = simulation.step()
         self.assertEqual(step.take, ("i4",))
 
+    def test_jobs_that_nobody_may_end_are_named(self) -> None:
+        """Guards against a drain that waits for ever without a word."""
+        tolerance = profiles.Tolerance(max_out=1, actions=())
+        owed = profiles.Capacity(instances=1)
+        simulation = _Simulation({"owed": owed, "tolerance": tolerance}, 1, 1)
+        job = jobs.Job(
+            ids.JobId("job"),
+            ids.ServiceId("service"),
+            None,
+            jobs.Demand(1.0, 100),
+            60.0,
+        )
+        driver = simulation.driver
+        driver.must(commands.SubmitJobs((job,)), role="operator")
+        placed = commands.JobPlacement(job.job_id, ids.InstanceId("i0"))
+        driver.must(commands.PlaceJobs((placed,)))
+        (step,) = simulation.step()
+        self.assertEqual(step.take, ("i0",))
+        (step,) = simulation.step()
+        self.assertIn("neither checkpoint nor stop", step.blocked_by[0].reason)
+
+    def test_stuck_wave_asks_for_a_spare_only_where_it_helps(self) -> None:
+        """Guards against a wave that never ends, and against useless moves."""
+        for max_out, expected in ((1, 1), (0, None)):
+            tolerance = profiles.Tolerance(
+                max_out=max_out, failure_reserve=_DOMAIN.INSTANCE
+            )
+            owed = profiles.Capacity(instances=4)
+            simulation = _Simulation(
+                {"owed": owed, "tolerance": tolerance}, 4, 1
+            )
+            stuck = stuck_pools.StuckPools(settings.ObjectiveSettings())
+            (step,) = simulation.step()
+            stuck.note(step, 0)
+            self.assertEqual(step.take, ())
+            self.assertEqual(stuck.wanted(0), {})
+            wanted = {} if expected is None else {ids.PoolId("pool"): expected}
+            self.assertEqual(stuck.wanted(10**9), wanted)
+
+    def test_spare_moves_in_for_a_stuck_wave(self) -> None:
+        """Guards against a request for room that no decision answers."""
+        driver = builders.FleetDriver()
+        builders.populate(driver, instances=4)
+        spare = pools.Pool(ids.PoolId("spare"), ids.FirmId("firm-a"))
+        driver.must(commands.PutPool(spare))
+        driver.must(commands.PutInstance(builders.build_instance("s", "spare")))
+        view = fleet_view.FleetIndex().refresh(driver.fleet)
+        chooser = balancer.Balancer(settings.ObjectiveSettings())
+        pool_id = ids.PoolId("pool")
+        moves = chooser.balance(view, 0, {}, {pool_id: 1})
+        move = balancer.Move(ids.InstanceId("s"), spare.pool_id, pool_id)
+        self.assertEqual(moves, (move,))
+
 
 def _pool(driver: builders.FleetDriver, suffix: str, count: int) -> None:
     builders.populate(
