Scope idempotency keys by caller

Cause: keys were scoped by firm and service. Two callers of one firm, or of rival member firms behind one service, that used the same key for the same request shared one claim, and the second received the first one's stored answer. A caller's token of a member firm could not call a shared service at all.

Change: the claim's digest includes the name of the caller's token. A token that names a service may call it also when another firm owns it.

Conclusion: an answer reaches only the caller whose request made it.

--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/caller_api.py
@@ -242,6 +242,7 @@
                 f"the token does not allow {service}",
             )
         visit.firm = token.firm
+        visit.caller = token.name
         return await self._count(visit, address, f"token {token.name}")
 
     async def _count(
@@ -320,7 +321,10 @@
     ) -> errors.Failure | None:
         replay_bytes = self._settings.routing.replay_body_bytes
         claim = claims_module.build_request(
-            visit.firm, visit.request, visit.body.buffered[:replay_bytes]
+            visit.firm,
+            visit.caller,
+            visit.request,
+            visit.body.buffered[:replay_bytes],
         )
         verdict = await self._claims.claim(claim)
         if isinstance(verdict, errors.Failure):
@@ -361,11 +365,11 @@
 ) -> bool:
     if token.role not in _CALLER_ROLES:
         return False
-    if token.services and service not in token.services:
-        return False
-    return token.firm in ("*", owner) or (
-        owner is None and service in token.services
-    )
+    # A token that names a service may call it also when another firm owns it:
+    # rival firms share the services of one platform.
+    if token.services:
+        return service in token.services
+    return token.firm in ("*", owner)
 
 
 class _LingeringSend:
--- a/tarragoncleat/claims.py
+++ b/tarragoncleat/claims.py
@@ -44,6 +44,7 @@
 
     Attributes:
         firm: Firm of the caller.
+        caller: Name of the caller's token; empty without one.
         service: Service that is called.
         key: Idempotency-Key.
         fingerprint: Digest of what the caller asks for.
@@ -51,6 +52,7 @@
     """
 
     firm: str
+    caller: str
     service: ids.ServiceId
     key: str
     fingerprint: bytes
@@ -58,10 +60,9 @@
 
     @property
     def digest(self) -> bytes:
-        """Digest of firm, service and key."""
-        return _digest(
-            self.firm.encode(), self.service.encode(), self.key.encode()
-        )
+        """Digest of firm, caller, service and key."""
+        scope = (self.firm, self.caller, self.service, self.key)
+        return _digest(*(part.encode() for part in scope))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,12 +114,16 @@
 
 
 def build_request(
-    firm: str, request: caller_requests.CallerRequest, body_start: bytes
+    firm: str,
+    caller: str,
+    request: caller_requests.CallerRequest,
+    body_start: bytes,
 ) -> ClaimRequest:
     """Returns the claim for a request with a key.
 
     Args:
         firm: Firm of the caller.
+        caller: Name of the caller's token; empty without one.
         request: Head of the request.
         body_start: The body, or a start of it that has a fixed length, so
             that a resend has the same fingerprint.
@@ -132,6 +137,7 @@
     )
     return ClaimRequest(
         firm,
+        caller,
         request.service,
         request.key or "",
         fingerprint,
--- a/tarragoncleat/visits.py
+++ b/tarragoncleat/visits.py
@@ -19,6 +19,7 @@
         body: Its body.
         send: ASGI send function of the caller.
         firm: Firm of the caller.
+        caller: Name of the caller's token; empty without one.
         extra_headers: Headers to add to the answer.
         arrived_s: Monotonic time of the arrival.
         scope: Ends the request at its deadline or when its caller has gone.
@@ -36,6 +37,7 @@
     arrived_s: float
     scope: anyio.CancelScope
     firm: str = ""
+    caller: str = ""
     watch: anyio.CancelScope | None = None
     started: bool = False
     sent: bool = False
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,6 +16,7 @@
 from tarragoncleat import errors
 from tarragoncleat import fleet
 from tarragoncleat import ids
+from tarragoncleat import settings
 from tarragoncleat import timer
 from tests import builders
 from tests import request_path_rig as rig
@@ -82,6 +83,23 @@
         return replies[0]
 
 
+def _authenticate(
+    headers: list[tuple[bytes, bytes]],
+) -> settings.Token | None:
+    """Takes "FIRM/NAME" as the token of a caller; none is required."""
+    value = dict(headers).get(b"authorization")
+    if value is None:
+        return None
+    firm, _, name = value.decode().partition("/")
+    return settings.Token(
+        sha256="0" * 64,
+        name=name,
+        role=settings.Role.CALLER,
+        firm=firm,
+        services=("bidding",),
+    )
+
+
 class ClaimsTest(unittest.TestCase):
     """Guards against a request with a key that runs twice or not at all."""
 
@@ -127,7 +145,10 @@
         async with anyio.create_task_group() as group:
             group.start_soon(store.run)
             async with rig.entry(
-                _ENTRIES[name], upstreams, claim_store=store
+                _ENTRIES[name],
+                upstreams,
+                claim_store=store,
+                authenticate=_authenticate,
             ) as api:
                 yield api
             group.cancel_scope.cancel()
@@ -174,6 +195,18 @@
                 self.assertEqual(reply.status, 409)
                 self.assertEqual(reply.outcome, "unknown")
 
+    def test_callers_do_not_share_keys(self) -> None:
+        """Guards against one caller that receives another one's answer."""
+        callers = ("hakata/web", "hakata/app", "rival/web")
+
+        async def check() -> None:
+            for caller in callers:
+                reply = await self._bid("entry-1", "same", Authorization=caller)
+                self.assertEqual(reply.status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("same"), len(callers))
+
     def test_other_request_under_a_used_key_is_refused(self) -> None:
         """Guards against answering a bid with the answer of another."""
 
