--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/caller_api.py
@@ -2,7 +2,7 @@
 
 import collections
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 import h11
@@ -15,6 +15,7 @@
 from tarragoncleat import forwarding
 from tarragoncleat import ids
 from tarragoncleat import limits
+from tarragoncleat import lingering
 from tarragoncleat import metrics as metrics_module
 from tarragoncleat import profiles
 from tarragoncleat import request_watch
@@ -28,9 +29,6 @@
 _MAINTENANCE_INTERVAL_S = 0.05
 # A refused request with at most this much unread body keeps its connection.
 _MAX_SKIPPED_BODY_BYTES = 65_536
-# How long and how much a refused long body is read before closing.
-_LINGER_S = 1.0
-_MAX_LINGER_BYTES = 4_194_304
 _CLOSE = (b"connection", b"close")
 _CALLER_ROLES = frozenset(
     {
@@ -219,7 +217,7 @@
         answer = answers.build_error(failure, outcome, request_id)
         has_long_body = _has_long_body(scope)
         if has_long_body:
-            send = _LingeringSend(receive, send)
+            send = lingering.LingeringSend(receive, send)
         extra = [_CLOSE] if self._leaving or has_long_body else []
         await answers.send_complete(send, answer, extra)
 
@@ -368,37 +366,6 @@
     )
 
 
-class _LingeringSend:
-    """Reads some more of the body before the connection is closed.
-
-    Closing a socket with unread data resets the connection, and the caller
-    could lose the answer.
-    """
-
-    def __init__(
-        self, receive: caller_requests.Receive, send: answers.Send
-    ) -> None:
-        self._receive = receive
-        self._send = send
-
-    async def __call__(self, message: dict[str, Any]) -> None:
-        if message["type"] != "http.response.body":
-            await self._send(message)
-            return
-        await self._send(message | {"more_body": True})
-        with anyio.move_on_after(_LINGER_S):
-            await self._skip_body()
-        await self._send({"type": "http.response.body", "body": b""})
-
-    async def _skip_body(self) -> None:
-        skipped = 0
-        while skipped < _MAX_LINGER_BYTES:
-            message = await self._receive()
-            skipped += len(message.get("body", b""))
-            if not message.get("more_body", False):
-                return
-
-
 def _has_long_body(scope: caller_requests.Scope) -> bool:
     by_name = dict(scope["headers"])
     if b"transfer-encoding" in by_name:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -249,6 +249,26 @@
         self._run(check)
         self.assertEqual(self._runs("lost"), 1)
 
+    def test_bid_runs_to_its_end_when_the_caller_disconnects(self) -> None:
+        """Guards against losing the answer that a resend asks for."""
+
+        async def check() -> None:
+            headers = {"Idempotency-Key": "gone", "X-Standin-Delay-Ms": "700"}
+            async with contextlib.aclosing(
+                rig.Caller(_ENTRIES["entry-1"])
+            ) as caller:
+                await caller.send_request("POST", _URL, headers, b"100")
+                while not self._runs("gone"):
+                    await anyio.sleep(0.05)
+            status = 409
+            while status == 409:
+                await anyio.sleep(0.05)
+                status = (await self._bid("entry-2", "gone")).status
+            self.assertEqual(status, 200)
+
+        self._run(check)
+        self.assertEqual(self._runs("gone"), 1)
+
     def test_caller_that_gives_up_early_leaves_no_claim(self) -> None:
         """Guards against a key held by a request that was never sent."""
 
