Make the membership tests see single faults

Cause: mutations showed that four rules could be removed without a failing test, because another path repaired the result (forwarding of leaves, pulls, notices of ended leases, newer epochs in acknowledgements). Two tests raced: a restarted entry could find its address still in use, and a cut-off zone was asked for its live entries before all other zones had gone stale.

Change: these tests cut the other paths or check that no pull was needed; the restart waits for the end of the old entry, the partition test waits.

--- a/tests/peer_cluster.py
+++ b/tests/peer_cluster.py
@@ -57,6 +57,7 @@
             self.settings, self.links, clock
         )
         self._scope = anyio.CancelScope()
+        self.ended = anyio.Event()
 
     async def run(self) -> None:
         """Runs the entry until it is killed."""
@@ -64,6 +65,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.links.run)
                 await self.membership.run()
+        self.ended.set()
 
     def kill(self) -> None:
         """Ends the entry at once."""
@@ -113,7 +115,7 @@
     async def restart(self, index: int) -> None:
         """Kills an entry and starts it again with nothing in memory."""
         self.nodes[index].kill()
-        await anyio.sleep(_POLL_S)
+        await self.nodes[index].ended.wait()
         self.nodes[index] = self._build(index)
         self._tasks.start_soon(self.nodes[index].run)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -41,6 +41,10 @@
     )
 
 
+def _pulls(nodes: list) -> list[int]:
+    return [node.membership.dump()["pulls"] for node in nodes]
+
+
 async def _wait_seen(nodes: list, wanted: set[str]) -> None:
     await peer_cluster.wait_until(
         lambda: all(node.candidates() == wanted for node in nodes)
@@ -71,6 +75,21 @@
             tasks.cancel_scope.cancel()
         await _wait_seen(nodes[2:], set())
 
+    @_scenario
+    async def test_receivers_pass_a_leave_on(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """A leave that one entry heard must spread without a digest's help."""
+        nodes = cluster.nodes
+        _announce(nodes[1])
+        await _wait_seen(nodes, {_UPSTREAM})
+        before = _pulls(nodes)
+        cluster.change(lambda a, b: a == 1 and b != 2, hold=True)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(nodes[1].membership.leave, _UPSTREAM)
+            await _wait_seen(nodes, set())
+        self.assertEqual(_pulls(nodes), before)
+
     @_scenario
     async def test_leave_is_answered_after_acknowledgement(
         self, cluster: peer_cluster.Cluster
@@ -83,9 +102,10 @@
         self.assertIsNone(await nodes[4].membership.leave(_UPSTREAM))
         self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
         # The leave overtakes the announcement on its way to the same entry.
-        cluster.change(lambda a, b: True, delay_ms=50)
+        cluster.change(lambda a, b: a == 3, hold=True)
         _announce(nodes[3])
         self.assertIsNone(await nodes[4].membership.leave(_UPSTREAM))
+        cluster.change(lambda a, b: True, hold=False)
         await anyio.sleep(0.2)
         self.assertEqual([node.candidates() for node in nodes], [set()] * 6)
         unknown = await nodes[4].membership.leave(ids.UpstreamId("nobody"))
@@ -104,7 +124,9 @@
         cluster.cut_zone("b", hold=True)
         await _wait_seen(outside, {"outside"})
         await _wait_seen(inside, {"inside-1", "inside-2"})
-        self.assertEqual(inside[0].membership.live_entries(), 2)
+        await peer_cluster.wait_until(
+            lambda: inside[0].membership.live_entries() == 2
+        )
         await nodes[3].membership.leave(ids.UpstreamId("inside-1"))
         _announce(nodes[3], "inside-3")
         _announce(nodes[3], "inside-2")
@@ -120,7 +142,9 @@
         nodes = cluster.nodes
         _announce(nodes[1], lease_ms=800)
         await _wait_seen(nodes, {_UPSTREAM})
+        before = _pulls(nodes[3:])
         await _wait_seen(nodes, set())
+        self.assertEqual(_pulls(nodes[3:]), before)
         record = nodes[5].membership.record(ids.UpstreamId(_UPSTREAM))
         self.assertEqual(record.state.value, "announced")
 
@@ -199,10 +223,18 @@
     ) -> None:
         """A dropped message must not leave an entry behind for good."""
         nodes = cluster.nodes
-        cluster.change(lambda a, b: 3 in (a, b), hold=True)
-        await peer_cluster.wait_until(lambda: not nodes[3].links.connected())
+        cluster.change(lambda a, b: 3 in (a, b), drop=True)
+        await peer_cluster.wait_until(
+            lambda: (
+                not nodes[3].links.connected()
+                and not any(
+                    nodes[3].entry_id in node.links.connected()
+                    for node in nodes
+                )
+            )
+        )
         for index in range(700):
             _announce(nodes[0], f"upstream-{index:03}")
-        cluster.change(lambda a, b: True, hold=False)
+        cluster.change(lambda a, b: True, drop=False)
         wanted = {f"upstream-{index:03}" for index in range(700)}
         await _wait_seen(nodes, wanted)
