--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/control_term.py
@@ -1,6 +1,6 @@
 """One leader's term: what it knows about the workers, and its decisions."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import anyio
@@ -55,6 +55,7 @@
         clock: timer.TimerService,
         client: platform_client.PlatformClient,
         since_s: float,
+        on_news: Callable[[], None],
     ) -> None:
         """Starts a term.
 
@@ -65,6 +66,7 @@
             clock: Clocks.
             client: Calls the workers.
             since_s: Monotonic time since when this process leads.
+            on_news: Called when a report may allow a new decision.
         """
         limits = configuration.controller
         wait_ms = (
@@ -80,7 +82,12 @@
         self._proposal_limiter = anyio.CapacityLimiter(_PARALLEL_PROPOSALS)
         self._leases = worker_leases.WorkerLeases(limits, self._decide_after_s)
         self._visits = worker_visits.WorkerVisits(
-            limits, client, clock, self._leases, lambda: replication.is_leader
+            limits,
+            client,
+            clock,
+            self._leases,
+            lambda: replication.is_leader,
+            on_news,
         )
         self._index = fleet_view.FleetIndex()
         self._model = usage.UsageModel()
@@ -175,7 +182,7 @@
             wave = view.waves[step.wave_id]
             if step.is_empty and step.blocked_by == wave.blocked_by:
                 continue
-            await self._proposer.propose(
+            result = await self._proposer.propose(
                 commands.StepWave(
                     step.wave_id,
                     step.take,
@@ -184,6 +191,8 @@
                     step.blocked_by,
                 )
             )
+            if command_proposals.was_not_committed(result):
+                return
             self._visits.wake(step.take)
 
     async def _move_instances(self) -> None:
@@ -197,7 +206,9 @@
         )
         for move in moves:
             command = commands.MoveInstance(move.instance_id, move.to_pool)
-            await self._proposer.propose(command)
+            result = await self._proposer.propose(command)
+            if command_proposals.was_not_committed(result):
+                return
             self._visits.wake([move.instance_id])
 
     async def _place_jobs(self) -> None:
@@ -218,7 +229,9 @@
         )
         for start in range(0, len(placements), _JOBS_PER_RECORD):
             part = placements[start : start + _JOBS_PER_RECORD]
-            await self._proposer.propose(commands.PlaceJobs(part))
+            result = await self._proposer.propose(commands.PlaceJobs(part))
+            if command_proposals.was_not_committed(result):
+                return
         self._visits.wake({item.instance_id for item in decision.placements})
         await self._record_denials(decision.waiting)
 
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/fleet_state.py
@@ -35,8 +35,10 @@
 
 # Finished jobs stay readable until this many newer ones have finished.
 _MAX_FINISHED_JOBS = 20_000
-# Ended waves stay readable until newer ones have this many members together.
+# Ended waves stay readable until newer ones have this many members together,
+# or are this many.
 _MAX_ENDED_MEMBERS = 50_000
+_MAX_ENDED_WAVES = 1_000
 _MILLI = 1000
 
 _Key = TypeVar("_Key", bound=Hashable)
@@ -231,8 +233,13 @@
         self.waves: dict[ids.WaveId, WaveRecord] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.claims: dict[bytes, ClaimRecord] = {}
+        # The controller's results are kept apart, because the commands that
+        # follow the loss of an availability zone would crowd out operators'.
         self.results: dict[tuple[str, str], StoredResult] = {}
+        self.system_results: dict[tuple[str, str], StoredResult] = {}
         self.ledger = ledger.Ledger()
+        # Encoded blocks of the ledger by first sequence, for snapshots.
+        self.ledger_blocks: dict[int, bytes] = {}
         self.revision = 0
         self.applied_index = 0
         self.time_ms = 0
@@ -357,6 +364,11 @@
         """Returns the firm of the service that a job belongs to."""
         return self.services[job.service_id].firm
 
+    @property
+    def live_job_count(self) -> int:
+        """Number of jobs that have not ended."""
+        return len(self.jobs) - len(self._finished)
+
     @property
     def finished_jobs(self) -> Collection[ids.JobId]:
         """Finished jobs, the one that finished first in front."""
@@ -384,11 +396,14 @@
         return self.profiles[self.services[service_id].profile_id]
 
     def _drop_ended_waves(self) -> None:
-        members = sum(len(self.waves[name]) for name in self._ended_waves)
-        while members > _MAX_ENDED_MEMBERS and len(self._ended_waves) > 1:
-            oldest = next(iter(self._ended_waves))
+        ended = self._ended_waves
+        members = sum(len(self.waves[name]) for name in ended)
+        while len(ended) > 1 and (
+            members > _MAX_ENDED_MEMBERS or len(ended) > _MAX_ENDED_WAVES
+        ):
+            oldest = next(iter(ended))
             members -= len(self.waves[oldest])
-            del self._ended_waves[oldest]
+            del ended[oldest]
             del self.waves[oldest]
 
     def _unlink_job(self, old: jobs.Job | None) -> None:
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -118,6 +118,10 @@
         self.cores[name] = self._start(name)
         self._after(name)
 
+    def lose_leader(self, name: ids.EntryId) -> None:
+        self.cores[name].note_leader_lost(self._now(name))
+        self._after(name)
+
     def compact(self, name: ids.EntryId, keep_records: int) -> None:
         core, disk = self.cores[name], self.disks[name]
         index = core.commit_index
@@ -242,6 +246,9 @@
         for name in self.names:
             self.sync(name)
         self.run(120)
+        if not self.leaders():
+            # A leader stops at the moment that commits its own removal.
+            self.run(120)
         leader = max(self.leaders(), key=lambda name: self.cores[name].term)
         before = self.cores[leader].commit_index
         self.propose(leader)
@@ -261,7 +268,8 @@
             (14, lambda: self._random_tick(name, choose)),
             (12, lambda: self.propose(leader)),
             (4, lambda: self.read(leader)),
-            (4, lambda: self.crash(name)),
+            (3, lambda: self.crash(name)),
+            (1, lambda: self.lose_leader(name)),
             (2, lambda: self.cut.add(name)),
             (3, self.cut.clear),
             (3, lambda: self.compact(name, choose(3))),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -262,6 +262,17 @@
             [item.instance_id for item in wave.skipped], ["i1", "i2"]
         )
 
+    def test_removed_instances_let_a_wave_end(self) -> None:
+        wave_id = self.start_wave("i0", "i1")
+        self.record("i1", _STATE.LOST)
+        self.driver.must(commands.RemoveInstance(ids.InstanceId("i1")))
+        self.driver.must(commands.StepWave(wave_id, _names("i0")))
+        self.record("i0", _STATE.LOST)
+        self.driver.must(commands.RemoveInstance(ids.InstanceId("i0")))
+        wave = self.fleet.waves[wave_id]
+        self.assertIs(wave.state, waves.WaveState.FINISHED)
+        self.assertEqual(len(wave.skipped), 2)
+
     def test_cancelled_wave_takes_nothing_and_lets_instances_back(
         self,
     ) -> None:
@@ -317,6 +328,19 @@
         self.driver.must(commands.CancelJobs((ids.JobId("a"),)))
         self.assertEqual(self.place("c").value["placed"], ["c"])
 
+    def test_endless_submissions_are_refused_and_lose_nothing(self) -> None:
+        job = dataclasses.replace(self.job("a"), team_id=None)
+        for batch in range(20):
+            names = (ids.JobId(f"j{batch}-{n}") for n in range(5_000))
+            self.driver.must(
+                commands.SubmitJobs(
+                    tuple(dataclasses.replace(job, job_id=n) for n in names)
+                )
+            )
+        self.refuse(commands.SubmitJobs((job,)), _KIND.OVERLOADED)
+        self.driver.must(commands.CancelJobs((ids.JobId("j0-0"),)))
+        self.driver.must(commands.SubmitJobs((job,)))
+
     def test_late_report_of_an_earlier_placement_is_ignored(self) -> None:
         self.driver.must(commands.SubmitJobs((self.job("a"),)))
         self.place("a")
@@ -329,6 +353,44 @@
         )
 
 
+class LedgerTest(_FleetTest):
+    """Guards against a ledger that grows for ever or hides what it lost."""
+
+    def test_bounded_ledger_says_since_when_and_restores(self) -> None:
+        denial = commands.Denial(ids.ServiceId("service"), "no room")
+        batch = commands.RecordDenials((denial,) * 700)
+        self.assertEqual(self.fleet.ledger.complete_since_ms, 0)
+        early = self.fleet.snapshot()
+        while len(self.fleet.ledger) < 50_000:
+            self.driver.time_ms += 1000
+            self.driver.must(batch)
+        for _ in range(3):
+            self.driver.time_ms += 1000
+            self.driver.must(batch)
+            data = self.fleet.snapshot()
+            restored = fleet.Fleet()
+            restored.restore(self.driver.index, data)
+            self.assertEqual(list(restored.ledger), list(self.fleet.ledger))
+            self.assertEqual(restored.snapshot(), data)
+        book = self.fleet.ledger
+        self.assertEqual(len(book), 50_000)
+        self.assertGreater(book.complete_since_ms, next(iter(book)).time_ms)
+        self.fleet.restore(self.driver.index, early)
+        self.assertEqual(self.fleet.snapshot()[-20:], early[-20:])
+
+    def test_pages_of_a_filter_cover_each_entry_once(self) -> None:
+        wanted = ledger.Filter(kinds=frozenset({ledger.LedgerKind.GRANT}))
+        start: int | None = 0
+        found: list[ledger.Entry] = []
+        while start is not None:
+            page = self.fleet.ledger.read(wanted, start, 2)
+            found.extend(page.entries)
+            start = page.next_sequence
+        grants = [e for e in self.fleet.ledger if wanted.matches(e)]
+        self.assertEqual(found, grants)
+        self.assertEqual(len(grants), 6)
+
+
 class ClaimTest(_FleetTest):
     """Guards against a key that runs twice or is forgotten too early."""
 
