Test that a suspected upstream returns only after a probe

Cause: probes over real sockets had no test.

Change: a scenario with a refusing address that is opened later.

Conclusion: suspects get probes and no caller traffic.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -148,6 +148,30 @@
         record = nodes[5].membership.record(ids.UpstreamId(_UPSTREAM))
         self.assertEqual(record.state.value, "announced")
 
+    @_scenario
+    async def test_suspect_returns_after_a_probe(
+        self, cluster: peer_cluster.Cluster
+    ) -> None:
+        """An upstream that refuses connections must wait for a probe."""
+        nodes = cluster.nodes
+        host, port = "127.22.9.9", peer_cluster.PORT
+        nodes[0].membership.announce(
+            builders.build_announcement(
+                _UPSTREAM, "a", host=host, port=port, lease_ms=5_000
+            )
+        )
+        await _wait_seen(nodes, {_UPSTREAM})
+        for node in (nodes[0], nodes[5]):
+            node.membership.report_suspect(ids.UpstreamId(_UPSTREAM))
+            self.assertEqual(node.candidates(), set())
+        await anyio.sleep(1.0)
+        self.assertEqual(nodes[5].candidates(), set())
+        self.assertEqual(nodes[4].candidates(), {_UPSTREAM})
+        async with await anyio.create_tcp_listener(
+            local_host=host, local_port=port
+        ):
+            await _wait_seen(nodes, {_UPSTREAM})
+
     @_scenario
     async def test_renewals_cross_a_leave(
         self, cluster: peer_cluster.Cluster
