--- a/tests/builders.py
+++ b/tests/builders.py
@@ -82,6 +82,7 @@
 
     def __init__(self) -> None:
         self.fleet = fleet.Fleet()
+        self.twin: fleet.Fleet | None = None
         self.index = 0
         self.time_ms = 1_000_000
 
@@ -103,9 +104,10 @@
             if_match,
             command,
         )
-        data = self.fleet.apply(
-            self.index, self.time_ms, codec.encode(envelope)
-        )
+        payload = codec.encode(envelope)
+        data = self.fleet.apply(self.index, self.time_ms, payload)
+        if self.twin is not None:
+            self.twin.apply(self.index, self.time_ms, payload)
         return codec.decode(data)
 
     def must(self, command: Any, **how: Any) -> commands.Result:
--- a/tests/test_fleet_properties.py
+++ b/tests/test_fleet_properties.py
@@ -44,6 +44,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.driver = builders.FleetDriver()
+        # Applies the same records, but never restarts.
+        self.driver.twin = fleet.Fleet()
         self.resends: list[tuple[dict, commands.Result]] = []
 
     @property
@@ -308,11 +310,16 @@
     @stateful.rule()
     def restart_from_snapshot(self) -> None:
         data = self.fleet.snapshot()
+        assert self.driver.twin is not None
+        assert self.driver.twin.snapshot() == data
         restored = fleet.Fleet()
         restored.restore(self.driver.index, data)
         assert restored.snapshot() == data
         self.driver.fleet = restored
 
+    def teardown(self) -> None:
+        self.restart_from_snapshot()
+
     def members(self, pool: str) -> list[pools.Instance]:
         return [
             item
