Answer unexpected errors of the administration with an outcome

Cause: an unexpected error in the administration or upstream API gave the server's plain 500, without the outcome and the JSON body of the contract. Change: the dispatch answers with kind internal and outcome unknown, and raises the error again for the log.

--- a/tarragoncleat/http_app.py
+++ b/tarragoncleat/http_app.py
@@ -3,7 +3,9 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from tarragoncleat import answers
 from tarragoncleat import auth
+from tarragoncleat import caller_requests
 from tarragoncleat import errors
 from tarragoncleat import settings
 
@@ -49,11 +51,37 @@
             return
         for prefix, app in self._prefixes:
             if path.startswith(prefix):
-                await app(scope, receive, send)
+                await _guard(app, scope, receive, send)
                 return
         await self._caller_api(scope, receive, send)
 
 
+async def _guard(app: App, scope: Any, receive: Any, send: Any) -> None:
+    """Runs an application whose unexpected errors get a full answer."""
+    has_begun = False
+
+    async def send_on(message: dict[str, Any]) -> None:
+        nonlocal has_begun
+        has_begun = True
+        await send(message)
+
+    try:
+        await app(scope, receive, send_on)
+    except Exception:
+        if not has_begun:
+            failure = errors.Failure(
+                errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
+            )
+            answer = answers.build_error(
+                failure,
+                errors.Outcome.UNKNOWN,
+                caller_requests.new_request_id(),
+            )
+            await answers.send_complete(send, answer, [])
+        # The server logs the error and ends the connection.
+        raise
+
+
 async def _send_not_ready(send: Any) -> None:
     headers = [
         (b"content-type", b"application/json"),
