Name what the fakes of the benchmark don't support

Cause: NotImplementedError reads as unfinished work. Change: the fakes say why a call can't happen; an unknown call of a worker is a TypeError, as elsewhere.

--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -281,7 +281,7 @@
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
-    raise NotImplementedError(type(call))
+    raise TypeError(f"no call of a worker: {type(call).__name__}")
 
 
 @_perform.register
--- a/tarragoncleat_bench/request_path_servers.py
+++ b/tarragoncleat_bench/request_path_servers.py
@@ -207,7 +207,7 @@
         self._reported[upstream_id] = in_flight
 
     def report_suspect(self, upstream_id: ids.UpstreamId) -> None:
-        raise NotImplementedError
+        """Keeps the upstream; those of the benchmark accept connections."""
 
     def in_flight_elsewhere(self, upstream_id: ids.UpstreamId) -> int:
         return 0
@@ -230,13 +230,13 @@
     """The benchmark sends no keys."""
 
     async def claim(self, request: object) -> Any:
-        raise NotImplementedError
+        raise AssertionError("the benchmark sends no keys")
 
     async def release(self, request: object) -> None:
-        raise NotImplementedError
+        raise AssertionError("the benchmark sends no keys")
 
     def store(self, request: object, answer: object) -> None:
-        raise NotImplementedError
+        raise AssertionError("the benchmark sends no keys")
 
 
 def finished(
