End the processes of a test module that runs too long

Cause: the runner killed only the test's own process; the entries that it had started stayed and kept their addresses. Change: each module runs in a session of its own, which is killed as a whole. Conclusion: a hung module leaves nothing behind.

--- a/tests/run.py
+++ b/tests/run.py
@@ -5,8 +5,10 @@
 """
 
 import concurrent.futures
+import os
 import pathlib
 import re
+import signal
 import subprocess
 import sys
 import time
@@ -15,7 +17,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _PARALLEL_MODULES = 4
-_MODULE_TIMEOUT_S = 400
+_MODULE_TIMEOUT_S = 300
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 _BAD = re.compile(r"^(?:FAIL|ERROR): \S+ \((\S+)\)", re.MULTILINE)
 
@@ -32,18 +34,21 @@
 def _run_module(name: str) -> tuple[str, int, set[str], str]:
     started_s = time.monotonic()
     command = [sys.executable, "-m", "unittest", name]
+    process = subprocess.Popen(
+        command,
+        cwd=_ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        text=True,
+        start_new_session=True,
+    )
     try:
-        done = subprocess.run(
-            command,
-            cwd=_ROOT,
-            capture_output=True,
-            text=True,
-            timeout=_MODULE_TIMEOUT_S,
-            check=False,
-        )
-        output, status = done.stderr, done.returncode
+        output = process.communicate(timeout=_MODULE_TIMEOUT_S)[1]
     except subprocess.TimeoutExpired:
-        output, status = f"ran over {_MODULE_TIMEOUT_S} s", 1
+        # The session includes the processes that the tests started.
+        os.killpg(process.pid, signal.SIGKILL)
+        output = process.communicate()[1] + f"ran over {_MODULE_TIMEOUT_S} s"
+    status = process.returncode
     ran = _RAN.search(output)
     count = int(ran.group(1)) if ran else 0
     bad = set(_BAD.findall(output))
