State how long the planning benchmark takes and where it runs

Cause: the benchmark took 2.4 minutes on an idle machine and 4.8 minutes beside other work, and its stand-in workers are found only from the root.

Change: the docstrings say so.

Figures: none measured beyond those.

Conclusion: documentation only.

--- a/tarragoncleat_bench/planning.py
+++ b/tarragoncleat_bench/planning.py
@@ -31,7 +31,10 @@
 
 
 def run(seed: int) -> list[rows.Row]:
-    """Measures planner and placement; takes about two minutes."""
+    """Measures planner, placement and calls to workers.
+
+    It takes three to five minutes.
+    """
     return [
         *_planner_faults(seed),
         *_planner_sizes(seed),
--- a/tarragoncleat_bench/worker_calls.py
+++ b/tarragoncleat_bench/worker_calls.py
@@ -1,4 +1,7 @@
-"""Measures the calls to workers, against stand-in worker processes."""
+"""Measures the calls to workers, against stand-in worker processes.
+
+The stand-ins come from the tests, so it runs in the root of the repository.
+"""
 
 from collections.abc import Iterator
 import contextlib
