Move the stored log out of the consensus core and test rare faults directly

Change: `consensus_replica.ReplicaLog` owns what is stored, synced and committed; messages are dispatched by `singledispatchmethod`. Directed tests cover both faults and the vote of a candidate before its sync.

--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -15,6 +15,7 @@
 from tarragoncleat import consensus_log
 from tarragoncleat import consensus_messages
 from tarragoncleat import consensus_output
+from tarragoncleat import consensus_replica
 from tarragoncleat import errors
 from tarragoncleat import ids
 
@@ -46,13 +47,6 @@
     commit_index: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class _ArrivingSnapshot:
-    index: int
-    index_term: int
-    data: bytearray = dataclasses.field(default_factory=bytearray)
-
-
 class Consensus:
     """One replica's part in the replicated log."""
 
@@ -70,19 +64,16 @@
         self._random = generator
         self._term_vote = saved.term_vote
         self._log = consensus_log.Log(saved.snapshot, saved.records)
-        known = min(saved.commit_index, self._log.last_index)
-        self._commit_index = max(saved.snapshot.index, known)
         self._role = Role.FOLLOWER
         self._leader_id: ids.EntryId | None = None
         self._leader_contact_s: float | None = None
-        self._leader_commit_index = 0
-        self._synced_index = self._log.last_index
-        self._has_replaced = False
         self._leadership: consensus_leader.Leadership | None = None
         self._votes: set[ids.EntryId] = set()
         self._failed_elections = 0
-        self._arriving: _ArrivingSnapshot | None = None
         self._output = consensus_output.Output()
+        self._replica_log = consensus_replica.ReplicaLog(
+            self._log, saved.commit_index, self._output
+        )
         self._election_due_s = 0.0
         self._heartbeat_due_s = 0.0
         self._postpone_election(now)
@@ -105,7 +96,7 @@
     @property
     def commit_index(self) -> int:
         """Highest index that is known to be committed."""
-        return self._commit_index
+        return self._replica_log.commit_index
 
     @property
     def leader_contact_s(self) -> float | None:
@@ -115,7 +106,7 @@
     @property
     def leader_commit_index(self) -> int:
         """Highest index that a leader has reported as committed."""
-        return max(self._commit_index, self._leader_commit_index)
+        return self._replica_log.leader_commit_index
 
     @property
     def log(self) -> consensus_log.Log:
@@ -134,14 +125,14 @@
         A replica whose removal is not committed yet may be the only one with
         a log that is long enough to be elected and to commit it.
         """
-        is_settled = self._log.configuration_index <= self._commit_index
+        is_settled = self._log.configuration_index <= self.commit_index
         return self.is_member or not is_settled
 
     def take_output(self) -> consensus_output.Output:
         """Returns the work since the last call and starts a new collection."""
         taken = self._output
         self._output = consensus_output.Output()
-        self._has_replaced = False
+        self._replica_log.use_output(self._output)
         if self._leadership is not None:
             self._leadership.use_output(self._output)
         return taken
@@ -169,13 +160,14 @@
         elif now.monotonic_s >= self._election_due_s:
             self._start_election(now)
 
+    @functools.singledispatchmethod
     def step(
         self,
         message: consensus_messages.CoreMessage,
         now: consensus_output.Now,
     ) -> None:
         """Takes a message from another replica."""
-        _step(message, self, now)
+        raise TypeError(f"not a message of the log: {type(message).__name__}")
 
     def propose(
         self, payloads: Sequence[bytes], now: consensus_output.Now
@@ -191,7 +183,7 @@
         first = self._log.last_index + 1
         for payload in payloads:
             self._append(consensus_messages.RecordKind.COMMAND, payload, now)
-        leadership.send_news(self._commit_index, now)
+        leadership.send_news(self.commit_index, now)
         return first
 
     def propose_replicas(
@@ -212,7 +204,7 @@
         # pair of majorities, but only when the older one is committed and the
         # leader has committed a record of its own term.
         settled = max(leadership.first_index, self._log.configuration_index)
-        if self._commit_index < settled:
+        if self.commit_index < settled:
             return errors.Failure(
                 errors.ErrorKind.CONFLICT,
                 "an earlier change of the replicas is not committed yet",
@@ -228,7 +220,7 @@
             now,
         )
         leadership.update_members(now)
-        leadership.send_news(self._commit_index, now)
+        leadership.send_news(self.commit_index, now)
         return index
 
     def request_read(self, token: int, now: consensus_output.Now) -> bool:
@@ -240,8 +232,8 @@
         leadership = self._leadership
         if leadership is None:
             return False
-        leadership.request_read(token, self._commit_index)
-        leadership.send_heartbeats(self._commit_index, now)
+        leadership.request_read(token, self.commit_index)
+        leadership.send_heartbeats(self.commit_index, now)
         leadership.release_reads()
         return True
 
@@ -253,24 +245,17 @@
         if is_candidate and output.term_vote == self._term_vote:
             self._votes.add(self._entry_id)
             self._count_votes(now)
-        if output.snapshot is not None:
-            self._synced_index = max(self._synced_index, output.snapshot.index)
-        # Once a record was replaced, the same record may come back behind it;
-        # what is synced of it counts with the next output.
-        if not output.records or self._has_replaced:
-            return
-        last = output.records[-1]
-        self._synced_index = max(self._synced_index, last.index)
+        synced_index = self._replica_log.acknowledge(output)
         leadership = self._leadership
-        if leadership is not None:
-            leadership.acknowledge_sync(last.index)
+        if leadership is not None and synced_index:
+            leadership.acknowledge_sync(synced_index)
             self._advance_commit(leadership, now)
 
     def compact(
         self, snapshot: consensus_messages.Snapshot, keep_records: int
     ) -> None:
         """Drops the records that a saved snapshot covers, but the last ones."""
-        if snapshot.index <= self._commit_index:
+        if snapshot.index <= self.commit_index:
             keep_from = snapshot.index + 1 - keep_records
             self._log.compact(snapshot, keep_from)
 
@@ -307,7 +292,7 @@
             self._become_follower(self.term, None, now)
         elif now.monotonic_s >= self._heartbeat_due_s:
             self._heartbeat_due_s = now.monotonic_s + self._times.heartbeat_s
-            leadership.send_heartbeats(self._commit_index, now)
+            leadership.send_heartbeats(self.commit_index, now)
             leadership.release_reads()
 
     def _postpone_election(self, now: consensus_output.Now) -> None:
@@ -396,7 +381,7 @@
         self._leadership = leadership
         self._append(consensus_messages.RecordKind.NO_OP, b"", now)
         self._heartbeat_due_s = now.monotonic_s + self._times.heartbeat_s
-        leadership.send_heartbeats(self._commit_index, now)
+        leadership.send_heartbeats(self.commit_index, now)
 
     # Log.
 
@@ -413,8 +398,7 @@
             kind,
             payload,
         )
-        self._log.append(record)
-        self._output.records.append(record)
+        self._replica_log.append(record)
         return record.index
 
     def _advance_commit(
@@ -423,9 +407,9 @@
         now: consensus_output.Now,
     ) -> None:
         index = leadership.commit_index()
-        if index <= self._commit_index:
+        if index <= self.commit_index:
             return
-        self._commit_index = index
+        self._replica_log.commit(index)
         leadership.announce_commit(index, now)
         settled = self._log.configuration_index <= index
         if settled and not self.is_member:
@@ -436,8 +420,9 @@
     ) -> None:
         self._output.messages.append(consensus_output.Envelope(to, message))
 
-    # Messages; called from `_step` once the term was compared.
+    # Messages.
 
+    @step.register
     def _on_vote_request(
         self,
         request: consensus_messages.VoteRequest,
@@ -471,6 +456,7 @@
         )
         self._send(request.candidate, reply)
 
+    @step.register
     def _on_vote_reply(
         self, reply: consensus_messages.VoteReply, now: consensus_output.Now
     ) -> None:
@@ -500,6 +486,7 @@
         self._postpone_election(now)
         return True
 
+    @step.register
     def _on_append_request(
         self,
         request: consensus_messages.AppendRequest,
@@ -508,20 +495,13 @@
         accepted = self._accept_leader(request.term, request.leader, now)
         match_index = 0
         if accepted:
-            self._leader_commit_index = max(
-                self._leader_commit_index, request.commit_index
-            )
-            accepted, match_index = self._store_records(request)
-        if accepted:
-            self._commit_index = max(
-                self._commit_index, min(request.commit_index, match_index)
-            )
+            accepted, match_index = self._replica_log.store(request)
         # A heartbeat is answered without waiting for the disk, so that a slow
         # disk doesn't look like a lost follower; it confirms synced records
         # only.
         is_early = accepted and not request.records
         if is_early:
-            match_index = min(match_index, self._synced_index)
+            match_index = min(match_index, self._replica_log.synced_index)
         reply = consensus_messages.AppendReply(
             self.term,
             self._entry_id,
@@ -533,42 +513,7 @@
         output = self._output
         (output.early if is_early else output.messages).append(envelope)
 
-    def _store_records(
-        self, request: consensus_messages.AppendRequest
-    ) -> tuple[bool, int]:
-        previous = request.previous_index
-        if previous < self._commit_index:
-            # What is committed equals the leader's log, also when it is no
-            # longer in memory.
-            known = True
-        else:
-            known = self._log.term_at(previous) == request.previous_term
-        if not known:
-            return False, self._last_possible_match(previous)
-        for record in request.records:
-            is_new = record.index > self._commit_index
-            if is_new and self._log.term_at(record.index) != record.term:
-                self._note_replaced(record.index)
-                self._log.append(record)
-                self._output.records.append(record)
-        last = previous + len(request.records)
-        return True, last
-
-    def _note_replaced(self, index: int) -> None:
-        if index <= self._log.last_index:
-            self._has_replaced = True
-            self._synced_index = min(self._synced_index, index - 1)
-
-    def _last_possible_match(self, previous: int) -> int:
-        index = min(previous - 1, self._log.last_index)
-        if previous <= self._log.last_index:
-            term = self._log.term_at(previous)
-            while index > self._commit_index and (
-                self._log.term_at(index) == term
-            ):
-                index -= 1
-        return max(index, self._commit_index)
-
+    @step.register
     def _on_snapshot_chunk(
         self,
         chunk: consensus_messages.SnapshotChunk,
@@ -577,45 +522,17 @@
         if not self._accept_leader(chunk.term, chunk.leader, now):
             self._reply_to_snapshot(chunk, accepted=False, match_index=0)
             return
-        if chunk.index <= self._commit_index:
-            self._reply_to_snapshot(chunk, True, self._commit_index)
+        if chunk.index <= self.commit_index:
+            self._reply_to_snapshot(chunk, True, self.commit_index)
             return
-        arriving = self._arriving
-        if arriving is None or (arriving.index, arriving.index_term) != (
-            chunk.index,
-            chunk.index_term,
-        ):
-            arriving = _ArrivingSnapshot(chunk.index, chunk.index_term)
-            self._arriving = arriving
-        if chunk.offset == len(arriving.data):
-            arriving.data += chunk.data
-        if len(arriving.data) < chunk.size:
-            reply = consensus_messages.SnapshotReply(
-                self.term,
-                self._entry_id,
-                chunk.index,
-                len(arriving.data),
-                chunk.sequence,
-            )
-            self._send(chunk.leader, reply)
+        arrived = self._replica_log.receive_chunk(chunk)
+        if arrived >= chunk.size:
+            self._reply_to_snapshot(chunk, True, chunk.index)
             return
-        self._install(chunk, bytes(arriving.data))
-        self._reply_to_snapshot(chunk, True, chunk.index)
-
-    def _install(
-        self, chunk: consensus_messages.SnapshotChunk, data: bytes
-    ) -> None:
-        snapshot = consensus_messages.Snapshot(
-            chunk.index, chunk.index_term, chunk.time_ms, chunk.replicas, data
+        reply = consensus_messages.SnapshotReply(
+            self.term, self._entry_id, chunk.index, arrived, chunk.sequence
         )
-        self._arriving = None
-        if self._log.term_at(snapshot.index) != snapshot.term:
-            self._note_replaced(self._commit_index + 1)
-            self._output.reset_log = True
-            self._output.records = []
-        self._log.compact(snapshot, snapshot.index + 1)
-        self._commit_index = snapshot.index
-        self._output.snapshot = snapshot
+        self._send(chunk.leader, reply)
 
     def _reply_to_snapshot(
         self,
@@ -628,6 +545,8 @@
         )
         self._send(chunk.leader, reply)
 
+    @step.register(consensus_messages.AppendReply)
+    @step.register(consensus_messages.SnapshotReply)
     def _on_reply(
         self,
         reply: consensus_messages.AppendReply
@@ -642,58 +561,7 @@
         if isinstance(reply, consensus_messages.SnapshotReply):
             leadership.on_snapshot_reply(reply, now)
         else:
-            leadership.on_append_reply(reply, self._commit_index, now)
+            leadership.on_append_reply(reply, self.commit_index, now)
             self._advance_commit(leadership, now)
         if self._leadership is not None:
             leadership.release_reads()
-
-
-@functools.singledispatch
-def _step(message: object, core: Consensus, now: consensus_output.Now) -> None:
-    raise TypeError(f"not a message of the log: {type(message).__name__}")
-
-
-@_step.register
-def _(
-    message: consensus_messages.VoteRequest,
-    core: Consensus,
-    now: consensus_output.Now,
-) -> None:
-    core._on_vote_request(message, now)
-
-
-@_step.register
-def _(
-    message: consensus_messages.VoteReply,
-    core: Consensus,
-    now: consensus_output.Now,
-) -> None:
-    core._on_vote_reply(message, now)
-
-
-@_step.register
-def _(
-    message: consensus_messages.AppendRequest,
-    core: Consensus,
-    now: consensus_output.Now,
-) -> None:
-    core._on_append_request(message, now)
-
-
-@_step.register
-def _(
-    message: consensus_messages.SnapshotChunk,
-    core: Consensus,
-    now: consensus_output.Now,
-) -> None:
-    core._on_snapshot_chunk(message, now)
-
-
-@_step.register(consensus_messages.AppendReply)
-@_step.register(consensus_messages.SnapshotReply)
-def _(
-    message: consensus_messages.AppendReply | consensus_messages.SnapshotReply,
-    core: Consensus,
-    now: consensus_output.Now,
-) -> None:
-    core._on_reply(message, now)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -7,6 +7,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from tarragoncleat import consensus_leader
+from tarragoncleat import consensus_log
+from tarragoncleat import consensus_messages
+from tarragoncleat import consensus_output
 from tests import consensus_world
 
 _NAMES = ("a", "b", "c", "d", "e")
@@ -67,5 +71,59 @@
         self.assertGreater(len(world.committed), 0)
 
 
+class DirectedTest(unittest.TestCase):
+    """Guards against faults that random histories rarely reach."""
+
+    def test_records_of_earlier_terms_commit_only_through_a_later_one(
+        self,
+    ) -> None:
+        """A majority may hold such a record and still lose it."""
+        world = consensus_world.World(("a", "b", "c"), ("a", "b", "c"))
+        kind = consensus_messages.RecordKind.COMMAND
+        old = consensus_messages.Record(1, 1, 0, kind, b"old")
+        log = consensus_log.Log(world.disks[world.names[0]].snapshot, [old])
+        leadership = consensus_leader.Leadership(
+            world.names[0],
+            3,
+            log,
+            consensus_output.Times(0.1, 0.5, 1.0),
+            consensus_output.Now(0.0, 0),
+            consensus_output.Output(),
+        )
+        leadership.acknowledge_sync(1)
+        log.append(consensus_messages.Record(2, 3, 0, kind, b"own"))
+        for match_index, committed in ((1, 0), (2, 2)):
+            reply = consensus_messages.AppendReply(
+                3, world.names[1], True, match_index, 0
+            )
+            now = consensus_output.Now(0.0, 0)
+            leadership.on_append_reply(reply, 0, now)
+            leadership.acknowledge_sync(match_index)
+            self.assertEqual(leadership.commit_index(), committed)
+
+    def test_cut_off_leader_releases_no_read(self) -> None:
+        world = consensus_world.World(("a", "b", "c"), ("a", "b", "c"))
+        world.run(60)
+        leader = world.leaders()[0]
+        world.cut.add(leader)
+        world.read(leader)
+        world.run(10)
+        self.assertEqual(world.released, 0)
+        world.cut.clear()
+        world.run(60)
+        world.read(world.leaders()[0])
+        world.run(10)
+        self.assertGreater(world.released, 0)
+
+    def test_own_vote_counts_only_once_synced(self) -> None:
+        world = consensus_world.World(("a",), ("a",))
+        for _ in range(60):
+            world.now_s += 0.05
+            world.tick(world.names[0])
+        self.assertEqual(world.leaders(), [])
+        world.run(30)
+        self.assertEqual(world.leaders(), world.names)
+
+
 if __name__ == "__main__":
     unittest.main()
