Place new work at once after a change of leader

Cause: a new leader decided nothing until the previous one's worker leases had ended: lease 3 s, margin 0.5 s and election timeout 1 s by default, after an election of up to 1 s. Urgent work could wait for about 6 s; the target is 5.7 s. A worker that missed one visit was asked again only after a third of its lease.

Change: jobs that were never placed are placed from the first round on; their placement is checked again at commit. Jobs that were placed before still wait, because an unvisited worker may run them. A failed visit is repeated after 1 s.

Conclusion: only work that may still run elsewhere waits for old leases.

--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/control_term.py
@@ -124,6 +124,9 @@
     async def decide(self, group: anyio.abc.TaskGroup) -> None:
         """Records what was observed, then decides; one round."""
         if self._clock.monotonic_s() < self._decide_after_s:
+            # New work needs no knowledge of the previous leader's leases.
+            await self._place_jobs()
+            self.start_visits(group)
             return
         await self._record_observations()
         await self._step_waves()
@@ -242,10 +245,16 @@
         self, view: fleet_view.FleetView, now_s: float
     ) -> Collection[ids.JobId]:
         """Returns waiting jobs whose earlier task may still run."""
-        if not any(
-            job.attempt for pool in view.pools.values() for job in pool.waiting
-        ):
-            return frozenset()
+        placed_before = {
+            job.job_id
+            for pool in view.pools.values()
+            for job in pool.waiting
+            if job.attempt
+        }
+        # Until the previous leader's leases have ended, a worker that has not
+        # reported yet may run any of them.
+        if not placed_before or now_s < self._decide_after_s:
+            return placed_before
         held = set()
         for name, status in self._visits.statuses.items():
             if self._leases.has_ended(name, now_s):
--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/worker_visits.py
@@ -27,6 +27,8 @@
 __all__ = ["WorkerStatus", "WorkerVisits"]
 
 _MS_PER_S = 1000
+# A worker that didn't answer is asked again well before its lease ends.
+_RETRY_INTERVAL_S = 1.0
 _IN_TRANSIT = frozenset(
     {
         pools.InstanceState.DRAINING,
@@ -164,11 +166,16 @@
             # A wave waits for the next report of the instances that it took.
             interval_s = self._transit_interval_s
         status.due_s = started_s + interval_s
+        reported_s = status.reported_s
         try:
             async with self._limiter:
                 await self._visit_now(status, instance, active)
         finally:
             status.is_busy = False
+        is_lost = instance.state is pools.InstanceState.LOST
+        if status.reported_s == reported_s and not is_lost:
+            retry_s = self._clock.monotonic_s() + _RETRY_INTERVAL_S
+            status.due_s = min(status.due_s, retry_s)
 
     async def _visit_now(
         self,
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -69,7 +69,12 @@
     """A fleet of stand-in workers in one pool."""
 
     def __init__(
-        self, test: unittest.TestCase, block: int, *options: list[str], **fields
+        self,
+        test: unittest.TestCase,
+        block: int,
+        *options: list[str],
+        lease_ms: int = _LIMITS["lease_ms"],
+        **fields,
     ) -> None:
         self.driver = builders.FleetDriver()
         self.driver.time_ms = int(time.time() * 1000)
@@ -86,7 +91,7 @@
             )
         self.replication = _Replication(self.driver)
         self._settings = builders.build_settings(
-            controller=_LIMITS, consensus=_CONSENSUS
+            controller={**_LIMITS, "lease_ms": lease_ms}, consensus=_CONSENSUS
         )
 
     def _add(self, name: str, address: str, extra: list[str]) -> None:
@@ -311,6 +316,36 @@
         waited_ms = urgent["at_ms"] - cluster.job("urgent").submitted_at_ms
         self.assertLess(waited_ms, 5_700)
 
+    def test_new_leader_places_new_work_before_old_leases_end(self) -> None:
+        """Guards against urgent work that waits for a change of leader.
+
+        Only a job that may still run elsewhere has to wait for the leases.
+        """
+        cluster = _Cluster(self, 9, [], lease_ms=60_000)
+        cluster.submit("earlier", run_s=0.1)
+        place = commands.JobPlacement(
+            ids.JobId("earlier"), ids.InstanceId("w0")
+        )
+        cluster.driver.must(commands.PlaceJobs((place,)))
+        stopped = commands.JobChange(
+            ids.JobId("earlier"), 1, jobs.JobState.QUEUED, "stop: made room"
+        )
+        cluster.driver.must(commands.RecordJobStates((stopped,)))
+
+        async def scenario() -> None:
+            cluster.submit("urgent", urgent=True, run_s=0.1)
+            await cluster.wait(
+                lambda: cluster.job("urgent").instance_id, "urgent job placed"
+            )
+            await cluster.wait(
+                lambda: cluster.events("w0", "start"), "urgent job started"
+            )
+            await anyio.sleep(0.5)
+
+        cluster.run(scenario)
+        starts = [e["task_id"] for e in cluster.events("w0", "start")]
+        self.assertEqual(starts, ["urgent~1"])
+
     def test_moved_instance_is_drained_and_fenced_first(self) -> None:
         """Guards against work of the old pool on an instance that moved."""
         cluster = _Cluster(self, 6, [], [], owed=profiles.Capacity(1))
