Use the usual terms for contact between entries

Cause: membership spoke of zones that are heard, of vouching and of strangers. Change: contact, confirmed and unidentified instead; messages keep their shape. Conclusion: no behaviour changes.

--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -262,8 +262,8 @@
     def note_leader_lost(self, now: consensus_output.Now) -> None:
         """Brings the election forward when the link to the leader broke.
 
-        The pre-vote keeps a working leader: replicas that still hear it
-        refuse.
+        The pre-vote keeps a working leader: replicas that still have contact
+        with it refuse.
         """
         if self._leadership is None and self._leader_id is not None:
             self._leader_id = None
@@ -304,7 +304,7 @@
         factor = min(2**self._failed_elections, _MAX_ELECTION_FACTOR)
         self._election_due_s = now.monotonic_s + factor * timeout_s
 
-    def _hears_leader(self, now: consensus_output.Now) -> bool:
+    def _has_leader_contact(self, now: consensus_output.Now) -> bool:
         if self._leadership is not None:
             return True
         if self._leader_id is None or self._leader_contact_s is None:
@@ -428,9 +428,9 @@
         request: consensus_messages.VoteRequest,
         now: consensus_output.Now,
     ) -> None:
-        # A replica that hears a leader ignores candidates, so that one that
-        # was cut off or removed can't depose a working leader.
-        if self._hears_leader(now):
+        # A replica that has contact with a leader ignores candidates, so that
+        # one that was cut off or removed can't depose a working leader.
+        if self._has_leader_contact(now):
             return
         if request.term > self.term and not request.pre_vote:
             self._become_follower(request.term, None, now)
--- a/tarragoncleat/entry_view.py
+++ b/tarragoncleat/entry_view.py
@@ -12,8 +12,8 @@
 _RELAY_HEARTBEATS = 3
 # Leaves and ended leases are passed on as records, so a zone's confirmation may
 # be missed for a while, as when its digest changes at every heartbeat. A zone
-# that can't be heard is not used anyway.
-_VOUCH_FRESHNESS = 5
+# that can't be reached is not used anyway.
+_CONFIRMATION_FRESHNESS = 5
 
 
 class EntryView:
@@ -31,7 +31,7 @@
         heartbeat_s: float,
         freshness_s: float,
     ) -> None:
-        """Creates a view in which nothing was heard yet."""
+        """Creates a view in which no entry had contact yet."""
         self._own_id = own_id
         self._zone_by_entry = dict(zone_by_entry)
         self._own_zone = zone_by_entry[own_id]
@@ -39,7 +39,7 @@
         self._freshness_s = freshness_s
         self._entries: dict[ids.EntryId, float] = {}
         self._zones: dict[ids.AvailabilityZone, float] = {}
-        self._vouched: dict[ids.AvailabilityZone, float] = {}
+        self._confirmed: dict[ids.AvailabilityZone, float] = {}
         self._zone_live: dict[ids.AvailabilityZone, int] = {}
         self._mates = tuple(
             sorted(
@@ -61,13 +61,13 @@
 
     @property
     def freshness_s(self) -> float:
-        """How long a zone counts as alive after it was last heard of."""
+        """How long a zone counts as alive after it was last in contact."""
         return self._freshness_s
 
     @property
-    def vouch_s(self) -> float:
+    def confirmation_s(self) -> float:
         """How long records of a zone live on after it confirmed them."""
-        return _VOUCH_FRESHNESS * self._freshness_s
+        return _CONFIRMATION_FRESHNESS * self._freshness_s
 
     @property
     def mates(self) -> tuple[ids.EntryId, ...]:
@@ -79,57 +79,59 @@
         return self._zone_by_entry[entry_id]
 
     def other_zones(self) -> Collection[ids.AvailabilityZone]:
-        """Other zones that were heard of, directly or through a relay."""
+        """Other zones that were in contact, directly or through a relay."""
         return self._zones.keys()
 
-    def hear_entry(self, entry_id: ids.EntryId, now_s: float) -> None:
+    def note_entry_contact(self, entry_id: ids.EntryId, now_s: float) -> None:
         """Records a heartbeat of an entry."""
         self._entries[entry_id] = now_s
         zone = self._zone_by_entry[entry_id]
         if zone != self._own_zone:
-            self.hear_zone(zone, now_s)
+            self.note_zone_contact(zone, now_s)
 
-    def hear_zone(self, zone: ids.AvailabilityZone, heard_s: float) -> None:
-        """Records that some entry heard from a zone at the given time."""
-        self._zones[zone] = max(self._zones.get(zone, -math.inf), heard_s)
+    def note_zone_contact(
+        self, zone: ids.AvailabilityZone, contact_s: float
+    ) -> None:
+        """Records that some entry had contact with a zone at the given time."""
+        self._zones[zone] = max(self._zones.get(zone, -math.inf), contact_s)
 
     def set_zone_live(self, zone: ids.AvailabilityZone, count: int) -> None:
         """Records how many entries of another zone are live."""
         self._zone_live[zone] = count
 
-    def vouch(self, zone: ids.AvailabilityZone, at_s: float) -> None:
+    def confirm(self, zone: ids.AvailabilityZone, at_s: float) -> None:
         """Records that a zone confirmed the records held of it."""
-        self._vouched[zone] = max(self._vouched.get(zone, -math.inf), at_s)
+        self._confirmed[zone] = max(self._confirmed.get(zone, -math.inf), at_s)
 
     def zone_live(self, zone: ids.AvailabilityZone) -> int:
         """Returns how many entries of another zone are live."""
         return self._zone_live.get(zone, 1)
 
     def is_live(self, entry_id: ids.EntryId, now_s: float) -> bool:
-        """Whether an entry itself was heard within the freshness limit."""
-        heard_s = self._entries.get(entry_id, -math.inf)
-        return now_s - heard_s <= self._freshness_s
+        """Whether an entry itself had contact within the freshness limit."""
+        contact_s = self._entries.get(entry_id, -math.inf)
+        return now_s - contact_s <= self._freshness_s
 
-    def heard_s(self, zone: ids.AvailabilityZone) -> float:
-        """When a zone was last heard of."""
+    def contact_s(self, zone: ids.AvailabilityZone) -> float:
+        """When a zone was last in contact."""
         return self._zones.get(zone, -math.inf)
 
-    def vouched_s(self, zone: ids.AvailabilityZone) -> float:
+    def confirmed_s(self, zone: ids.AvailabilityZone) -> float:
         """When a zone last confirmed the records held of it."""
-        return self._vouched.get(zone, -math.inf)
+        return self._confirmed.get(zone, -math.inf)
 
-    def vouched_zones(self, now_s: float) -> frozenset[ids.AvailabilityZone]:
+    def confirmed_zones(self, now_s: float) -> frozenset[ids.AvailabilityZone]:
         """Zones that confirmed the records held of them recently."""
-        limit_s = now_s - self.vouch_s
+        limit_s = now_s - self.confirmation_s
         return frozenset(
-            zone for zone, at_s in self._vouched.items() if at_s >= limit_s
+            zone for zone, at_s in self._confirmed.items() if at_s >= limit_s
         )
 
     def usable_until_s(self, zone: ids.AvailabilityZone) -> float:
         """Until when the upstreams of a zone may be used."""
         if zone == self._own_zone:
             return math.inf
-        return self.heard_s(zone) + self._freshness_s
+        return self.contact_s(zone) + self._freshness_s
 
     def is_relay(self, now_s: float) -> bool:
         """Whether this entry speaks for its zone."""
@@ -164,14 +166,14 @@
         return 1 + sum(self.is_live(mate, now_s) for mate in self._mates)
 
     def live_entries(self, now_s: float) -> int:
-        """Live entries of all zones that can be heard."""
+        """Live entries of all zones that can be reached."""
         limit_s = now_s - self._freshness_s
         return self.own_zone_live(now_s) + sum(
             self._zone_live.get(zone, 1)
-            for zone, heard_s in self._zones.items()
-            if heard_s >= limit_s
+            for zone, contact_s in self._zones.items()
+            if contact_s >= limit_s
         )
 
     def _is_recent(self, entry_id: ids.EntryId, now_s: float) -> bool:
-        heard_s = self._entries.get(entry_id, -math.inf)
-        return now_s - heard_s <= self._relay_s
+        contact_s = self._entries.get(entry_id, -math.inf)
+        return now_s - contact_s <= self._relay_s
--- a/tarragoncleat/feed.py
+++ b/tarragoncleat/feed.py
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Subscriber:
-    heard_s: float
+    contact_s: float
     next_index: int = 0
     acked_index: int = 0
     sent_s: float = 0.0
@@ -65,7 +65,7 @@
         async for now_s in self._timer.subscribe(FOLLOW_INTERVAL_S):
             limit_s = now_s - _MISSED_INTERVALS * FOLLOW_INTERVAL_S
             for entry_id, subscriber in tuple(self._subscribers.items()):
-                if subscriber.heard_s < limit_s:
+                if subscriber.contact_s < limit_s:
                     del self._subscribers[entry_id]
                 elif now_s - subscriber.sent_s >= FOLLOW_INTERVAL_S / 2:
                     self._send_batch(entry_id, subscriber)
@@ -81,7 +81,7 @@
         is_new = subscriber is None
         if subscriber is None:
             subscriber = self._subscribers[sender] = _Subscriber(now_s)
-        subscriber.heard_s = now_s
+        subscriber.contact_s = now_s
         subscriber.acked_index = request.applied_index
         if is_new or request.restart:
             subscriber.next_index = request.applied_index + 1
--- a/tarragoncleat/followers.py
+++ b/tarragoncleat/followers.py
@@ -78,7 +78,7 @@
         self._applier = applier
         self._source: ids.EntryId | None = None
         self._followed_since_s = 0.0
-        self._heard_s: float | None = None
+        self._contact_s: float | None = None
         self._current_at_s: float | None = None
         self._source_index = 0
         self._term = 0
@@ -140,7 +140,7 @@
         if sender != self._source:
             return
         now_s = self._timer.monotonic_s()
-        self._heard_s = now_s
+        self._contact_s = now_s
         if batch.previous_index > self._applier.applied_index:
             self._request(restart=True)
             return
@@ -159,7 +159,7 @@
         """Collects a snapshot and restores it when it is complete."""
         if sender != self._source:
             return
-        self._heard_s = self._timer.monotonic_s()
+        self._contact_s = self._timer.monotonic_s()
         if chunk.index <= self._applier.applied_index:
             self._request(restart=True)
             return
@@ -195,8 +195,8 @@
             self._leader_id = batch.leader_id
 
     def _is_silent(self, now_s: float, limit_s: float) -> bool:
-        heard_s = self._heard_s or self._followed_since_s
-        return now_s - max(heard_s, self._followed_since_s) > limit_s
+        contact_s = self._contact_s or self._followed_since_s
+        return now_s - max(contact_s, self._followed_since_s) > limit_s
 
     def _leave_stale_source(self, now_s: float) -> None:
         source = self._source
--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/heartbeats.py
@@ -87,14 +87,14 @@
         return self._by_mate.sum(key) + self._by_zone.sum(key)
 
     def entry_progress(self) -> dict[ids.EntryId, tuple[int, int, float]]:
-        """Applied index, configuration revision and age by entry heard."""
+        """Applied index, configuration revision and age by entry in contact."""
         now_s = self._timer.monotonic_s()
         return {
-            entry_id: (applied, revision, now_s - heard_s)
+            entry_id: (applied, revision, now_s - contact_s)
             for entry_id, (
                 applied,
                 revision,
-                heard_s,
+                contact_s,
             ) in self._progress_by_entry.items()
         }
 
@@ -148,18 +148,19 @@
     def _zone_reports(
         self, now_s: float
     ) -> dict[ids.AvailabilityZone, messages.ZoneReport]:
-        """Describes the other zones that a relay hears from itself."""
+        """Describes the other zones that a relay has contact with itself."""
         reports = {}
         for zone in self._view.other_zones():
-            heard_age_s = now_s - self._view.heard_s(zone)
-            if heard_age_s > self._view.freshness_s:
+            contact_age_s = now_s - self._view.contact_s(zone)
+            if contact_age_s > self._view.freshness_s:
                 continue
-            vouched_age_s = min(
-                now_s - self._view.vouched_s(zone), 2 * self._view.vouch_s
+            confirmed_age_s = min(
+                now_s - self._view.confirmed_s(zone),
+                2 * self._view.confirmation_s,
             )
             reports[zone] = messages.ZoneReport(
-                heard_age_ms=math.ceil(heard_age_s * _MS_PER_S),
-                vouched_age_ms=math.ceil(vouched_age_s * _MS_PER_S),
+                contact_age_ms=math.ceil(contact_age_s * _MS_PER_S),
+                confirmed_age_ms=math.ceil(confirmed_age_s * _MS_PER_S),
                 digest=self._registry.digest(zone),
                 live_entries=self._view.zone_live(zone),
             )
@@ -188,8 +189,8 @@
         message: messages.Heartbeat = received.message
         sender, now_s = received.sender, self._timer.monotonic_s()
         zone = self._view.zone_of(sender)
-        self._hear_zone(zone, now_s, now_s)
-        self._view.hear_entry(sender, now_s)
+        self._note_zone_contact(zone, now_s, now_s)
+        self._view.note_entry_contact(sender, now_s)
         self._progress_by_entry[sender] = (
             message.applied_index,
             message.configuration_revision,
@@ -223,23 +224,23 @@
         for zone, report in message.zones.items():
             if zone == self._view.own_zone:
                 continue
-            heard_s = now_s - report.heard_age_ms / _MS_PER_S
-            vouched_s = now_s - report.vouched_age_ms / _MS_PER_S
-            self._hear_zone(zone, heard_s, now_s)
+            contact_s = now_s - report.contact_age_ms / _MS_PER_S
+            confirmed_s = now_s - report.confirmed_age_ms / _MS_PER_S
+            self._note_zone_contact(zone, contact_s, now_s)
             self._view.set_zone_live(zone, report.live_entries)
             self._exchange.compare(
-                sender, zone, report.digest, vouched_s, now_s
+                sender, zone, report.digest, confirmed_s, now_s
             )
 
-    def _hear_zone(
-        self, zone: ids.AvailabilityZone, heard_s: float, now_s: float
+    def _note_zone_contact(
+        self, zone: ids.AvailabilityZone, contact_s: float, now_s: float
     ) -> None:
         if zone == self._view.own_zone:
             return
         was_usable = self._view.usable_until_s(zone) > now_s
-        self._view.hear_zone(zone, heard_s)
+        self._view.note_zone_contact(zone, contact_s)
         if not was_usable and self._view.usable_until_s(zone) > now_s:
-            loguru.logger.info("availability zone {} can be heard", zone)
+            loguru.logger.info("availability zone {} can be reached", zone)
             self._table.clear()
 
     def _on_zone_load(self, message: messages.ZoneLoad) -> None:
--- a/tarragoncleat/membership.py
+++ b/tarragoncleat/membership.py
@@ -2,7 +2,7 @@
 
 Within an availability zone every entry exchanges heartbeats, changes and
 renewals with every other. Between zones only the relay of each zone (its
-lowest live entry id) does, and renewals don't cross: a zone vouches for all
+lowest live entry id) does, and renewals don't cross: a zone confirms all
 its live records with one digest in each heartbeat, and a digest that differs
 from the receiver's makes it pull the parts that differ. Leave notices go to
 every reachable entry at once, and every receiver passes them on.
@@ -184,7 +184,7 @@
         return self._view.live_entries(self._timer.monotonic_s())
 
     def entry_progress(self) -> dict[ids.EntryId, tuple[int, int, float]]:
-        """Applied index, configuration revision and age of the entries heard.
+        """Applied index, configuration revision and age by entry in contact.
 
         Only entries that send heartbeats to this one are listed: those of the
         own zone and, at a relay, the other relays.
@@ -210,8 +210,8 @@
 
     def _dump_zone(self, zone: ids.AvailabilityZone, now_s: float) -> dict:
         return {
-            "heard_age_s": _age_s(now_s, self._view.heard_s(zone)),
-            "vouched_age_s": _age_s(now_s, self._view.vouched_s(zone)),
+            "contact_age_s": _age_s(now_s, self._view.contact_s(zone)),
+            "confirmed_age_s": _age_s(now_s, self._view.confirmed_s(zone)),
             "usable": self._view.usable_until_s(zone) > now_s,
             "digest": f"{self._registry.digest(zone):016x}",
             "records": len(self._registry.of_zone(zone)),
@@ -240,8 +240,8 @@
             self._heartbeats.beat(now_s)
 
     def _end_leases(self, now_s: float) -> None:
-        vouched = self._view.vouched_zones(now_s)
-        lapsed = self._registry.sweep(now_s, vouched)
+        confirmed = self._view.confirmed_zones(now_s)
+        lapsed = self._registry.sweep(now_s, confirmed)
         for held in lapsed:
             loguru.logger.info(
                 "lease of upstream {} ended", held.record.upstream_id
--- a/tarragoncleat/membership_messages.py
+++ b/tarragoncleat/membership_messages.py
@@ -27,15 +27,15 @@
     """What a relay knows about another availability zone.
 
     Attributes:
-        heard_age_ms: Time since it heard from an entry of the zone.
-        vouched_age_ms: Time since the zone last confirmed the relay's copy of
+        contact_age_ms: Time since its last contact with an entry of the zone.
+        confirmed_age_ms: Time since the zone last confirmed the relay's copy of
             its records.
         digest: Digest of the relay's copy.
         live_entries: Live entries of the zone.
     """
 
-    heard_age_ms: int
-    vouched_age_ms: int
+    contact_age_ms: int
+    confirmed_age_ms: int
     digest: int
     live_entries: int
 
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/peering.py
@@ -83,7 +83,7 @@
         self._other_zone_factor = (
             _MANY_ZONES_FACTOR if many else _OTHER_ZONE_FACTOR
         )
-        self._strangers = peer_connection.Counters()
+        self._unidentified = peer_connection.Counters()
         self._dialled: dict[ids.EntryId, peer_connection.Connection] = {}
         self._accepted: dict[ids.EntryId, peer_connection.Connection] = {}
         self._open: set[peer_connection.Connection] = set()
@@ -187,7 +187,7 @@
         now_s = self._timer.monotonic_s()
         return {
             "incarnation": self._hello.incarnation,
-            "strangers": dataclasses.asdict(self._strangers),
+            "unidentified": dataclasses.asdict(self._unidentified),
             "peers": {
                 entry_id: self._dump_peer(entry_id, counters, now_s)
                 for entry_id, counters in self._counters.items()
@@ -233,10 +233,10 @@
         if idle_s >= _KEEP_ALIVE_HEARTBEATS * factor:
             connection.put_keep_alive()
         # Bytes other than a Hello don't keep an unknown connection open.
-        heard_s = connection.opened_at_s
+        contact_s = connection.opened_at_s
         if connection.greeted:
-            heard_s = connection.read_at_s
-        if now_s - heard_s > _SILENT_HEARTBEATS * factor:
+            contact_s = connection.read_at_s
+        if now_s - contact_s > _SILENT_HEARTBEATS * factor:
             connection.count_silent()
             connection.close()
 
@@ -273,7 +273,7 @@
             await anyio.aclose_forcefully(stream)
             return
         connection = peer_connection.Connection(
-            stream, self._timer, self._strangers
+            stream, self._timer, self._unidentified
         )
         await self._run(connection, None)
 
@@ -315,7 +315,7 @@
 
         The process was stopped or starved: what the socket buffered meanwhile
         may be older than any lease, and a heartbeat among it is no sign that
-        its sender's zone can be heard now.
+        its sender's zone can be reached now.
         """
         late_s = self._timer.monotonic_s() - self._ticked_at_s
         return late_s > self._stale_s
--- a/tarragoncleat/registry.py
+++ b/tarragoncleat/registry.py
@@ -28,8 +28,8 @@
 BUCKETS = 32
 
 # Remaining time on the wire for a live record whose own lease is not tracked
-# here because its availability zone vouches for it.
-_VOUCHED_MS = 3_000
+# here because its availability zone confirms it.
+_CONFIRMED_MS = 3_000
 _MAX_LIVE = 100_000
 _MAX_GONE = 100_000
 _MS_PER_S = 1000
@@ -238,7 +238,7 @@
         if not held.live:
             return upstreams.Copy(held.record, min(-remaining_ms, -1))
         if held.record.availability_zone != self._own_zone:
-            remaining_ms = max(remaining_ms, _VOUCHED_MS)
+            remaining_ms = max(remaining_ms, _CONFIRMED_MS)
         return upstreams.Copy(held.record, max(remaining_ms, 1))
 
     def page(
@@ -261,13 +261,13 @@
         )
 
     def sweep(
-        self, now_s: float, vouched: Collection[ids.AvailabilityZone]
+        self, now_s: float, confirmed: Collection[ids.AvailabilityZone]
     ) -> list[Held]:
         """Ends leases and forgets old records.
 
         Args:
             now_s: Current time.
-            vouched: Zones whose own entries vouch for their live records, so
+            confirmed: Zones whose own entries confirm their live records, so
                 that leases of these zones are not tracked here.
 
         Returns:
@@ -275,7 +275,7 @@
         """
         lapsed = list(self._sweep_due(now_s))
         for name, zone in self._zones.items():
-            if name == self._own_zone or name in vouched or not zone.live:
+            if name == self._own_zone or name in confirmed or not zone.live:
                 continue
             ended = [
                 held
--- a/tarragoncleat/registry_exchange.py
+++ b/tarragoncleat/registry_exchange.py
@@ -125,14 +125,14 @@
         sender: ids.EntryId,
         zone: ids.AvailabilityZone,
         digest: int,
-        vouched_s: float,
+        confirmed_s: float,
         now_s: float,
     ) -> None:
         """Compares digests and pulls when they keep differing."""
         key = (sender, zone)
         if self._registry.digest(zone) == digest:
             self._mismatches.pop(key, None)
-            self._view.vouch(zone, vouched_s)
+            self._view.confirm(zone, confirmed_s)
             return
         self._mismatches[key] = self._mismatches.get(key, 0) + 1
         if self._mismatches[key] < _MISMATCHES_BEFORE_PULL:
--- a/tarragoncleat/replication.py
+++ b/tarragoncleat/replication.py
@@ -278,7 +278,7 @@
 
     @property
     def cut_off_since_ms(self) -> int | None:
-        """Wall time since which no leader was heard of; None when in touch."""
+        """Wall time of the loss of contact with a leader; None with contact."""
         age_s = self._leader_view().age_s
         if age_s <= self._cut_off_after_s:
             return None
@@ -348,13 +348,13 @@
 
     def _leader_view(self) -> feed_module.LeaderView:
         now_s = self._timer.monotonic_s()
-        heard_s = self._follower.current_at_s
+        contact_s = self._follower.current_at_s
         core = self._voting_core()
         if core is not None and core.role is consensus.Role.LEADER:
-            heard_s = now_s
+            contact_s = now_s
         elif core is not None and core.leader_contact_s is not None:
-            heard_s = max(core.leader_contact_s, heard_s or 0.0)
-        age_s = now_s - (self._started_s if heard_s is None else heard_s)
+            contact_s = max(core.leader_contact_s, contact_s or 0.0)
+        age_s = now_s - (self._started_s if contact_s is None else contact_s)
         return feed_module.LeaderView(self.term, self.leader_id, age_s)
 
     def _request_read(self, token: int) -> bool:
--- a/tarragoncleat_bench/membership.py
+++ b/tarragoncleat_bench/membership.py
@@ -314,8 +314,8 @@
     tracemalloc.stop()
     zone = ids.AvailabilityZone("zone-00")
     others = [f"zone-{index:02}" for index in range(1, _ZONES)]
-    vouched = frozenset(map(ids.AvailabilityZone, others))
-    sweep_ms = _per_call_s(lambda: found.sweep(1.0, vouched), 1_000) * 1e3
+    confirmed = frozenset(map(ids.AvailabilityZone, others))
+    sweep_ms = _per_call_s(lambda: found.sweep(1.0, confirmed), 1_000) * 1e3
     digest_us = _per_call_s(lambda: found.digest(zone), 10_000) * 1e6
     return [
         _row("registry of 24,000 upstreams", "MB", memory / 1e6, seed),
@@ -358,7 +358,7 @@
     }
     view = entry_view.EntryView(ids.EntryId("entry-00"), entries, 0.2, 1.5)
     for entry_id in entries:
-        view.hear_entry(entry_id, 0.0)
+        view.note_entry_contact(entry_id, 0.0)
     table = membership.candidates_module.CandidateTable(found, view)
     service = ids.ServiceId("service-0")
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -99,7 +99,7 @@
 
         anyio.run(run)
 
-    def test_strangers(self) -> None:
+    def test_unidentified(self) -> None:
         """Only the entries of the settings may speak, and Hello comes first."""
 
         async def run() -> None:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -254,21 +254,21 @@
             availability_zone=_OTHER_ZONE
         )
         self._registry.announce(announcement, 0.0)
-        self._view.hear_entry(ids.EntryId("entry-2"), 0.0)
+        self._view.note_entry_contact(ids.EntryId("entry-2"), 0.0)
         self.assertEqual(self._ids(1.4), [_UPSTREAM])
         self.assertEqual(self._ids(1.5), [])
 
-    def test_vouched_zone_outlasts_leases(self) -> None:
-        """Renewals don't cross zones; a vouched zone must stay usable."""
+    def test_confirmed_zone_outlasts_leases(self) -> None:
+        """Renewals don't cross zones; a confirmed zone must stay usable."""
         announcement = builders.build_announcement(
             availability_zone=_OTHER_ZONE
         )
         copy = self._registry.announce(announcement, 0.0)
         for now_s in (2.0, 4.0, 6.0):
-            self._view.hear_entry(ids.EntryId("entry-2"), now_s)
-            self._view.vouch(_OTHER_ZONE, now_s)
-            vouched = self._view.vouched_zones(now_s)
-            self.assertEqual(self._registry.sweep(now_s, vouched), [])
+            self._view.note_entry_contact(ids.EntryId("entry-2"), now_s)
+            self._view.confirm(_OTHER_ZONE, now_s)
+            confirmed = self._view.confirmed_zones(now_s)
+            self.assertEqual(self._registry.sweep(now_s, confirmed), [])
             self.assertEqual(self._ids(now_s), [_UPSTREAM])
         ended = dataclasses.replace(copy, remaining_ms=-1_000)
         self._registry.merge(ended, 6.1)
