Return the known outcome of a proposal instead of undecided

Cause: a Failure is falsy, and four places joined an outcome with `or`. When the leader had replaced a record, or the log refused a claim, the proposer waited for its whole timeout and was told that the outcome is undecided; a leader never answered forwarded proposals of which one had failed.

Change: waiters say whether they are settled, and the four places test for None. Deleting a profile, service or pool reads it and checks If-Match in one step (`Change.find_current`), which stood three times.

Conclusion: outcomes that are known are reported at once, and a forwarded proposal is given to the new leader.

--- a/tarragoncleat/applier.py
+++ b/tarragoncleat/applier.py
@@ -47,6 +47,11 @@
         """The outcome, once there is one."""
         return self._outcome
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether there is an outcome; a `Failure` is one, though falsy."""
+        return self._outcome is not None
+
     def settle(self, outcome: Applied | errors.Failure) -> None:
         """Sets the outcome; only the first one counts."""
         if self._outcome is None:
--- a/tarragoncleat/claims.py
+++ b/tarragoncleat/claims.py
@@ -274,7 +274,9 @@
         self, request: ClaimRequest, pending: _Pending
     ) -> _Verdict:
         if not isinstance(pending.result, tuple):
-            return pending.result or errors.Failure(
+            if pending.result is not None:
+                return pending.result
+            return errors.Failure(
                 errors.ErrorKind.UNDECIDED, "the claim was not decided"
             )
         outcome, holder, entry_id = pending.result
--- a/tarragoncleat/fleet_profiles.py
+++ b/tarragoncleat/fleet_profiles.py
@@ -46,12 +46,9 @@
     command: commands.DeleteProfile, change: fleet_rules.Change
 ) -> dict | errors.Failure:
     state = change.state
-    profile = change.find(state.profiles, command.profile_id, "profile")
+    profile = change.find_current(state.profiles, command.profile_id, "profile")
     if isinstance(profile, errors.Failure):
         return profile
-    failure = change.check_revision(profile.revision)
-    if failure is not None:
-        return failure
     users = sorted(state.services_by_profile[profile.profile_id])
     if users:
         return fleet_rules.conflict(
@@ -102,12 +99,9 @@
     command: commands.DeleteService, change: fleet_rules.Change
 ) -> dict | errors.Failure:
     state = change.state
-    service = change.find(state.services, command.service_id, "service")
+    service = change.find_current(state.services, command.service_id, "service")
     if isinstance(service, errors.Failure):
         return service
-    failure = change.check_revision(service.revision)
-    if failure is not None:
-        return failure
     live = len(state.live_jobs_by_service[service.service_id])
     members = len(state.instances_by_pool[service.pool_id])
     arriving = len(state.moving_to[service.pool_id])
@@ -184,12 +178,9 @@
     command: commands.DeletePool, change: fleet_rules.Change
 ) -> dict | errors.Failure:
     state = change.state
-    pool = change.find(state.pools, command.pool_id, "pool")
+    pool = change.find_current(state.pools, command.pool_id, "pool")
     if isinstance(pool, errors.Failure):
         return pool
-    failure = change.check_revision(pool.revision)
-    if failure is not None:
-        return failure
     members = len(state.instances_by_pool[pool.pool_id])
     arriving = len(state.moving_to[pool.pool_id])
     if members or arriving or pool.service_id is not None:
--- a/tarragoncleat/fleet_rules.py
+++ b/tarragoncleat/fleet_rules.py
@@ -143,6 +143,16 @@
             return not_found(what, name)
         return item
 
+    def find_current(
+        self, table: Mapping[_Id, _Item], name: _Id, what: str
+    ) -> _Item | errors.Failure:
+        """Returns an object as `find` does, and checks If-Match."""
+        item: Any = self.find(table, name, what)
+        if isinstance(item, errors.Failure):
+            return item
+        failure = self.check_revision(item.revision)
+        return item if failure is None else failure
+
     def find_instance(
         self, name: ids.InstanceId
     ) -> pools.Instance | errors.Failure:
--- a/tarragoncleat/proposals.py
+++ b/tarragoncleat/proposals.py
@@ -124,7 +124,8 @@
             await queued.waiter.wait(timeout_s)
         finally:
             self._withdraw(queued)
-        return queued.waiter.outcome or _timed_out(queued)
+        outcome = queued.waiter.outcome
+        return _timed_out(queued) if outcome is None else outcome
 
     async def run(self) -> None:
         """Moves proposals until cancelled."""
@@ -187,7 +188,7 @@
         """Replies to the entries whose proposals are all applied."""
         waiting: list[_Serving] = []
         for serving in self._serving:
-            if all(waiter.outcome for _, waiter in serving.waiters):
+            if all(waiter.is_settled for _, waiter in serving.waiters):
                 self._reply(serving)
             else:
                 waiting.append(serving)
--- a/tarragoncleat/replication.py
+++ b/tarragoncleat/replication.py
@@ -221,7 +221,9 @@
         self._applier.watch(index, self.term, waiter)
         await waiter.wait(timeout_s)
         self._applier.forget(index, waiter)
-        return waiter.outcome or errors.Failure(
+        if waiter.outcome is not None:
+            return waiter.outcome
+        return errors.Failure(
             errors.ErrorKind.UNDECIDED,
             "no majority confirmed the change of the replicas in time",
         )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -43,11 +43,14 @@
     def __init__(self) -> None:
         self.cut_off_since_ms: int | None = None
         self.lost_replies = 0
+        self.refusal: errors.Failure | None = None
         self.records = 0
         self._fleet = fleet.Fleet()
 
     async def propose(self, payload: bytes, timeout_s: float) -> Any:
         await anyio.sleep(0.01)
+        if self.refusal is not None:
+            return self.refusal
         self.records += 1
         result = self._fleet.apply(self.records, self.records, payload)
         if self.lost_replies:
@@ -207,6 +210,21 @@
         self._run(check)
         self.assertEqual(self._runs("same"), len(callers))
 
+    def test_refusal_of_the_log_keeps_its_kind(self) -> None:
+        """Guards against a certain refusal that reads as undecided."""
+        self._log.refusal = errors.Failure(
+            errors.ErrorKind.NO_LEADER, "no leader is known"
+        )
+
+        async def check() -> None:
+            reply = await self._bid("entry-1", "refused")
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(reply.outcome, "not-run")
+            self.assertEqual(reply.json["error"], "no_leader")
+
+        self._run(check)
+        self.assertEqual(self._runs("refused"), 0)
+
     def test_other_request_under_a_used_key_is_refused(self) -> None:
         """Guards against answering a bid with the answer of another."""
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import tempfile
+from typing import Any
 import unittest
 import unittest.mock
 
@@ -73,6 +74,37 @@
 
         self._run(scenario)
 
+    def test_replaced_proposal_is_reported_or_retried_at_once(self) -> None:
+        """Guards against a known outcome that ends as undecided."""
+        outcomes: dict[str, Any] = {}
+
+        async def scenario(cluster: memory_links.Cluster) -> None:
+            leader = await cluster.leader()
+            inside = {leader, "entry-5"}
+            for near in inside:
+                for far in cluster.network.links.keys() - inside:
+                    cluster.network.cut.add(frozenset({near, far}))
+
+            async def propose(name: str) -> None:
+                payload = f"by {name}".encode()
+                outcomes[name] = await cluster.entries[name].propose(
+                    payload, _LIMIT_S
+                )
+
+            async with anyio.create_task_group() as group:
+                for name in inside:
+                    group.start_soon(propose, name)
+                others = cluster.entries.keys() - inside
+                other = min(others)
+                while not await cluster.entries[other].propose(b"on", 60):
+                    await anyio.sleep(0.02)
+                cluster.network.cut.clear()
+            self.assertIs(outcomes.pop(leader).kind, errors.ErrorKind.NO_LEADER)
+            self.assertTrue(outcomes["entry-5"])
+            await cluster.wait_equal(2)
+
+        self._run(scenario)
+
     def test_full_disk_refuses_and_keeps_following(self) -> None:
         """Guards against a full disk that stops an entry or the group."""
 
