Let operators retire a replica

Cause: the log can change its members, but only the admission of an empty replica used it; a replica that is gone for good went on counting towards the majority.

Change: POST /admin/v1/replicas/{entry_id}/add and /remove, and the commands `replica add` and `replica remove`, on the leader and for operators of all firms.

Conclusion: the size of the majority follows the operators' decision.

--- a/tarragoncleat/admin_api.py
+++ b/tarragoncleat/admin_api.py
@@ -41,6 +41,11 @@
     async def read_barrier(self, timeout_s: float) -> int | errors.Failure:
         """Waits until this entry has applied what was committed."""
 
+    async def change_replica(
+        self, entry_id: ids.EntryId, is_replica: bool, timeout_s: float
+    ) -> Any:
+        """Adds a replica or removes one; only the leader can do it."""
+
     def in_force(self) -> Mapping[ids.EntryId, Any]:
         """Returns the applied index and its age by entry."""
 
@@ -78,6 +83,7 @@
         self._authenticator = authenticator
         self._dump = dump
         self._metrics = metrics
+        self._replica_ids = frozenset(settings.replica_ids)
         self._timeout_s = settings.consensus.propose_timeout_ms / 1000
         self._readers: dict[str, Callable[[_Context], object]] = {
             "ledger": self._read_ledger,
@@ -233,6 +239,8 @@
         self, context: _Context
     ) -> admin_http.Answer | errors.Failure:
         request, scope = context.request, context.scope
+        if request.method == "POST" and request.parts[0] == "replicas":
+            return await self._change_replica(context)
         command = admin_commands.build_command(request, scope)
         if command is None:
             return _no_route(request)
@@ -256,6 +264,29 @@
         )
         return await self._propose(envelope)
 
+    async def _change_replica(
+        self, context: _Context
+    ) -> admin_http.Answer | errors.Failure:
+        parts = context.request.parts
+        if len(parts) != 3 or parts[2] not in ("add", "remove"):
+            return _no_route(context.request)
+        scope = context.scope
+        is_operator = scope.role is settings_module.Role.OPERATOR
+        if not (is_operator and scope.every_firm):
+            return _forbidden(f"role {scope.role.value} of firm {scope.firm}")
+        entry_id = ids.EntryId(parts[1])
+        if entry_id not in self._replica_ids:
+            return errors.Failure(
+                errors.ErrorKind.NOT_FOUND,
+                f"the settings of this entry name no replica {entry_id}",
+            )
+        changed = await self._replication.change_replica(
+            entry_id, parts[2] == "add", self._timeout_s
+        )
+        if isinstance(changed, errors.Failure):
+            return changed
+        return admin_http.Answer(200, {"applied_index": changed.index})
+
     async def _propose(
         self, envelope: commands.Envelope
     ) -> admin_http.Answer | errors.Failure:
--- a/tarragoncleat/cli.py
+++ b/tarragoncleat/cli.py
@@ -390,6 +390,10 @@
             "submit": connected(_submit),
             "cancel": connected(_cancel),
         },
+        "replica": {
+            "add": _giver("replicas", "add", "Lets a replica vote again."),
+            "remove": _giver("replicas", "remove", "Takes a replica's vote."),
+        },
         "report": connected(_report),
         "ledger": connected(_ledger),
         "command": connected(_command),
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -167,6 +167,46 @@
             self.assertEqual(shown["item"]["revision"], kept["revision"])
 
 
+class RetiredReplicaTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a majority that counts a replica which was retired."""
+
+    async def test_change_commits_without_the_removed_replica(self) -> None:
+        async with system_rig.running(12, _ZONES) as system:
+            leader = await system_rig.wait_until(system.leader, "leader")
+            replicas = [n for n in system.names if n.endswith("-1")]
+            removed, other = (name for name in replicas if name != leader)
+            body = {"firm": _FIRM, "owed": {"instances": 1}}
+            await system_rig.wait_until(
+                lambda: _post(system, leader, f"replicas/{removed}/remove"),
+                "removal",
+            )
+            # The other two are a majority of themselves, not of three.
+            await anyio.to_thread.run_sync(system.kill, removed)
+            system.put(leader, "profiles/kept", body)
+            system.kill(other)
+            refused = await anyio.to_thread.run_sync(
+                lambda: system.put(leader, "profiles/late", body)
+            )
+            self.assertIsInstance(refused, errors.Failure)
+            system.start(other, removed)
+            leader = await system_rig.wait_until(system.leader, "leader")
+            await system_rig.wait_until(
+                lambda: _post(
+                    system, system.leader() or leader, f"replicas/{removed}/add"
+                ),
+                "return of the replica",
+            )
+            shown = await system_rig.wait_until(
+                lambda: system.get(removed, "profiles/kept"), "the change"
+            )
+            self.assertEqual(shown["item"]["firm"], _FIRM)
+
+
+def _post(system: system_rig.System, name: str, path: str) -> bool:
+    with system.admin(name) as client:
+        return bool(client.give("POST", path))
+
+
 def _is_member(system: system_rig.System, name: str) -> bool:
     state = system.get(name, "state", consistency="local")
     return bool(state) and state["replication"]["admission"] == "member"
