Make the frozen-leader test see a missing read barrier

Cause: in a trial without the read barrier the test still passed, because the thawed leader received the news before it answered. Change: the leader is thawed while it is cut off from the others; its committed reads must be refused until it has contact again. Conclusion: the test now depends on the barrier alone.

--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -97,7 +97,19 @@
                 lambda: system.put(others[0], "profiles/bids", body),
                 "change without the frozen leader",
             )
+            # Cut off, the thawed leader can learn nothing from the others, so
+            # that only its own read barrier keeps it from answering.
+            system.cut_off([frozen])
             system.signal(frozen, signal.SIGCONT)
+            for _ in range(2):
+                shown = await anyio.to_thread.run_sync(
+                    lambda: system.get(frozen, "profiles/bids")
+                )
+                self.assertIsInstance(shown, errors.Failure)
+            system.heal()
+            await system_rig.wait_until(
+                lambda: system.get(frozen, "profiles/bids"), "contact again"
+            )
             for _ in range(20):
                 shown = await anyio.to_thread.run_sync(
                     lambda: system.get(frozen, "profiles/bids")
