Add nodes that find each other and keep the log's members by themselves

Cause: the platform names three seeds and no list of nodes, replaces machines and empties disks, so members of the log can't come from settings. The timer counts suspended time, so that a process that was suspended does not take its contact with a majority for fresh.

--- /dev/null
+++ b/tarragoncleat/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that find each other at run time, and their log."""
--- /dev/null
+++ b/tarragoncleat/cluster/log_node.py
@@ -0,0 +1,332 @@
+"""A node that holds the replicated log and finds the others by itself."""
+
+from collections.abc import Callable, Sequence
+import pathlib
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+import loguru
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import consensus
+from tarragoncleat import consensus_messages
+from tarragoncleat import consensus_output
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import log_files
+from tarragoncleat import log_store
+from tarragoncleat import replica as replica_module
+from tarragoncleat import settings as settings_module
+from tarragoncleat import timer as timer_module
+from tarragoncleat.cluster import links as links_module
+from tarragoncleat.cluster import messages
+from tarragoncleat.cluster import node_ids
+from tarragoncleat.cluster import roster
+
+__all__ = ["LogNode", "load_identity"]
+
+_IDENTITY_FILE = "identity"
+_LOG_FOLDER = "log"
+_ROSTER_INTERVAL_S = 0.25
+_ANNOUNCEMENT_VALID_S = 1.6
+_READ_TIMEOUT_S = 1.0
+
+
+def load_identity(
+    folder: pathlib.Path, host: str, port: int, may_found: bool
+) -> ids.EntryId | errors.Failure:
+    """Returns the id that belongs to a disk, and saves it on a new one.
+
+    Args:
+        folder: Data folder.
+        host: Address at which this node listens for others.
+        port: Its port.
+        may_found: Whether this node is one of those that begin the log.
+    """
+    path = folder / _IDENTITY_FILE
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        if path.exists():
+            body = log_files.read_sealed(path)
+            if isinstance(body, errors.Failure):
+                return body
+            return ids.EntryId(body.decode())
+        make = node_ids.first_id if may_found else node_ids.later_id
+        node_id = make(host, port)
+        log_files.write_sealed(path, node_id.encode())
+        log_files.sync_folder(folder)
+    except OSError as error:
+        return log_files.failure_of(error, path)
+    return node_id
+
+
+class _ReadRound:
+    """Reads that share one confirmation of the leadership."""
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.is_confirmed = False
+
+
+class LogNode:
+    """The replica of this node, and its leader's care for the members."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timer_module.TimerService,
+        links: links_module.Links,
+        machine: applier_module.StateMachine,
+        tolerated_losses: int,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Prepares the node; `open` reads the disk.
+
+        Args:
+            settings: Settings of the node; `entry_id` is its identity.
+            timer: Clock.
+            links: Links to the other nodes.
+            machine: Receives what is committed.
+            tolerated_losses: Nodes that may be lost at once.
+            on_change: Called after the log or the leadership moved.
+        """
+        self._settings = settings
+        self._timer = timer
+        self._links = links
+        self._tolerated_losses = tolerated_losses
+        self._on_change = on_change
+        self._announced: dict[
+            ids.EntryId, tuple[float, ids.AvailabilityZone]
+        ] = {}
+        self._zones = {settings.entry_id: settings.availability_zone}
+        self._applier = applier_module.Applier(
+            machine, (), settings.consensus.snapshot_every_records
+        )
+        self._replica: replica_module.Replica | None = None
+        self._reads: dict[int, anyio.Event] = {}
+        self._read_indexes: dict[int, int] = {}
+        self._read_token = 0
+        self._next_round: _ReadRound | None = None
+
+    def open(
+        self, founders: Sequence[ids.EntryId], folder: pathlib.Path
+    ) -> errors.Failure | None:
+        """Reads the disk; `founders` begin the log at the very first start."""
+        store = log_store.LogStore(folder / _LOG_FOLDER)
+        saved = store.load(founders)
+        if isinstance(saved, errors.Failure):
+            return saved
+        self._replica = replica_module.Replica(
+            self._settings,
+            self._links,
+            self._timer,
+            self._applier,
+            store,
+            saved,
+            self._on_reads,
+            self._on_change,
+            lambda: True,
+        )
+        return None
+
+    @property
+    def _core(self) -> consensus.Consensus:
+        return self._opened.core
+
+    @property
+    def _opened(self) -> replica_module.Replica:
+        if self._replica is None:
+            raise RuntimeError("the log is not open")
+        return self._replica
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._core.term
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last record that was applied."""
+        return self._applier.applied_index
+
+    @property
+    def leader_id(self) -> ids.EntryId | None:
+        """The leader of the current term, when it is known."""
+        return self._core.leader_id
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this node leads and has applied all of its log."""
+        core = self._core
+        if core.role is not consensus.Role.LEADER:
+            return False
+        applied = self._applier.applied_index
+        return (
+            applied > 0
+            and applied == core.commit_index
+            and core.log.term_at(applied) == core.term
+        )
+
+    def live_nodes(self) -> tuple[ids.EntryId, ...]:
+        """Returns the replicas and the nodes that announced themselves."""
+        now_s = self._timer.monotonic_s()
+        announced = {
+            node_id
+            for node_id, (seen_s, _) in self._announced.items()
+            if now_s - seen_s < _ANNOUNCEMENT_VALID_S
+        }
+        return tuple(sorted(announced | set(self._core.log.replicas)))
+
+    async def run(self) -> None:
+        """Runs the replica and keeps the members until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._opened.run)
+            tasks.start_soon(self._keep_members)
+
+    def on_message(self, message: Any) -> None:
+        """Takes a message of the log from another node."""
+        if isinstance(message, consensus_messages.CoreMessage):
+            self._opened.step(message)
+        else:
+            loguru.logger.warning("ignored a message that is not of the log")
+
+    def on_announcement(
+        self, announcement: messages.Announcement
+    ) -> messages.Directory:
+        """Notes a node, and says who leads."""
+        node_id = announcement.node_id
+        if node_id is not None:
+            zone = announcement.availability_zone
+            self._announced[node_id] = (self._timer.monotonic_s(), zone)
+            self._zones[node_id] = zone
+        return messages.Directory(
+            self.leader_id, self.is_leader, self.live_nodes()
+        )
+
+    async def propose(
+        self, payload: bytes, timeout_s: float
+    ) -> applier_module.Applied | errors.Failure:
+        """Replicates a command.
+
+        Returns:
+            The result, or a `Failure`: NO_LEADER or DISK_FULL when it will
+            not be applied, UNDECIDED when it may be.
+        """
+        index = self._opened.propose([payload])
+        if isinstance(index, errors.Failure):
+            return index
+        waiter = applier_module.Waiter()
+        self._applier.watch(index, self.term, waiter)
+        await waiter.wait(timeout_s)
+        if waiter.outcome is None:
+            self._applier.forget(index, waiter)
+            return errors.Failure(
+                errors.ErrorKind.UNDECIDED,
+                f"record {index} was not committed within {timeout_s} s",
+            )
+        return waiter.outcome
+
+    async def read_barrier(self) -> bool:
+        """Waits until this node has shown that it still leads.
+
+        Returns:
+            Whether every change that was committed before the call is applied
+            here. Calls that wait at the same time share one round.
+        """
+        if not self.is_leader:
+            return False
+        waiting = self._next_round
+        if waiting is None:
+            waiting = self._next_round = _ReadRound()
+            try:
+                # Reads of the same turn of the event loop join this round.
+                await anyio.lowlevel.checkpoint()
+                self._next_round = None
+                waiting.is_confirmed = await self._confirm()
+            finally:
+                self._next_round = None
+                waiting.done.set()
+        else:
+            await waiting.done.wait()
+        return waiting.is_confirmed
+
+    async def _confirm(self) -> bool:
+        self._read_token += 1
+        token = self._read_token
+        event = self._reads[token] = anyio.Event()
+        try:
+            if not self._opened.request_read(token):
+                return False
+            with anyio.move_on_after(_READ_TIMEOUT_S):
+                await event.wait()
+                index = self._read_indexes.pop(token)
+                return await self._applier.wait_applied(index, _READ_TIMEOUT_S)
+            return False
+        finally:
+            self._reads.pop(token, None)
+
+    def _on_reads(self, reads: Sequence[consensus_output.ReadyRead]) -> None:
+        for read in reads:
+            event = self._reads.get(read.token)
+            if event is not None:
+                self._read_indexes[read.token] = read.index
+                event.set()
+
+    def dump(self) -> dict:
+        """Returns the state for people who look into a running process."""
+        return {
+            "role": self._core.role.value,
+            "term": self.term,
+            "leader": self.leader_id,
+            "applied_index": self._applier.applied_index,
+            "commit_index": self._core.commit_index,
+            **self._opened.dump(),
+        }
+
+    # Members.
+
+    async def _keep_members(self) -> None:
+        async for _ in self._timer.subscribe(_ROSTER_INTERVAL_S):
+            if self.is_leader:
+                self._change_members()
+
+    def _change_members(self) -> None:
+        core = self._core
+        if core.log.configuration_index > core.commit_index:
+            return
+        replicas = roster.next_replicas(
+            self._members(), self._candidates(), self._tolerated_losses
+        )
+        if replicas is None:
+            return
+        result = self._opened.propose_replicas(replicas)
+        loguru.logger.info(
+            "replicas change",
+            event="members",
+            replicas=list(replicas),
+            index=result if isinstance(result, int) else None,
+            refused=None if isinstance(result, int) else result.reason,
+        )
+
+    def _members(self) -> list[roster.Member]:
+        now = self._timer.monotonic_s()
+        contacts = self._core.contact_times_s()
+        return [
+            roster.Member(
+                node_id,
+                self._zones.get(node_id),
+                max(0.0, now - contacts.get(node_id, now)),
+            )
+            for node_id in self._core.log.replicas
+        ]
+
+    def _candidates(self) -> list[roster.Candidate]:
+        now_s = self._timer.monotonic_s()
+        replicas = set(self._core.log.replicas)
+        return [
+            roster.Candidate(node_id, zone)
+            for node_id, (seen_s, zone) in self._announced.items()
+            if node_id not in replicas
+            and now_s - seen_s < _ANNOUNCEMENT_VALID_S
+        ]
--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/consensus.py
@@ -118,6 +118,12 @@
         """Whether this entry is in the latest configuration."""
         return self._entry_id in self._log.replicas
 
+    def contact_times_s(self) -> dict[ids.EntryId, float]:
+        """Returns when each other replica answered last; empty on followers."""
+        if self._leadership is None:
+            return {}
+        return self._leadership.contact_times_s()
+
     @property
     def may_lead(self) -> bool:
         """Whether this entry takes part in elections as a candidate.
--- a/tarragoncleat/consensus_leader.py
+++ b/tarragoncleat/consensus_leader.py
@@ -100,6 +100,13 @@
         )
         return index if self._log.term_at(index) == self._term else 0
 
+    def contact_times_s(self) -> dict[ids.EntryId, float]:
+        """Returns when each follower answered last."""
+        return {
+            member: progress.contact_s
+            for member, progress in self._progress.items()
+        }
+
     def has_quorum_contact(self, now: consensus_output.Now) -> bool:
         """Whether a majority answered within the election timeout."""
         limit_s = now.monotonic_s - self._times.election_max_s
--- a/tarragoncleat/timer.py
+++ b/tarragoncleat/timer.py
@@ -25,8 +25,12 @@
         return {"intervals_s": sorted(self._intervals_s)}
 
     def monotonic_s(self) -> float:
-        """Returns the process's monotonic clock in seconds."""
-        return time.monotonic()
+        """Returns seconds of a clock that also counts suspended time.
+
+        A process that was suspended would otherwise take its leases and its
+        contact with a majority for fresh when it continues.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_time_ms(self) -> int:
         """Returns the time since the Unix epoch in milliseconds."""
