--- /dev/null
+++ b/tarragoncleat/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Queues of jobs whose tasks run on workers under leases."""
--- /dev/null
+++ b/tarragoncleat/batch/dispatcher.py
@@ -0,0 +1,320 @@
+"""The leader's work: it places tasks and keeps the workers' leases."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import loguru
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import codec
+from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import bounds as bounds_module
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import model
+from tarragoncleat.batch import pacing
+from tarragoncleat.batch import placement
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import wave_keeper
+from tarragoncleat.batch import worker_calls
+from tarragoncleat.batch import worker_health
+from tarragoncleat.batch import worker_session
+from tarragoncleat.cluster import log_node
+
+__all__ = ["Dispatcher"]
+
+_COMMIT_TIMEOUT_S = 3.0
+_CHECK_INTERVAL_S = 0.25
+_WAVE_INTERVAL_S = 0.2
+_MS_PER_S = 1000
+
+MakeCalls = Callable[[model.WorkerRecord], worker_calls.WorkerCalls]
+
+
+class Dispatcher:
+    """One leader's term: sessions with workers, placement and waves."""
+
+    def __init__(
+        self,
+        node: log_node.LogNode,
+        state: state_module.BatchState,
+        timer: timer_module.TimerService,
+        bounds: bounds_module.Bounds,
+        make_calls: MakeCalls,
+        instance_calls: worker_calls.InstanceCalls,
+        holder: str,
+    ) -> None:
+        """Begins a term at its first committed record.
+
+        Args:
+            node: The replicated log, which this node leads.
+            state: The replicated state.
+            timer: Clock.
+            bounds: Bounds of the deployment.
+            make_calls: Opens the calls to a worker.
+            instance_calls: Calls to the platform about instances.
+            holder: Name of this node as holder of the instances' leases.
+        """
+        self._node = node
+        self._state = state
+        self._timer = timer
+        self._bounds = bounds
+        self._make_calls = make_calls
+        self._fence = node.term
+        self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._health = worker_health.WorkerHealth()
+        self._ends: list[commands.RunEnd] = []
+        self._ends_done = anyio.Event()
+        self._ends_wake = anyio.Event()
+        self._ends_committed = True
+        self._wake = anyio.Event()
+        self._seen_ended_jobs = state.ended_jobs
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._waves = wave_keeper.WaveKeeper(
+            state, timer, bounds, instance_calls, self, holder, self._fence
+        )
+
+    @property
+    def sessions(self) -> dict[str, worker_session.WorkerSession]:
+        """Sessions by worker."""
+        return self._sessions
+
+    @property
+    def term(self) -> int:
+        """The term in which this dispatcher leads."""
+        return self._fence
+
+    def wake(self) -> None:
+        """Notes that the state may have changed."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Works until cancelled at the end of the term."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._place)
+            tasks.start_soon(self._commit_ends)
+            tasks.start_soon(self._check)
+            tasks.start_soon(self._keep_waves)
+
+    async def commit(self, command: commands.Command) -> Any:
+        """Replicates a command.
+
+        Returns:
+            `Applied`, or a `Failure` of the log.
+        """
+        return await self._node.propose(
+            codec.encode(command), _COMMIT_TIMEOUT_S
+        )
+
+    # What sessions tell.
+
+    async def on_ended(self, rows: list[commands.RunEnd]) -> bool:
+        """Stores ends with those of other sessions in one record."""
+        self._ends.extend(rows)
+        for row in rows:
+            self._health.note_end(row, self._timer.monotonic_s())
+        done = self._ends_done
+        self._ends_wake.set()
+        await done.wait()
+        return self._ends_committed
+
+    def on_report(self, session: worker_session.WorkerSession) -> None:
+        """Takes a report: paces tasks, and looks for room."""
+        worker = self._state.workers.get(session.record.worker_id)
+        if worker is None:
+            return
+        if worker.state is state_module.WorkerState.LAPSED:
+            self._start_soon(
+                self.commit, commands.RegisterWorker(session.record)
+            )
+        now_s = self._timer.monotonic_s()
+        self._health.note_report(session, self._state, now_s)
+        for task, run, percent in pacing.changes(session, self._state):
+            session.pace(task, run, percent)
+
+    def on_gone(self, session: worker_session.WorkerSession) -> None:
+        """Notes the end of a worker's life."""
+        worker_id = session.record.worker_id
+        self._log_worker(worker_id, "gone")
+        self._start_soon(
+            self.commit, commands.LoseWorkers((worker_id,), is_final=True)
+        )
+
+    def on_start_refused(
+        self,
+        session: worker_session.WorkerSession,
+        outcome: worker_calls.OrderOutcome,
+    ) -> None:
+        """Prefers other workers for a while."""
+        self._health.note_refusal(
+            session.record.worker_id, outcome, self._timer.monotonic_s()
+        )
+
+    # Placement.
+
+    async def _place(self) -> None:
+        while True:
+            self._wake = anyio.Event()
+            self._match_sessions()
+            self._stop_ended_jobs()
+            starts = self._plan()
+            if starts:
+                result = await self.commit(commands.StartRuns(tuple(starts)))
+                if isinstance(result, applier_module.Applied):
+                    self._send_starts(starts)
+                    continue
+                loguru.logger.warning(
+                    "starts were not stored",
+                    event="starts_not_stored",
+                    reason=result.reason,
+                )
+                await self._timer.sleep_s(_CHECK_INTERVAL_S)
+            await self._wake.wait()
+
+    def _plan(self) -> list[commands.RunStart]:
+        now_s = self._timer.monotonic_s()
+        open_workers = {
+            worker_id: self._health.penalty(worker_id, now_s)
+            for worker_id, session in self._sessions.items()
+            if session.is_fresh
+            and not self._health.is_shut(worker_id, now_s)
+            and not self._waves.is_emptying(session.record.instance)
+        }
+        views = placement.views_of(self._state, open_workers)
+        return placement.plan(
+            self._state, views, self._timer.wall_time_ms()
+        )
+
+    def _send_starts(self, starts: list[commands.RunStart]) -> None:
+        for row in starts:
+            session = self._sessions.get(row.worker_id)
+            is_current = self._state.is_current(
+                row.task, row.run, row.worker_id
+            )
+            found = self._state.task(row.task)
+            if session is None or found is None or not is_current:
+                continue
+            payload = found[0].definition.payload
+            session.start(row, payload, found[2].checkpoint)
+
+    def _match_sessions(self) -> None:
+        """Opens a session for each worker, and closes those of ended ones."""
+        workers = self._state.workers
+        for worker_id in list(self._sessions):
+            if worker_id not in workers:
+                self._sessions.pop(worker_id).close()
+        for worker_id, worker in workers.items():
+            if worker_id in self._sessions or self._tasks is None:
+                continue
+            session = worker_session.WorkerSession(
+                worker.record,
+                self._state,
+                self._make_calls(worker.record),
+                self,
+                self._timer,
+                self._bounds,
+                self._fence,
+            )
+            self._sessions[worker_id] = session
+            self._tasks.start_soon(session.run)
+
+    def _stop_ended_jobs(self) -> None:
+        if self._state.ended_jobs == self._seen_ended_jobs:
+            return
+        self._seen_ended_jobs = self._state.ended_jobs
+        for worker_id, session in self._sessions.items():
+            for task in self._state.tasks_on(self._state.workers[worker_id]):
+                found = self._state.task(task.key)
+                if found is not None and found[0].has_ended:
+                    session.stop(task.key, task.run)
+
+    async def _commit_ends(self) -> None:
+        while True:
+            await self._ends_wake.wait()
+            self._ends_wake = anyio.Event()
+            rows, self._ends = self._ends, []
+            done, self._ends_done = self._ends_done, anyio.Event()
+            result = await self.commit(commands.EndRuns(tuple(rows)))
+            self._ends_committed = isinstance(result, applier_module.Applied)
+            done.set()
+            self.wake()
+
+    # Checks by time.
+
+    async def _check(self) -> None:
+        async for _ in self._timer.subscribe(_CHECK_INTERVAL_S):
+            await self._lose_lapsed()
+            await self._open_due_occurrences()
+            self._move_off_draining()
+            self._stop_stuck()
+            self.wake()
+
+    async def _lose_lapsed(self) -> None:
+        lapsed = tuple(
+            worker_id
+            for worker_id, session in self._sessions.items()
+            if session.has_lapsed
+            and not session.is_fresh
+            and self._may_hold_tasks(worker_id)
+        )
+        if lapsed:
+            for worker_id in lapsed:
+                self._log_worker(worker_id, "lapsed")
+            await self.commit(commands.LoseWorkers(lapsed, is_final=False))
+
+    def _may_hold_tasks(self, worker_id: str) -> bool:
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return False
+        is_up = worker.state is state_module.WorkerState.UP
+        return is_up or bool(worker.tasks)
+
+    async def _open_due_occurrences(self) -> None:
+        now_ms = self._timer.wall_time_ms()
+        for job in list(self._state.active_jobs.values()):
+            due_ms = job.next_due_ms()
+            if due_ms is not None and due_ms <= now_ms:
+                await self.commit(
+                    commands.OpenOccurrence(job.job_id, job.next_occurrence)
+                )
+
+    def _move_off_draining(self) -> None:
+        """Stops tasks that last on workers that leave, to restart elsewhere."""
+        for worker_id, session in self._sessions.items():
+            worker = self._state.workers.get(worker_id)
+            if worker is None:
+                continue
+            if worker.state is not state_module.WorkerState.DRAINING:
+                continue
+            for task in self._state.tasks_on(worker):
+                found = self._state.task(task.key)
+                if found is not None and found[1].definition.long_running:
+                    session.stop(task.key, task.run)
+
+    def _stop_stuck(self) -> None:
+        """Stops tasks that make no progress, to restart them elsewhere."""
+        now_s = self._timer.monotonic_s()
+        for worker_id, session in self._sessions.items():
+            for task, run in self._health.stuck(worker_id, now_s):
+                self._log_worker(worker_id, "stuck_task")
+                session.stop(task, run)
+
+    async def _keep_waves(self) -> None:
+        async for _ in self._timer.subscribe(_WAVE_INTERVAL_S):
+            await self._waves.step(self._sessions)
+
+    def _start_soon(self, call: Callable, *args: object) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(call, *args)
+
+    def _log_worker(self, worker_id: str, what: str) -> None:
+        session = self._sessions.get(worker_id)
+        loguru.logger.info(
+            "worker changed",
+            event="worker",
+            worker=worker_id,
+            service=session.record.service if session else None,
+            change=what,
+        )
--- /dev/null
+++ b/tarragoncleat/batch/jobs.py
@@ -0,0 +1,350 @@
+"""The aggregate of a job: occurrences, steps, tasks and their rules."""
+
+from collections.abc import Iterator
+import enum
+from typing import Any
+
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import model
+
+__all__ = ["Job", "JobState", "Occurrence", "Step", "Task", "TaskState"]
+
+
+class TaskState(enum.Enum):
+    """Where a task is in its life."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    DONE = "done"
+    DROPPED = "dropped"
+
+
+class JobState(enum.Enum):
+    """Where a job is in its life."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+_ENDED = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class Task:
+    """A task and its latest run."""
+
+    __slots__ = ("checkpoint", "failures", "key", "run", "state", "worker_id")
+
+    def __init__(self, key: model.TaskKey) -> None:
+        """Creates a task that waits for its first run."""
+        self.key = key
+        self.state = TaskState.WAITING
+        self.run = 0
+        self.failures = 0
+        self.worker_id = ""
+        self.checkpoint = ""
+
+
+class Step:
+    """The tasks of one step in one occurrence."""
+
+    __slots__ = ("definition", "done_count", "tasks", "waiting")
+
+    def __init__(
+        self, job_id: str, occurrence: int, number: int, definition: Any
+    ) -> None:
+        """Creates the tasks; all of them wait."""
+        self.definition: model.StepDefinition = definition
+        self.tasks = [
+            Task(model.TaskKey(job_id, occurrence, number, position))
+            for position in range(definition.task_count)
+        ]
+        self.waiting = set(range(definition.task_count))
+        self.done_count = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return self.done_count == len(self.tasks)
+
+    def next_run(self, position: int) -> int:
+        """Returns the number of a task's next run.
+
+        The members of a gang share the number of a run.
+        """
+        if self.definition.gang:
+            return 1 + max(task.run for task in self.tasks)
+        return self.tasks[position].run + 1
+
+
+class Occurrence:
+    """One execution of a job's steps."""
+
+    __slots__ = ("number", "steps")
+
+    def __init__(
+        self, job_id: str, number: int, definition: model.JobDefinition
+    ) -> None:
+        """Creates the steps."""
+        self.number = number
+        self.steps = [
+            Step(job_id, number, index, step)
+            for index, step in enumerate(definition.steps)
+        ]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all steps are done."""
+        return all(step.is_done for step in self.steps)
+
+    def is_ready(self, step: Step) -> bool:
+        """Whether the steps that `step` depends on are done."""
+        return all(
+            self.steps[number].is_done for number in step.definition.depends_on
+        )
+
+
+class Job:
+    """An accepted job."""
+
+    __slots__ = (
+        "_has_started",
+        "accepted_ms",
+        "definition",
+        "ended_ms",
+        "job_id",
+        "next_occurrence",
+        "occurrences",
+        "queue",
+        "state",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        queue: model.QueueKey,
+        definition: model.JobDefinition,
+        accepted_ms: int,
+    ) -> None:
+        """Accepts a job at the leader's time `accepted_ms`."""
+        self.job_id = job_id
+        self.queue = queue
+        self.definition = definition
+        self.accepted_ms = accepted_ms
+        self.state = JobState.QUEUED
+        self.ended_ms: int | None = None
+        self.occurrences: dict[int, Occurrence] = {}
+        self.next_occurrence = 0
+        self._has_started = False
+        if definition.repeat_count == 0:
+            self.open_occurrence(0)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing of the job is left to do."""
+        return self.state in _ENDED
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a task of the job was ever started."""
+        return self._has_started
+
+    @property
+    def is_long_running(self) -> bool:
+        """Whether the job runs until it is cancelled."""
+        return any(step.long_running for step in self.definition.steps)
+
+    def next_due_ms(self) -> int | None:
+        """Returns when the next occurrence is due, in ms since the epoch."""
+        if self.next_occurrence >= self.definition.repeat_count:
+            return None
+        offset_ms = self.next_occurrence * self.definition.interval_ms
+        return self.definition.first_run_ms + offset_ms
+
+    def open_occurrence(self, number: int) -> None:
+        """Creates the tasks of an occurrence; repeating it does nothing."""
+        if number != self.next_occurrence or self.has_ended:
+            return
+        self.occurrences[number] = Occurrence(
+            self.job_id, number, self.definition
+        )
+        self.next_occurrence = number + 1
+
+    def find(self, key: model.TaskKey) -> tuple[Step, Task] | None:
+        """Returns a task and its step, or None when there is no such task."""
+        occurrence = self.occurrences.get(key.occurrence)
+        if occurrence is None or key.step >= len(occurrence.steps):
+            return None
+        step = occurrence.steps[key.step]
+        if key.position >= len(step.tasks):
+            return None
+        return step, step.tasks[key.position]
+
+    def running_tasks(self) -> Iterator[Task]:
+        """Yields the tasks that run or may run."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    if task.state is TaskState.RUNNING:
+                        yield task
+
+    def start(self, row: commands.RunStart) -> bool:
+        """Records a run; returns False when the task can't start now."""
+        found = self.find(row.task)
+        if found is None or self.has_ended:
+            return False
+        step, task = found
+        if task.state is not TaskState.WAITING or row.run <= task.run:
+            return False
+        step.waiting.discard(row.task.position)
+        task.state = TaskState.RUNNING
+        task.run = row.run
+        task.worker_id = row.worker_id
+        self._has_started = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        return True
+
+    def end(
+        self, row: commands.RunEnd, max_attempts: int, now_ms: int
+    ) -> list[Task]:
+        """Records the end of a run.
+
+        Returns:
+            The tasks that have left their workers: this one, and with the end
+            `done` of a gang's member all others.
+        """
+        found = self.find(row.task)
+        if found is None:
+            return []
+        step, task = found
+        is_current = task.run == row.run and task.worker_id == row.worker_id
+        if task.state is not TaskState.RUNNING or not is_current:
+            return []
+        released = [task]
+        if row.ending is commands.Ending.DONE and step.definition.gang:
+            released = [
+                member
+                for member in step.tasks
+                if member.state is TaskState.RUNNING and member.run == row.run
+            ]
+        for member in released:
+            self._leave(step, member, row, max_attempts, now_ms)
+        return released
+
+    def lose(self, task: Task) -> None:
+        """Records that a task's run ended with its worker."""
+        step = self.occurrences[task.key.occurrence].steps[task.key.step]
+        self._wait_again(step, task)
+
+    def cancel(self, now_ms: int) -> None:
+        """Cancels the job unless it has ended."""
+        if not self.has_ended:
+            self._end(JobState.CANCELLED, now_ms)
+
+    def _leave(
+        self,
+        step: Step,
+        task: Task,
+        row: commands.RunEnd,
+        max_attempts: int,
+        now_ms: int,
+    ) -> None:
+        long_running = step.definition.long_running
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.ending is commands.Ending.DONE and not long_running:
+            task.state = TaskState.DONE
+            step.done_count += 1
+            self._complete_if_done(now_ms)
+            return
+        self._wait_again(step, task)
+        if row.ending is commands.Ending.FAILED and not long_running:
+            task.failures += 1
+            if task.failures >= max_attempts and not self.has_ended:
+                self._end(JobState.FAILED, now_ms)
+
+    def _wait_again(self, step: Step, task: Task) -> None:
+        if self.has_ended:
+            task.state = TaskState.DROPPED
+            return
+        task.state = TaskState.WAITING
+        step.waiting.add(task.key.position)
+
+    def _complete_if_done(self, now_ms: int) -> None:
+        if self.has_ended or self.next_due_ms() is not None:
+            return
+        if all(item.is_done for item in self.occurrences.values()):
+            self._end(JobState.COMPLETED, now_ms)
+
+    def _end(self, state: JobState, now_ms: int) -> None:
+        self.state = state
+        self.ended_ms = now_ms
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                for position in step.waiting:
+                    step.tasks[position].state = TaskState.DROPPED
+                step.waiting.clear()
+
+    # Snapshots.
+
+    def pack(self) -> list:
+        """Returns the job as plain values for a snapshot."""
+        return [
+            self.job_id,
+            list(self.queue),
+            self.accepted_ms,
+            self.state.value,
+            self.ended_ms,
+            self._has_started,
+            self.next_occurrence,
+            [
+                [number, [_pack_step(step) for step in occurrence.steps]]
+                for number, occurrence in self.occurrences.items()
+            ],
+        ]
+
+    @classmethod
+    def unpack(cls, fields: list, definition: model.JobDefinition) -> "Job":
+        """Rebuilds a job from `pack` and its definition."""
+        job = cls(fields[0], model.QueueKey(*fields[1]), definition, fields[2])
+        job.state = JobState(fields[3])
+        job.ended_ms = fields[4]
+        job._has_started = fields[5]
+        job.next_occurrence = fields[6]
+        job.occurrences = {}
+        for number, packed_steps in fields[7]:
+            occurrence = Occurrence(job.job_id, number, definition)
+            job.occurrences[number] = occurrence
+            for step, packed in zip(
+                occurrence.steps, packed_steps, strict=True
+            ):
+                _unpack_step(step, packed)
+        return job
+
+
+def _pack_step(step: Step) -> list:
+    return [
+        [
+            task.state.value,
+            task.run,
+            task.failures,
+            task.worker_id,
+            task.checkpoint,
+        ]
+        for task in step.tasks
+    ]
+
+
+def _unpack_step(step: Step, packed: list) -> None:
+    for task, values in zip(step.tasks, packed, strict=True):
+        task.state = TaskState(values[0])
+        task.run, task.failures, task.worker_id, task.checkpoint = values[1:]
+    step.waiting = {
+        task.key.position
+        for task in step.tasks
+        if task.state is TaskState.WAITING
+    }
+    step.done_count = sum(task.state is TaskState.DONE for task in step.tasks)
--- /dev/null
+++ b/tarragoncleat/batch/leader_service.py
@@ -0,0 +1,245 @@
+"""Answers requests about queues, jobs, workers and waves on the leader."""
+
+from collections.abc import Callable
+import functools
+from typing import Any
+
+import loguru
+import msgpack
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import codec
+from tarragoncleat import errors
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import dispatcher as dispatcher_module
+from tarragoncleat.batch import messages
+from tarragoncleat.batch import model
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.cluster import log_node
+
+__all__ = ["LeaderService"]
+
+_COMMIT_TIMEOUT_S = 2.5
+
+
+def _not_found(reason: str) -> errors.Failure:
+    return errors.Failure(errors.ErrorKind.NOT_FOUND, reason)
+
+
+class LeaderService:
+    """Carries out requests that have reached the leader."""
+
+    def __init__(
+        self,
+        node: log_node.LogNode,
+        state: state_module.BatchState,
+        dispatcher: Callable[[], dispatcher_module.Dispatcher | None],
+    ) -> None:
+        """Uses the log, the state and the present dispatcher."""
+        self._node = node
+        self._state = state
+        self._dispatcher = dispatcher
+
+    async def handle(self, request: Any) -> Any:
+        """Carries out a request; returns a message or a `Failure`."""
+        return await self._handle(request)
+
+    @functools.singledispatchmethod
+    async def _handle(self, request: Any) -> Any:
+        return errors.Failure(
+            errors.ErrorKind.BAD_REQUEST,
+            f"not a request: {type(request).__name__}",
+        )
+
+    @_handle.register
+    async def _submit(self, request: messages.SubmitRequest) -> Any:
+        located = await self._locate(request.host, request.path)
+        if isinstance(located, errors.Failure):
+            return located
+        queue, job_id = located
+        if self._state.job(job_id) is None:
+            result = await self._commit(
+                commands.SubmitJob(job_id, queue.key, request.definition)
+            )
+            if isinstance(result, errors.Failure):
+                return result
+        loguru.logger.info(
+            "job accepted", event="job_accepted", job=job_id, queue=queue.name
+        )
+        return messages.Done()
+
+    @_handle.register
+    async def _read(self, request: messages.ReadRequest) -> Any:
+        if not await self._node.read_barrier():
+            return _no_leader()
+        located = await self._locate(request.host, request.path)
+        if isinstance(located, errors.Failure):
+            return located
+        queue, job_id = located
+        if not job_id:
+            return messages.QueueReply(self._state.waiting_count(queue.key))
+        job = self._state.job(job_id)
+        return messages.JobReply(job.state if job is not None else None)
+
+    @_handle.register
+    async def _cancel(self, request: messages.CancelRequest) -> Any:
+        located = await self._locate(request.host, request.path)
+        if isinstance(located, errors.Failure):
+            return located
+        job_id = located[1]
+        result = await self._commit(commands.CancelJob(job_id))
+        if isinstance(result, errors.Failure):
+            return result
+        loguru.logger.info("job cancelled", event="job_cancelled", job=job_id)
+        if not msgpack.unpackb(result.result):
+            return messages.JobReply(None)
+        return messages.Done()
+
+    @_handle.register
+    async def _put(self, request: messages.PutRequest) -> Any:
+        new = request.configuration
+        current = self._state.configuration
+        if current is not None and new.version <= current.version:
+            if not await self._node.read_barrier():
+                return _no_leader()
+            return messages.Done()
+        result = await self._commit(commands.PutConfiguration(new))
+        if isinstance(result, errors.Failure):
+            return result
+        loguru.logger.info(
+            "configuration in force",
+            event="configuration",
+            version=new.version,
+            queues=len(new.queues),
+        )
+        return messages.Done()
+
+    @_handle.register
+    async def _read_configuration(
+        self, request: messages.ReadConfigurationRequest
+    ) -> Any:
+        del request
+        if not await self._node.read_barrier():
+            return _no_leader()
+        current = self._state.configuration
+        if current is None:
+            return errors.Failure(
+                errors.ErrorKind.NO_UPSTREAM, "there is no configuration yet"
+            )
+        return messages.ConfigurationReply(current.source)
+
+    @_handle.register
+    async def _heartbeat(self, request: messages.Heartbeat) -> Any:
+        record = request.worker
+        if self._state.has_ended(record.worker_id):
+            return messages.Done()
+        worker = self._state.workers.get(record.worker_id)
+        if worker is None:
+            result = await self._commit(commands.RegisterWorker(record))
+            if isinstance(result, errors.Failure):
+                return result
+            loguru.logger.info(
+                "worker registered",
+                event="worker",
+                worker=record.worker_id,
+                service=record.service,
+                change="registered",
+            )
+            worker = self._state.workers.get(record.worker_id)
+        draining = state_module.WorkerState.DRAINING
+        if worker is not None and request.is_draining:
+            if worker.state is not draining:
+                return await self._drain(record)
+        self._look_at(record.worker_id)
+        return messages.Done()
+
+    async def _drain(self, record: model.WorkerRecord) -> Any:
+        result = await self._commit(commands.DrainWorker(record.worker_id))
+        if isinstance(result, errors.Failure):
+            return result
+        loguru.logger.info(
+            "worker drains",
+            event="worker",
+            worker=record.worker_id,
+            service=record.service,
+            change="draining",
+        )
+        return messages.Done()
+
+    def _look_at(self, worker_id: str) -> None:
+        dispatcher = self._dispatcher()
+        if dispatcher is not None and worker_id in dispatcher.sessions:
+            dispatcher.sessions[worker_id].look_now()
+
+    @_handle.register
+    async def _worker_left(self, request: messages.WorkerLeft) -> Any:
+        if request.worker_id in self._state.workers:
+            result = await self._commit(
+                commands.LoseWorkers((request.worker_id,), is_final=True)
+            )
+            if isinstance(result, errors.Failure):
+                return result
+        return messages.Done()
+
+    @_handle.register
+    async def _wave(self, request: messages.WaveRequest) -> Any:
+        if request.wave not in self._state.waves:
+            result = await self._commit(
+                commands.StartWave(
+                    request.wave,
+                    request.instances,
+                    request.duration_ms,
+                    request.cap,
+                )
+            )
+            if isinstance(result, errors.Failure):
+                return result
+            loguru.logger.info(
+                "wave accepted",
+                event="wave",
+                wave=request.wave,
+                instances=len(request.instances),
+                cap=request.cap,
+                duration_ms=request.duration_ms,
+            )
+        return messages.Done()
+
+    @_handle.register
+    async def _wave_state(self, request: messages.WaveStateRequest) -> Any:
+        if not await self._node.read_barrier():
+            return _no_leader()
+        wave = self._state.waves.get(request.wave)
+        if wave is None:
+            return _not_found(f"wave {request.wave} is not known")
+        return messages.WaveReply(not wave.remaining)
+
+    async def _locate(
+        self, host: str, path: str
+    ) -> tuple[model.QueuePolicy, str] | errors.Failure:
+        """Returns the queue of a path, and the job's id behind its prefix."""
+        if self._state.configuration is None:
+            return errors.Failure(
+                errors.ErrorKind.NO_UPSTREAM, "there is no configuration yet"
+            )
+        queue = self._state.route(host, path)
+        if queue is None:
+            # Only a leader that is certainly in office knows every queue.
+            if not await self._node.read_barrier():
+                return _no_leader()
+            queue = self._state.route(host, path)
+        if queue is None:
+            return _not_found(f"no queue at {host}{path}")
+        return queue, path[len(queue.path_prefix) :]
+
+    async def _commit(
+        self, command: commands.Command
+    ) -> applier_module.Applied | errors.Failure:
+        return await self._node.propose(
+            codec.encode(command), _COMMIT_TIMEOUT_S
+        )
+
+
+def _no_leader() -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.NO_LEADER, "this node may not lead any more"
+    )
--- /dev/null
+++ b/tarragoncleat/batch/placement.py
@@ -0,0 +1,232 @@
+"""Chooses which waiting tasks start now, and on which workers.
+
+Pure functions over the state and over views of the workers; they perform no
+I/O and read no clock.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+import dataclasses
+
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import model
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import urgency
+
+__all__ = ["WorkerView", "plan", "views_of"]
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerView:
+    """A worker with the room that is left on it.
+
+    Attributes:
+        record: The worker.
+        free: Room that no task takes.
+        is_open: Whether it may get tasks now.
+        penalty: Reasons to prefer other workers; 0 for none.
+        steps: Number of tasks of each step (job, occurrence, step) on it.
+        serving: Number of tasks with a latency target.
+        best_effort: Number of tasks that use left-over processor time.
+    """
+
+    record: model.WorkerRecord
+    free: model.Resources
+    is_open: bool = True
+    penalty: float = 0.0
+    steps: dict[tuple[str, int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+    serving: int = 0
+    best_effort: int = 0
+
+    def take(
+        self, key: model.TaskKey, definition: model.StepDefinition
+    ) -> None:
+        """Takes the room of a task."""
+        self.free = self.free.minus(definition.demand)
+        step = key[:3]
+        self.steps[step] = self.steps.get(step, 0) + 1
+        self.serving += definition.latency_target_ms > 0
+        self.best_effort += definition.best_effort
+
+
+def views_of(
+    state: state_module.BatchState, open_workers: dict[str, float]
+) -> dict[str, list[WorkerView]]:
+    """Returns the workers of each service with the room left on them.
+
+    Args:
+        state: The state.
+        open_workers: Penalty of each worker that may get tasks.
+    """
+    views: dict[str, list[WorkerView]] = {}
+    for worker_id, worker in state.workers.items():
+        view = WorkerView(worker.record, worker.record.capacity)
+        view.penalty = open_workers.get(worker_id, 0.0)
+        view.is_open = (
+            worker_id in open_workers
+            and worker.state is state_module.WorkerState.UP
+        )
+        for key in worker.tasks:
+            found = state.task(key)
+            if found is not None:
+                view.take(key, found[1].definition)
+        views.setdefault(worker.record.service, []).append(view)
+    return views
+
+
+@dataclasses.dataclass(slots=True)
+class _Ready:
+    """A step with tasks that may start, and its place in the order."""
+
+    order: tuple
+    job: jobs_module.Job
+    step: jobs_module.Step
+
+
+def plan(
+    state: state_module.BatchState,
+    views: dict[str, list[WorkerView]],
+    now_ms: int,
+) -> list[commands.RunStart]:
+    """Returns the runs to start now; takes their room from the views."""
+    ready: dict[str, list[_Ready]] = {}
+    for job in state.active_jobs.values():
+        policy = state.policy_of(job)
+        if policy is None or policy.service not in views:
+            continue
+        steps = ready.setdefault(policy.service, [])
+        steps.extend(_ready_steps(job, policy, now_ms))
+    starts: list[commands.RunStart] = []
+    for service, steps in ready.items():
+        steps.sort(key=lambda item: item.order)
+        workers = [view for view in views[service] if view.is_open]
+        for item in steps:
+            starts.extend(_place_step(item.step, workers))
+    return starts
+
+
+def _ready_steps(
+    job: jobs_module.Job, policy: model.QueuePolicy, now_ms: int
+) -> Iterator[_Ready]:
+    order = None
+    for occurrence in job.occurrences.values():
+        for step in occurrence.steps:
+            if step.waiting and occurrence.is_ready(step):
+                if order is None:
+                    order = urgency.order_of(job, policy, now_ms)
+                best_effort = step.definition.best_effort
+                yield _Ready((best_effort, *order), job, step)
+
+
+def _place_step(
+    step: jobs_module.Step, workers: Sequence[WorkerView]
+) -> Iterable[commands.RunStart]:
+    if step.definition.gang:
+        return _place_gang(step, workers)
+    starts = []
+    for position in sorted(step.waiting):
+        task = step.tasks[position]
+        view = _best_worker(task.key, step.definition, workers)
+        if view is None:
+            break
+        view.take(task.key, step.definition)
+        starts.append(
+            commands.RunStart(
+                task.key, step.next_run(position), view.record.worker_id
+            )
+        )
+    return starts
+
+
+def _place_gang(
+    step: jobs_module.Step, workers: Sequence[WorkerView]
+) -> list[commands.RunStart]:
+    """Places all members, or none of them."""
+    if len(step.waiting) < len(step.tasks):
+        return []
+    for group in _gang_groups(step.definition, workers):
+        copies = {id(view): dataclasses.replace(view) for view in group}
+        for view in copies.values():
+            view.steps = dict(view.steps)
+        starts = []
+        for task in step.tasks:
+            view = _best_worker(
+                task.key, step.definition, list(copies.values())
+            )
+            if view is None:
+                break
+            view.take(task.key, step.definition)
+            starts.append((task, view.record.worker_id))
+        if len(starts) < len(step.tasks):
+            continue
+        by_id = {view.record.worker_id: view for view in group}
+        run = step.next_run(0)
+        for task, worker_id in starts:
+            by_id[worker_id].take(task.key, step.definition)
+        return [
+            commands.RunStart(task.key, run, worker_id)
+            for task, worker_id in starts
+        ]
+    return []
+
+
+def _gang_groups(
+    definition: model.StepDefinition, workers: Sequence[WorkerView]
+) -> Iterator[Sequence[WorkerView]]:
+    """Yields the sets of workers to try: single racks first if they help."""
+    if definition.rack_local:
+        for rack in sorted({view.record.rack for view in workers}):
+            yield [view for view in workers if view.record.rack == rack]
+    yield workers
+
+
+def _best_worker(
+    key: model.TaskKey,
+    definition: model.StepDefinition,
+    workers: Sequence[WorkerView],
+) -> WorkerView | None:
+    best = None
+    best_rank: tuple = ()
+    for view in workers:
+        if not _may_run(key, definition, view):
+            continue
+        rank = _rank(key, definition, view)
+        if best is None or rank < best_rank:
+            best, best_rank = view, rank
+    return best
+
+
+def _may_run(
+    key: model.TaskKey, definition: model.StepDefinition, view: WorkerView
+) -> bool:
+    if not definition.demand.fits_into(view.free):
+        return False
+    label = definition.required_label
+    if label and label not in view.record.labels:
+        return False
+    most = definition.max_per_worker
+    return not most or view.steps.get(key[:3], 0) < most
+
+
+def _rank(
+    key: model.TaskKey, definition: model.StepDefinition, view: WorkerView
+) -> tuple:
+    """Returns the preference of a worker; the least is the best."""
+    data_rack = definition.data_rack
+    is_far = bool(data_rack) and view.record.rack != data_rack
+    disturbed = 0
+    if definition.best_effort:
+        disturbed = view.serving
+    elif definition.latency_target_ms:
+        disturbed = view.best_effort
+    same_step = view.steps.get(key[:3], 0) if definition.long_running else 0
+    return (
+        view.penalty,
+        is_far,
+        same_step,
+        disturbed,
+        -view.free.cpu_millicores,
+        view.record.worker_id,
+    )
--- /dev/null
+++ b/tarragoncleat/batch/state.py
@@ -0,0 +1,453 @@
+"""The replicated state machine of queues, jobs, workers and waves."""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+import functools
+from typing import Any
+
+import msgpack
+
+from tarragoncleat import codec
+from tarragoncleat import errors
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import model
+
+__all__ = ["BatchState", "Wave", "Worker", "WorkerState"]
+
+# A job that has ended is kept this long for callers that ask for its state.
+_KEEP_ENDED_MS = 180_000
+_FORGET_EVERY_RECORDS = 256
+_MAX_ENDED_WORKERS = 10_000
+
+
+class WorkerState(enum.Enum):
+    """What is known about a worker by all replicas."""
+
+    UP = "up"
+    DRAINING = "draining"
+    LAPSED = "lapsed"
+
+
+class Worker:
+    """A worker, and the tasks that run or may run on it."""
+
+    __slots__ = ("record", "state", "tasks")
+
+    def __init__(self, record: model.WorkerRecord) -> None:
+        """Creates a worker on which nothing runs."""
+        self.record = record
+        self.state = WorkerState.UP
+        self.tasks: set[model.TaskKey] = set()
+
+
+@dataclasses.dataclass(slots=True)
+class Wave:
+    """Maintenance of instances.
+
+    `chosen` instances were or are about to be ordered into maintenance;
+    `begun` ones have certainly begun it, or left the fleet.
+    """
+
+    number: int
+    instances: tuple[str, ...]
+    duration_ms: int
+    cap: int
+    requested_ms: int
+    chosen: set[str] = dataclasses.field(default_factory=set)
+    begun: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def remaining(self) -> list[str]:
+        """Instances whose maintenance has not begun."""
+        return [name for name in self.instances if name not in self.begun]
+
+
+class BatchState:
+    """Applies commands; every replica holds the same state."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._configuration: model.FleetConfiguration | None = None
+        self._queues: dict[model.QueueKey, model.QueuePolicy] = {}
+        self._past_queues: dict[model.QueueKey, model.QueuePolicy] = {}
+        self._services: dict[str, model.ServicePolicy] = {}
+        self._jobs: dict[str, jobs_module.Job] = {}
+        self._active: dict[str, jobs_module.Job] = {}
+        self._workers: dict[str, Worker] = {}
+        # A late heartbeat of an earlier life must not end the present one.
+        self._ended_workers: dict[str, None] = {}
+        self._waves: dict[int, Wave] = {}
+        self._time_ms = 0
+        self._applied = 0
+        self._ended_jobs = 0
+
+    # Reading.
+
+    @property
+    def configuration(self) -> model.FleetConfiguration | None:
+        """The configuration in force, or None before the first one."""
+        return self._configuration
+
+    @property
+    def active_jobs(self) -> dict[str, jobs_module.Job]:
+        """Jobs that have not ended, in the order of their acceptance."""
+        return self._active
+
+    @property
+    def workers(self) -> dict[str, Worker]:
+        """Workers whose lives have not ended."""
+        return self._workers
+
+    @property
+    def waves(self) -> dict[int, Wave]:
+        """Maintenance waves by number."""
+        return self._waves
+
+    @property
+    def ended_jobs(self) -> int:
+        """Count of jobs that ended in this process's time."""
+        return self._ended_jobs
+
+    @property
+    def time_ms(self) -> int:
+        """Leader's time of the last record."""
+        return self._time_ms
+
+    def has_ended(self, worker_id: str) -> bool:
+        """Whether a worker's life is known to have ended."""
+        return worker_id in self._ended_workers
+
+    def job(self, job_id: str) -> jobs_module.Job | None:
+        """Returns a job that is known, also after its end."""
+        return self._jobs.get(job_id)
+
+    def queue(self, key: model.QueueKey) -> model.QueuePolicy | None:
+        """Returns the policy of a queue that is in force."""
+        return self._queues.get(key)
+
+    def policy_of(self, job: jobs_module.Job) -> model.QueuePolicy | None:
+        """Returns the policy of a job's queue, also after its removal."""
+        return self._queues.get(job.queue) or self._past_queues.get(job.queue)
+
+    def service(self, name: str) -> model.ServicePolicy | None:
+        """Returns the policy of a service that is in force."""
+        return self._services.get(name)
+
+    def route(self, host: str, path: str) -> model.QueuePolicy | None:
+        """Returns the queue with the longest prefix that `path` begins with."""
+        best = None
+        for key, queue in self._queues.items():
+            if key.host != host or not path.startswith(key.path_prefix):
+                continue
+            if best is None or len(key.path_prefix) > len(best.path_prefix):
+                best = queue
+        return best
+
+    def task(
+        self, key: model.TaskKey
+    ) -> tuple[jobs_module.Job, jobs_module.Step, jobs_module.Task] | None:
+        """Returns a task with its job and step, or None."""
+        job = self._jobs.get(key.job_id)
+        found = job.find(key) if job is not None else None
+        if job is None or found is None:
+            return None
+        return job, found[0], found[1]
+
+    def is_current(self, key: model.TaskKey, run: int, worker_id: str) -> bool:
+        """Whether this run is the one that may run, and on that worker."""
+        found = self.task(key)
+        if found is None:
+            return False
+        job, _, task = found
+        return (
+            not job.has_ended
+            and task.state is jobs_module.TaskState.RUNNING
+            and task.run == run
+            and task.worker_id == worker_id
+        )
+
+    def waiting_count(self, key: model.QueueKey) -> int:
+        """Returns how many jobs of a queue have not started any task."""
+        return sum(
+            job.queue == key and not job.has_started
+            for job in self._active.values()
+        )
+
+    # Applying.
+
+    def apply(self, index: int, time_ms: int, payload: bytes) -> bytes:
+        """Applies a command and returns its packed result."""
+        self._time_ms = time_ms
+        self._applied += 1
+        command = codec.decode(payload)
+        if isinstance(command, errors.Failure):
+            # Refused when it was proposed, unless a newer version wrote it.
+            raise ValueError(f"record {index}: {command.reason}")
+        result = self._apply(command)
+        if self._applied % _FORGET_EVERY_RECORDS == 0:
+            self._forget_old_jobs()
+        return msgpack.packb(result)
+
+    @functools.singledispatchmethod
+    def _apply(self, command: Any) -> object:
+        raise TypeError(f"not a command: {type(command).__name__}")
+
+    @_apply.register
+    def _put_configuration(self, command: commands.PutConfiguration) -> object:
+        new = command.configuration
+        current = self._configuration
+        if current is not None and new.version <= current.version:
+            return False
+        self._past_queues.update(self._queues)
+        self._use_configuration(new)
+        return True
+
+    def _use_configuration(self, new: model.FleetConfiguration) -> None:
+        self._configuration = new
+        self._queues = {queue.key: queue for queue in new.queues}
+        self._services = {service.name: service for service in new.services}
+
+    @_apply.register
+    def _submit_job(self, command: commands.SubmitJob) -> object:
+        if command.job_id in self._jobs:
+            return False
+        job = jobs_module.Job(
+            command.job_id, command.queue, command.definition, self._time_ms
+        )
+        self._jobs[job.job_id] = job
+        self._active[job.job_id] = job
+        return True
+
+    @_apply.register
+    def _cancel_job(self, command: commands.CancelJob) -> object:
+        job = self._jobs.get(command.job_id)
+        if job is None:
+            return False
+        job.cancel(self._time_ms)
+        self._settle(job)
+        return True
+
+    @_apply.register
+    def _open_occurrence(self, command: commands.OpenOccurrence) -> object:
+        job = self._jobs.get(command.job_id)
+        if job is not None:
+            job.open_occurrence(command.occurrence)
+        return None
+
+    @_apply.register
+    def _register_worker(self, command: commands.RegisterWorker) -> object:
+        record = command.worker
+        if record.worker_id in self._ended_workers:
+            return False
+        known = self._workers.get(record.worker_id)
+        if known is not None:
+            if known.state is WorkerState.LAPSED:
+                known.state = WorkerState.UP
+            return False
+        for other in list(self._workers.values()):
+            if other.record.instance == record.instance:
+                self._end_worker(other)
+        self._workers[record.worker_id] = Worker(record)
+        return True
+
+    @_apply.register
+    def _drain_worker(self, command: commands.DrainWorker) -> object:
+        worker = self._workers.get(command.worker_id)
+        if worker is not None:
+            worker.state = WorkerState.DRAINING
+        return None
+
+    @_apply.register
+    def _lose_workers(self, command: commands.LoseWorkers) -> object:
+        for worker_id in command.worker_ids:
+            worker = self._workers.get(worker_id)
+            if worker is None:
+                continue
+            if command.is_final:
+                self._end_worker(worker)
+            else:
+                worker.state = WorkerState.LAPSED
+                self._lose_tasks(worker)
+        return None
+
+    @_apply.register
+    def _start_runs(self, command: commands.StartRuns) -> object:
+        started = []
+        for row in command.runs:
+            job = self._jobs.get(row.task.job_id)
+            worker = self._workers.get(row.worker_id)
+            may_start = (
+                job is not None
+                and worker is not None
+                and worker.state is WorkerState.UP
+                and job.start(row)
+            )
+            started.append(may_start)
+            if may_start and worker is not None:
+                worker.tasks.add(row.task)
+        return started
+
+    @_apply.register
+    def _end_runs(self, command: commands.EndRuns) -> object:
+        for row in command.runs:
+            job = self._jobs.get(row.task.job_id)
+            if job is None:
+                continue
+            policy = self.policy_of(job)
+            max_attempts = policy.max_attempts if policy else 1
+            for task in job.end(row, max_attempts, self._time_ms):
+                worker = self._workers.get(task.worker_id)
+                if worker is not None:
+                    worker.tasks.discard(task.key)
+            self._settle(job)
+        return None
+
+    @_apply.register
+    def _start_wave(self, command: commands.StartWave) -> object:
+        if command.wave in self._waves:
+            return False
+        self._waves[command.wave] = Wave(
+            command.wave,
+            command.instances,
+            command.duration_ms,
+            command.cap,
+            self._time_ms,
+        )
+        return True
+
+    @_apply.register
+    def _note_maintenance(self, command: commands.NoteMaintenance) -> object:
+        wave = self._waves.get(command.wave)
+        if wave is None:
+            return None
+        wave.chosen.add(command.instance)
+        if command.phase is not commands.MaintenancePhase.CHOSEN:
+            wave.begun.add(command.instance)
+        if command.phase is commands.MaintenancePhase.BEGUN:
+            worker = self._workers.get(command.worker_id)
+            if worker is not None:
+                self._end_worker(worker)
+        return None
+
+    def _settle(self, job: jobs_module.Job) -> None:
+        if job.has_ended and job.job_id in self._active:
+            del self._active[job.job_id]
+            self._ended_jobs += 1
+
+    def _end_worker(self, worker: Worker) -> None:
+        self._lose_tasks(worker)
+        del self._workers[worker.record.worker_id]
+        self._ended_workers[worker.record.worker_id] = None
+        if len(self._ended_workers) > _MAX_ENDED_WORKERS:
+            del self._ended_workers[next(iter(self._ended_workers))]
+
+    def _lose_tasks(self, worker: Worker) -> None:
+        for key in sorted(worker.tasks):
+            found = self.task(key)
+            if found is not None:
+                found[0].lose(found[2])
+        worker.tasks.clear()
+
+    def _forget_old_jobs(self) -> None:
+        limit_ms = self._time_ms - _KEEP_ENDED_MS
+        for job_id in [
+            job.job_id
+            for job in self._jobs.values()
+            if job.ended_ms is not None and job.ended_ms < limit_ms
+        ]:
+            del self._jobs[job_id]
+
+    # Snapshots.
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        configurations = [self._configuration] if self._configuration else []
+        return msgpack.packb(
+            [
+                self._time_ms,
+                self._applied,
+                [codec.encode(item) for item in configurations],
+                [
+                    [list(key), _pack_queue(queue)]
+                    for key, queue in self._past_queues.items()
+                ],
+                [
+                    [codec.encode(job.definition), job.pack()]
+                    for job in self._jobs.values()
+                ],
+                [
+                    [dataclasses.astuple(worker.record), worker.state.value]
+                    for worker in self._workers.values()
+                ],
+                [list(_pack_wave(wave)) for wave in self._waves.values()],
+                list(self._ended_workers),
+            ]
+        )
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replaces the state by a snapshot; empty data is the first state."""
+        self.__init__()  # type: ignore[misc]
+        if not data:
+            return
+        values = msgpack.unpackb(data)
+        self._time_ms, self._applied = values[0], values[1]
+        for encoded in values[2]:
+            self._use_configuration(codec.decode(encoded))
+        for key, packed in values[3]:
+            self._past_queues[model.QueueKey(*key)] = _unpack_queue(packed)
+        for record, state in values[5]:
+            worker = Worker(_unpack_worker(record))
+            worker.state = WorkerState(state)
+            self._workers[worker.record.worker_id] = worker
+        for definition, packed in values[4]:
+            self._restore_job(
+                jobs_module.Job.unpack(packed, codec.decode(definition))
+            )
+        for packed in values[6]:
+            wave = Wave(packed[0], tuple(packed[1]), *packed[2:5])
+            wave.chosen = set(packed[5])
+            wave.begun = set(packed[6])
+            self._waves[wave.number] = wave
+
+        self._ended_workers = dict.fromkeys(values[7])
+
+    def _restore_job(self, job: jobs_module.Job) -> None:
+        self._jobs[job.job_id] = job
+        if not job.has_ended:
+            self._active[job.job_id] = job
+        for task in job.running_tasks():
+            worker = self._workers.get(task.worker_id)
+            if worker is not None:
+                worker.tasks.add(task.key)
+
+    def tasks_on(self, worker: Worker) -> Iterator[jobs_module.Task]:
+        """Yields the tasks that run or may run on a worker."""
+        for key in worker.tasks:
+            found = self.task(key)
+            if found is not None:
+                yield found[2]
+
+
+def _pack_queue(queue: model.QueuePolicy) -> list:
+    return list(dataclasses.astuple(queue))
+
+
+def _unpack_queue(packed: list) -> model.QueuePolicy:
+    advice = model.Advice(*packed[9]) if packed[9] else None
+    return model.QueuePolicy(*packed[:9], advice)
+
+
+def _unpack_worker(packed: list) -> model.WorkerRecord:
+    return model.WorkerRecord(*packed[:5], tuple(packed[5]), *packed[6:])
+
+
+def _pack_wave(wave: Wave) -> Iterator[Any]:
+    yield wave.number
+    yield list(wave.instances)
+    yield wave.duration_ms
+    yield wave.cap
+    yield wave.requested_ms
+    yield sorted(wave.chosen)
+    yield sorted(wave.begun)
--- /dev/null
+++ b/tarragoncleat/batch/urgency.py
@@ -0,0 +1,56 @@
+"""The order in which jobs get room while there is not enough for all.
+
+Answers the load pattern in which each queue in its turn asks for several
+times what its pool holds. A job earns nearly all of its worth only within its
+objective, so jobs that can still meet it come first, and those that can't
+wait for room that nobody else can use.
+"""
+
+from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import model
+
+__all__ = ["chain_ms", "objective_ms", "order_of", "remaining_chain_ms"]
+
+_LASTING, _IN_TIME, _LATE = range(3)
+
+
+def chain_ms(definition: model.JobDefinition) -> int:
+    """Returns the estimated length of the longest chain of steps, in ms."""
+    ends: list[int] = []
+    for step in definition.steps:
+        begin = max((ends[number] for number in step.depends_on), default=0)
+        ends.append(begin + step.estimated_ms)
+    return max(ends, default=0)
+
+
+def remaining_chain_ms(job: jobs_module.Job) -> int:
+    """Returns the estimated chain of what is not done yet, in ms."""
+    longest = 0
+    for occurrence in job.occurrences.values():
+        ends: list[int] = []
+        for step in occurrence.steps:
+            depends_on = step.definition.depends_on
+            begin = max((ends[number] for number in depends_on), default=0)
+            length = 0 if step.is_done else step.definition.estimated_ms
+            ends.append(begin + length)
+        longest = max(longest, max(ends, default=0))
+    return longest
+
+
+def objective_ms(
+    definition: model.JobDefinition, policy: model.QueuePolicy
+) -> float:
+    """Returns how long a job may take from its submission, in ms."""
+    return policy.stretch * chain_ms(definition) + policy.latency_ms
+
+
+def order_of(
+    job: jobs_module.Job, policy: model.QueuePolicy, now_ms: int
+) -> tuple:
+    """Returns the sort key of a job; the least comes first."""
+    if job.is_long_running:
+        return (_LASTING, policy.priority, 0.0, job.job_id)
+    due_ms = job.accepted_ms + objective_ms(job.definition, policy)
+    latest_start_ms = due_ms - remaining_chain_ms(job)
+    kind = _IN_TIME if latest_start_ms >= now_ms else _LATE
+    return (kind, policy.priority, latest_start_ms, job.job_id)
--- /dev/null
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -0,0 +1,274 @@
+"""Carries out maintenance waves within their caps and availability budgets."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+import loguru
+
+from tarragoncleat import applier as applier_module
+from tarragoncleat import errors
+from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import bounds as bounds_module
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_calls
+from tarragoncleat.batch import worker_session
+
+__all__ = ["WaveKeeper"]
+
+_MS_PER_S = 1000
+_AT_WORK_PERCENT = 100
+# An instance is taken for back this long after its maintenance should have
+# ended, even if no worker on it has registered.
+_RETURN_MARGIN_S = 1.5
+# Tasks that end by themselves get this long before the instance is taken.
+_PATIENCE_S = 5.0
+# At most this share of a service's workers is emptied or down at once.
+_SERVICE_SHARE = 0.25
+
+
+class Committer(Protocol):
+    """Replicates commands."""
+
+    async def commit(self, command: commands.Command) -> object:
+        """Replicates a command."""
+
+
+Sessions = Mapping[str, worker_session.WorkerSession]
+
+
+class WaveKeeper:
+    """Empties instances, orders their maintenance and waits for them."""
+
+    def __init__(
+        self,
+        state: state_module.BatchState,
+        timer: timer_module.TimerService,
+        bounds: bounds_module.Bounds,
+        instance_calls: worker_calls.InstanceCalls,
+        committer: Committer,
+        holder: str,
+        fence: int,
+    ) -> None:
+        """Begins at the start of a leader's term.
+
+        Args:
+            state: The replicated state, for reading.
+            timer: Clock.
+            bounds: Bounds of the deployment.
+            instance_calls: Calls to the platform.
+            committer: Replicates commands.
+            holder: Name of this node as holder of the instances' leases.
+            fence: Fencing token of the term.
+        """
+        self._state = state
+        self._timer = timer
+        self._bounds = bounds
+        self._calls = instance_calls
+        self._committer = committer
+        self._holder = holder
+        self._fence = fence
+        self._started_s = timer.monotonic_s()
+        self._sessions: Sessions = {}
+        self._emptying: dict[str, float] = {}
+        self._begun_s: dict[str, float] = {}
+
+    def is_emptying(self, instance: str) -> bool:
+        """Whether an instance gets no tasks because its turn has come."""
+        return instance in self._emptying
+
+    def is_due(self, instance: str) -> bool:
+        """Whether an instance still waits for its maintenance."""
+        return any(
+            instance in wave.instances and instance not in wave.begun
+            for wave in self._state.waves.values()
+        )
+
+    async def step(self, sessions: Sessions) -> None:
+        """Takes the next steps of every wave."""
+        self._sessions = sessions
+        by_instance = {
+            session.record.instance: session for session in sessions.values()
+        }
+        for wave in list(self._state.waves.values()):
+            if wave.remaining:
+                await self._step_wave(wave, by_instance)
+        due = [name for name in self._emptying if not self.is_due(name)]
+        for instance in due:
+            del self._emptying[instance]
+
+    async def _step_wave(
+        self, wave: state_module.Wave, by_instance: Sessions
+    ) -> None:
+        self._choose(wave, by_instance)
+        for instance in wave.remaining:
+            if instance in wave.chosen:
+                # An earlier leader may have ordered it; repeating is safe.
+                await self._order(wave, instance, by_instance.get(instance))
+            elif instance in self._emptying:
+                session = by_instance.get(instance)
+                is_empty = session is None or self._empty(instance, session)
+                if is_empty and self._down(wave) < wave.cap:
+                    await self._choose_and_order(wave, instance, session)
+
+    def _choose(
+        self, wave: state_module.Wave, by_instance: Sessions
+    ) -> None:
+        """Starts to empty instances, the ones with the least work first."""
+        waiting = [
+            name
+            for name in wave.remaining
+            if name not in wave.chosen and name not in self._emptying
+        ]
+        waiting.sort(key=lambda name: self._load(by_instance.get(name)))
+        busy = self._busy_by_service(by_instance)
+        emptying = sum(name in self._emptying for name in wave.remaining)
+        for instance in waiting:
+            if emptying >= 2 * wave.cap:
+                return
+            session = by_instance.get(instance)
+            service = session.record.service if session else ""
+            if session and busy.get(service, 0) >= self._most_busy(service):
+                continue
+            busy[service] = busy.get(service, 0) + 1
+            self._emptying[instance] = self._timer.monotonic_s()
+            emptying += 1
+
+    def _most_busy(self, service: str) -> int:
+        workers = sum(
+            worker.record.service == service
+            for worker in self._state.workers.values()
+        )
+        return max(1, int(workers * _SERVICE_SHARE))
+
+    def _busy_by_service(self, by_instance: Sessions) -> dict[str, int]:
+        busy: dict[str, int] = {}
+        for instance in self._emptying:
+            session = by_instance.get(instance)
+            if session is not None:
+                service = session.record.service
+                busy[service] = busy.get(service, 0) + 1
+        return busy
+
+    def _load(self, session: worker_session.WorkerSession | None) -> int:
+        if session is None:
+            return 0
+        worker = self._state.workers.get(session.record.worker_id)
+        return len(worker.tasks) if worker is not None else 0
+
+    def _down(self, wave: state_module.Wave) -> int:
+        """Returns how many instances are down for this wave."""
+        back = {
+            worker.record.instance for worker in self._state.workers.values()
+        }
+        now_s = self._timer.monotonic_s()
+        longest_s = self._bounds.maintenance_ms / _MS_PER_S + _RETURN_MARGIN_S
+        down = 0
+        for instance in wave.chosen:
+            begun_s = self._begun_s.get(instance, self._started_s)
+            is_past = now_s - begun_s > longest_s or instance in back
+            down += instance not in wave.begun or not is_past
+        return down
+
+    def _empty(
+        self, instance: str, session: worker_session.WorkerSession
+    ) -> bool:
+        """Stops what may be stopped; returns whether the worker is empty."""
+        worker = self._state.workers.get(session.record.worker_id)
+        if worker is None or not worker.tasks:
+            return True
+        waited_s = self._timer.monotonic_s() - self._emptying[instance]
+        holds_lasting = False
+        for task in list(self._state.tasks_on(worker)):
+            found = self._state.task(task.key)
+            if found is None:
+                continue
+            definition = found[1].definition
+            if definition.long_running:
+                holds_lasting = True
+                if self._may_take(found[1], task):
+                    session.stop(task.key, task.run)
+            elif definition.checkpointing and waited_s > _PATIENCE_S / 2:
+                session.stop(task.key, task.run)
+        return not holds_lasting and waited_s > _PATIENCE_S
+
+    def _may_take(
+        self,
+        step: jobs_module.Step,
+        task: jobs_module.Task,
+    ) -> bool:
+        """Whether the step's availability budget lets this task be stopped."""
+        most = step.definition.max_unavailable
+        if not most:
+            return True
+        away = 0
+        for other in step.tasks:
+            if other is not task and not self._is_at_work(other):
+                away += 1
+        return away < most
+
+    def _is_at_work(self, task: jobs_module.Task) -> bool:
+        if task.state is not jobs_module.TaskState.RUNNING:
+            return False
+        session = self._sessions.get(task.worker_id)
+        if session is None or not session.is_fresh:
+            return False
+        run_id = (task.key, task.run)
+        row = session.running.get(run_id)
+        return (
+            row is not None
+            and row.percent >= _AT_WORK_PERCENT
+            and run_id not in session.stopping
+        )
+
+    async def _choose_and_order(
+        self,
+        wave: state_module.Wave,
+        instance: str,
+        session: worker_session.WorkerSession | None,
+    ) -> None:
+        chosen = commands.NoteMaintenance(
+            wave.number, instance, commands.MaintenancePhase.CHOSEN
+        )
+        result = await self._committer.commit(chosen)
+        if isinstance(result, applier_module.Applied):
+            await self._order(wave, instance, session)
+
+    async def _order(
+        self,
+        wave: state_module.Wave,
+        instance: str,
+        session: worker_session.WorkerSession | None,
+    ) -> None:
+        failure = await self._calls.maintain(
+            instance, wave.number, self._holder, self._fence
+        )
+        phase = commands.MaintenancePhase.BEGUN
+        if failure is not None:
+            if failure.kind is not errors.ErrorKind.NOT_FOUND:
+                loguru.logger.info(
+                    "maintenance not begun",
+                    event="maintenance_refused",
+                    wave=wave.number,
+                    instance=instance,
+                    reason=failure.reason,
+                )
+                return
+            phase = commands.MaintenancePhase.GONE
+        self._begun_s[instance] = self._timer.monotonic_s()
+        worker_id = session.record.worker_id if session else ""
+        await self._committer.commit(
+            commands.NoteMaintenance(
+                wave.number, instance, phase, worker_id
+            )
+        )
+        self._emptying.pop(instance, None)
+        loguru.logger.info(
+            "maintenance begun",
+            event="maintenance",
+            wave=wave.number,
+            instance=instance,
+            phase=phase.value,
+            remaining=len(wave.remaining),
+        )
