--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 RUFF = $(VENV)/bin/ruff
-SOURCES = tarragoncleat tarragoncleat_bench tests tools
+SOURCES = tarragoncleat tarragoncleat_bench platform tests tools
 
 .PHONY: install check test demo bench
 
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -183,9 +183,7 @@
             and not self._waves.is_emptying(session.record.instance)
         }
         views = placement.views_of(self._state, open_workers)
-        return placement.plan(
-            self._state, views, self._timer.wall_time_ms()
-        )
+        return placement.plan(self._state, views, self._timer.wall_time_ms())
 
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
         for row in starts:
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -147,9 +147,9 @@
             )
             worker = self._state.workers.get(record.worker_id)
         draining = state_module.WorkerState.DRAINING
-        if worker is not None and request.is_draining:
-            if worker.state is not draining:
-                return await self._drain(record)
+        is_new = worker is not None and worker.state is not draining
+        if is_new and request.is_draining:
+            return await self._drain(record)
         self._look_at(record.worker_id)
         return messages.Done()
 
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -208,6 +208,4 @@
     @property
     def capacity(self) -> Resources:
         """Room for tasks."""
-        return Resources(
-            self.cpu_millicores, self.memory_mb, self.accelerators
-        )
+        return Resources(self.cpu_millicores, self.memory_mb, self.accelerators)
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -197,25 +197,27 @@
     async def _lead(self) -> None:
         while True:
             await self._wait_until(lambda: self._node.is_leader)
-            term = self._node.term
-            loguru.logger.info("leads", event="leader", term=term)
-            self._dispatcher = dispatcher_module.Dispatcher(
-                self._node,
-                self._state,
-                self._timer,
-                self._bounds,
-                self._make_calls,
-                self._instance_calls,
-                self._holder,
-            )
-            try:
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._dispatcher.run)
-                    await self._wait_until(lambda: not self._leads(term))
-                    tasks.cancel_scope.cancel()
-            finally:
-                self._dispatcher = None
-            loguru.logger.info("leads no more", event="leader", term=term)
+            await self._lead_term(self._node.term)
+
+    async def _lead_term(self, term: int) -> None:
+        loguru.logger.info("leads", event="leader", term=term)
+        self._dispatcher = dispatcher_module.Dispatcher(
+            self._node,
+            self._state,
+            self._timer,
+            self._bounds,
+            self._make_calls,
+            self._instance_calls,
+            self._holder,
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._dispatcher.run)
+                await self._wait_until(lambda: not self._leads(term))
+                tasks.cancel_scope.cancel()
+        finally:
+            self._dispatcher = None
+        loguru.logger.info("leads no more", event="leader", term=term)
 
     def _leads(self, term: int) -> bool:
         leader = self._node.leader_id
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -147,31 +147,38 @@
     if len(step.waiting) < len(step.tasks):
         return []
     for group in _gang_groups(step.definition, workers):
-        copies = {id(view): dataclasses.replace(view) for view in group}
-        for view in copies.values():
-            view.steps = dict(view.steps)
-        starts = []
-        for task in step.tasks:
-            view = _best_worker(
-                task.key, step.definition, list(copies.values())
-            )
-            if view is None:
-                break
-            view.take(task.key, step.definition)
-            starts.append((task, view.record.worker_id))
-        if len(starts) < len(step.tasks):
+        chosen = _workers_for_gang(step, group)
+        if chosen is None:
             continue
-        by_id = {view.record.worker_id: view for view in group}
         run = step.next_run(0)
-        for task, worker_id in starts:
-            by_id[worker_id].take(task.key, step.definition)
-        return [
-            commands.RunStart(task.key, run, worker_id)
-            for task, worker_id in starts
-        ]
+        starts = []
+        for task, view in zip(step.tasks, chosen, strict=True):
+            view.take(task.key, step.definition)
+            starts.append(
+                commands.RunStart(task.key, run, view.record.worker_id)
+            )
+        return starts
     return []
 
 
+def _workers_for_gang(
+    step: jobs_module.Step, group: Sequence[WorkerView]
+) -> list[WorkerView] | None:
+    """Returns a worker for each member, or None when they don't all fit."""
+    copies = [
+        dataclasses.replace(view, steps=dict(view.steps)) for view in group
+    ]
+    originals = {view.record.worker_id: view for view in group}
+    chosen = []
+    for task in step.tasks:
+        copy = _best_worker(task.key, step.definition, copies)
+        if copy is None:
+            return None
+        copy.take(task.key, step.definition)
+        chosen.append(originals[copy.record.worker_id])
+    return chosen
+
+
 def _gang_groups(
     definition: model.StepDefinition, workers: Sequence[WorkerView]
 ) -> Iterator[Sequence[WorkerView]]:
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -435,12 +435,18 @@
 
 
 def _unpack_queue(packed: list) -> model.QueuePolicy:
-    advice = model.Advice(*packed[9]) if packed[9] else None
-    return model.QueuePolicy(*packed[:9], advice)
+    names = [field.name for field in dataclasses.fields(model.QueuePolicy)]
+    values = dict(zip(names, packed, strict=True))
+    if values["advice"] is not None:
+        values["advice"] = model.Advice(*values["advice"])
+    return model.QueuePolicy(**values)
 
 
 def _unpack_worker(packed: list) -> model.WorkerRecord:
-    return model.WorkerRecord(*packed[:5], tuple(packed[5]), *packed[6:])
+    names = [field.name for field in dataclasses.fields(model.WorkerRecord)]
+    values = dict(zip(names, packed, strict=True))
+    values["labels"] = tuple(values["labels"])
+    return model.WorkerRecord(**values)
 
 
 def _pack_wave(wave: Wave) -> Iterator[Any]:
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -112,9 +112,7 @@
                 if is_empty and self._down(wave) < wave.cap:
                     await self._choose_and_order(wave, instance, session)
 
-    def _choose(
-        self, wave: state_module.Wave, by_instance: Sessions
-    ) -> None:
+    def _choose(self, wave: state_module.Wave, by_instance: Sessions) -> None:
         """Starts to empty instances, the ones with the least work first."""
         waiting = [
             name
@@ -259,9 +257,7 @@
         self._begun_s[instance] = self._timer.monotonic_s()
         worker_id = session.record.worker_id if session else ""
         await self._committer.commit(
-            commands.NoteMaintenance(
-                wave.number, instance, phase, worker_id
-            )
+            commands.NoteMaintenance(wave.number, instance, phase, worker_id)
         )
         self._emptying.pop(instance, None)
         loguru.logger.info(
--- a/tarragoncleat/batch/worker_calls.py
+++ b/tarragoncleat/batch/worker_calls.py
@@ -176,7 +176,9 @@
 class InstanceCalls(Protocol):
     """Calls to the platform about instances."""
 
-    async def list_instances(self) -> tuple[InstanceRecord, ...] | errors.Failure:
+    async def list_instances(
+        self,
+    ) -> tuple[InstanceRecord, ...] | errors.Failure:
         """Returns all instances."""
 
     async def maintain(
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -407,9 +407,7 @@
         worker = self._state.workers.get(self.record.worker_id)
         if worker is None:
             return []
-        return [
-            (task.key, task.run) for task in self._state.tasks_on(worker)
-        ]
+        return [(task.key, task.run) for task in self._state.tasks_on(worker)]
 
     def _reconcile(self, ended: set[_RunId]) -> None:
         """Stops what must not run, and starts what an earlier leader didn't."""
--- a/tarragoncleat/cluster/links.py
+++ b/tarragoncleat/cluster/links.py
@@ -92,16 +92,7 @@
     async def _read(self, receive: Callable[[list], None]) -> None:
         decoder = frames.Decoder()
         while True:
-            data = b""
-            with anyio.move_on_after(_SILENCE_S):
-                try:
-                    data = await self._stream.receive(_READ_BYTES)
-                except (
-                    anyio.EndOfStream,
-                    anyio.BrokenResourceError,
-                    anyio.ClosedResourceError,
-                ):
-                    pass
+            data = await self._receive()
             bodies = decoder.feed(data) if data else None
             if bodies is None or isinstance(bodies, errors.Failure):
                 self.close()
@@ -109,6 +100,19 @@
             for body in bodies:
                 receive(msgpack.unpackb(body))
 
+    async def _receive(self) -> bytes:
+        """Returns received bytes; none when the connection has broken."""
+        with anyio.move_on_after(_SILENCE_S):
+            try:
+                return await self._stream.receive(_READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                return b""
+        return b""
+
 
 class _Pending:
     """A request that waits for its reply."""
@@ -166,16 +170,16 @@
                 await self._listen()
             await anyio.sleep_forever()
 
-    def send(self, node_id: ids.EntryId, message: object) -> bool:
+    def send(self, entry_id: ids.EntryId, message: object) -> bool:
         """Queues a one-way message; returns False when it is not sent."""
-        address = node_ids.address_of(node_id)
+        address = node_ids.address_of(entry_id)
         if isinstance(address, errors.Failure):
             return False
         connection = self._dialled.get(address)
         if connection is None or not connection.is_open:
             self._start_dialling(address)
             return False
-        parts = [_ONE_WAY, self._own_id, node_id, codec.encode(message)]
+        parts = [_ONE_WAY, self._own_id, entry_id, codec.encode(message)]
         return connection.put(parts)
 
     async def request(
--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/replica.py
@@ -32,7 +32,7 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        links: replication_messages.Links,
+        links: replication_messages.Sender,
         timer: timer_module.TimerService,
         applier: applier_module.Applier,
         store: log_store.LogStore,
--- a/tarragoncleat/replication_messages.py
+++ b/tarragoncleat/replication_messages.py
@@ -26,10 +26,18 @@
     "ReadIndexReply",
     "ReadIndexRequest",
     "ReportRow",
+    "Sender",
 ]
 
 
-class Links(Protocol):
+class Sender(Protocol):
+    """What a replica needs of the links to other nodes."""
+
+    def send(self, entry_id: ids.EntryId, message: object) -> bool:
+        """Queues a message; returns False when it is certainly not sent."""
+
+
+class Links(Sender, Protocol):
     """What replication needs of `peering.PeerLinks`."""
 
     def subscribe(
@@ -37,9 +45,6 @@
     ) -> memory.MemoryObjectReceiveStream[Any]:
         """Returns a stream of received messages of these types."""
 
-    def send(self, entry_id: ids.EntryId, message: object) -> bool:
-        """Queues a message; returns False when it is certainly not sent."""
-
     def connected(self) -> Collection[ids.EntryId]:
         """Returns the entries with a working link."""
 
--- /dev/null
+++ b/tests/batch_builders.py
@@ -0,0 +1,409 @@
+"""Builders of jobs, workers and configurations, and fakes of workers."""
+
+from collections.abc import Sequence
+import dataclasses
+import itertools
+import json
+from typing import Any
+
+import anyio
+
+from tarragoncleat import applier
+from tarragoncleat import codec
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import bounds
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import dispatcher
+from tarragoncleat.batch import model
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_calls
+from tarragoncleat.cluster import roster
+
+__all__ = [
+    "FakeInstances",
+    "FakeLog",
+    "FakeWorker",
+    "LocalState",
+    "build_configuration",
+    "build_heartbeat_body",
+    "build_job",
+    "build_manifest",
+    "build_member",
+    "build_record",
+    "build_step",
+    "make_dispatcher",
+    "ManualTimer",
+    "task_key",
+]
+
+QUEUE = model.QueueKey("hall.example", "/bids/")
+
+
+def build_step(task_count: int = 1, **fields: Any) -> model.StepDefinition:
+    """Returns a step of small tasks of about a second."""
+    values: dict[str, Any] = {
+        "cpu_millicores": 1_000,
+        "memory_mb": 512,
+        "estimated_ms": 1_000,
+    }
+    return model.StepDefinition(task_count, **{**values, **fields})
+
+
+def build_job(*steps: model.StepDefinition) -> model.JobDefinition:
+    """Returns a job of these steps, or of one small step."""
+    return model.JobDefinition("payload", steps or (build_step(),))
+
+
+def build_record(worker_id: str = "w-1", **fields: Any) -> model.WorkerRecord:
+    """Returns a worker with 4 cores on an instance of its own."""
+    values: dict[str, Any] = {
+        "service": "bidding",
+        "address": f"{worker_id}:80",
+        "availability_zone": "fukuoka-a",
+        "instance": f"instance-of-{worker_id}",
+        "labels": ("a", "rack-1"),
+        "rack": "rack-1",
+        "cpu_millicores": 4_000,
+        "memory_mb": 8_192,
+        "accelerators": 0,
+    }
+    return model.WorkerRecord(worker_id, **{**values, **fields})
+
+
+def build_configuration(
+    version: int = 1, **queue_fields: Any
+) -> model.FleetConfiguration:
+    """Returns a configuration with one queue and one service."""
+    values: dict[str, Any] = {
+        "name": "bids",
+        "host": QUEUE.host,
+        "path_prefix": QUEUE.path_prefix,
+        "service": "bidding",
+        "timeout_ms": 3_000,
+        "latency_ms": 600,
+        "priority": 0,
+        "max_attempts": 3,
+        "stretch": 1.6,
+    }
+    queue = model.QueuePolicy(**{**values, **queue_fields})
+    service = model.ServicePolicy(queue.service, True, False)
+    return model.FleetConfiguration(version, b"{}", (queue,), (service,))
+
+
+def task_key(job_id: str = "job-1", position: int = 0) -> model.TaskKey:
+    """Returns a task of a job's first step."""
+    return model.TaskKey(job_id, 0, 0, position)
+
+
+def build_member(
+    name: str, silent_s: float = 0.0, zone: str | None = None
+) -> roster.Member:
+    """Returns a replica as its leader sees it."""
+    return roster.Member(
+        ids.EntryId(name),
+        ids.AvailabilityZone(zone) if zone else None,
+        silent_s,
+    )
+
+
+def build_manifest(**fields: Any) -> dict[str, Any]:
+    """Returns a valid manifest of the platform as plain values."""
+    route = {
+        "name": "r-1",
+        "host": QUEUE.host,
+        "path-prefix": QUEUE.path_prefix,
+        "type": "unsafe",
+        "timeout-ms": 3000,
+        "target-latency-ms": 600,
+        "priority": 1,
+        "service": "bidding",
+        "max-attempts": 3,
+        "stretch": 1.6,
+    }
+    service = {"name": "bidding", "rejects-overload": True, "spare": False}
+    return {
+        "version": 7,
+        "routes": [route],
+        "services": [service],
+        **fields,
+    }
+
+
+def build_heartbeat_body(**fields: Any) -> bytes:
+    """Returns a worker's check-in as the platform's workers send it."""
+    values = {
+        "service": "bidding",
+        "address": "10.128.0.9:8080",
+        "zone": "fukuoka-a",
+        "machine": "m-1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clock-ms": 482113,
+        "sequence": 4,
+    }
+    return json.dumps({**values, **fields}).encode()
+
+
+class LocalState:
+    """A state machine that is driven without a log."""
+
+    def __init__(self, max_attempts: int = 3) -> None:
+        self.state = state_module.BatchState()
+        self._index = itertools.count(1)
+        self.time_ms = 1_000_000
+        self.apply(
+            commands.PutConfiguration(
+                build_configuration(max_attempts=max_attempts)
+            )
+        )
+
+    def apply(self, command: commands.Command) -> None:
+        """Applies a command at the present time."""
+        payload = codec.encode(command)
+        self.state.apply(next(self._index), self.time_ms, payload)
+
+    def submit(
+        self, job_id: str = "job-1", *steps: model.StepDefinition
+    ) -> None:
+        """Accepts a job."""
+        self.apply(commands.SubmitJob(job_id, QUEUE, build_job(*steps)))
+
+    def register(self, *worker_ids: str, **fields: Any) -> None:
+        """Registers workers."""
+        for worker_id in worker_ids:
+            record = build_record(worker_id, **fields)
+            self.apply(commands.RegisterWorker(record))
+
+    def start(
+        self, task: model.TaskKey, run: int = 1, worker_id: str = "w-1"
+    ) -> None:
+        """Records a run."""
+        row = commands.RunStart(task, run, worker_id)
+        self.apply(commands.StartRuns((row,)))
+
+    def end(
+        self,
+        task: model.TaskKey,
+        ending: commands.Ending = commands.Ending.DONE,
+        run: int = 1,
+        worker_id: str = "w-1",
+        checkpoint: str = "",
+    ) -> None:
+        """Records the end of a run."""
+        row = commands.RunEnd(task, run, worker_id, ending, checkpoint)
+        self.apply(commands.EndRuns((row,)))
+
+
+class ManualTimer(timer_module.TimerService):
+    """A timer whose clock stands still until `advance` is called."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock."""
+        self.now_s += seconds
+
+    def monotonic_s(self) -> float:
+        """Returns the moved clock."""
+        return self.now_s
+
+    def wall_time_ms(self) -> int:
+        """Returns the moved clock in milliseconds."""
+        return int(self.now_s * 1000)
+
+
+class FakeLog:
+    """Commits each command at once on a local state."""
+
+    def __init__(self, state: state_module.BatchState, term: int = 1) -> None:
+        self.state = state
+        self.term = term
+        self.committed: list[Any] = []
+        self.refuses = False
+        self.on_commit: list[Any] = []
+
+    async def propose(
+        self, payload: bytes, timeout_s: float
+    ) -> applier.Applied | errors.Failure:
+        """Applies a command."""
+        del timeout_s
+        await anyio.sleep(0)
+        if self.refuses:
+            return errors.Failure(errors.ErrorKind.NO_LEADER, "refused")
+        command = codec.decode(payload)
+        self.committed.append(command)
+        result = self.state.apply(len(self.committed), 1_000_000, payload)
+        for call in self.on_commit:
+            call()
+        return applier.Applied(len(self.committed), result)
+
+
+@dataclasses.dataclass
+class _Run:
+    checkpoint: str = ""
+    percent: int = 0
+    load: float = 0.0
+
+
+class FakeWorker:
+    """A worker that obeys orders and fences, and ends runs when told to."""
+
+    def __init__(self, record: model.WorkerRecord) -> None:
+        self.record = record
+        self.clock_ms = 50_000
+        self.fence = 0
+        self.running: dict[tuple[model.TaskKey, int], _Run] = {}
+        self.ended: list[worker_calls.EndedRun] = []
+        self.starts: list[worker_calls.StartOrder] = []
+        self.stops: list[worker_calls.StopOrder] = []
+        self.paces: list[worker_calls.PaceOrder] = []
+        self.acknowledged = 0
+        self.is_silent = False
+        self.is_gone = False
+        self.start_outcome: worker_calls.OrderOutcome | None = None
+        self.lost_answers = 0
+        self._changed = anyio.Event()
+        self._sequence = itertools.count(1)
+
+    def end(
+        self,
+        task: model.TaskKey,
+        run: int = 1,
+        ending: commands.Ending = commands.Ending.DONE,
+    ) -> None:
+        """Ends a run."""
+        done = self.running.pop((task, run))
+        self.ended.append(
+            worker_calls.EndedRun(
+                next(self._sequence), task, run, ending, done.checkpoint
+            )
+        )
+        self._changed.set()
+
+    async def start(
+        self, order: worker_calls.StartOrder
+    ) -> worker_calls.OrderReply:
+        """Takes a start."""
+        early = await self._refusal()
+        if early is not None:
+            return early
+        self.starts.append(order)
+        if self.start_outcome is not None:
+            return self._reply(self.start_outcome)
+        self.running.setdefault((order.task, order.run), _Run())
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return worker_calls.OrderReply(worker_calls.OrderOutcome.UNANSWERED)
+        return self._reply(worker_calls.OrderOutcome.ACCEPTED)
+
+    async def stop(
+        self, order: worker_calls.StopOrder
+    ) -> worker_calls.OrderReply:
+        """Takes a stop."""
+        early = await self._refusal()
+        if early is not None:
+            return early
+        self.stops.append(order)
+        if (order.task, order.run) in self.running:
+            self.end(order.task, order.run, commands.Ending.STOPPED)
+        return self._reply(worker_calls.OrderOutcome.ACCEPTED)
+
+    async def pace(
+        self, order: worker_calls.PaceOrder
+    ) -> worker_calls.OrderReply:
+        """Takes a change of speed."""
+        self.paces.append(order)
+        return self._reply(worker_calls.OrderOutcome.ACCEPTED)
+
+    async def hold(
+        self, order: worker_calls.HoldOrder
+    ) -> worker_calls.HoldReport | worker_calls.OrderReply:
+        """Reports, after an end if it may wait for one."""
+        early = await self._refusal()
+        if early is not None:
+            return early
+        self.acknowledged = max(self.acknowledged, order.acknowledged)
+        self.ended = [
+            row for row in self.ended if row.sequence > order.acknowledged
+        ]
+        if not self.ended:
+            self._changed = anyio.Event()
+            with anyio.move_on_after(0.02 if order.wait_ms else 0):
+                await self._changed.wait()
+        rows = tuple(
+            worker_calls.RunningTask(
+                task, run, row.checkpoint, row.percent, row.load
+            )
+            for (task, run), row in self.running.items()
+        )
+        return worker_calls.HoldReport(self.clock_ms, rows, tuple(self.ended))
+
+    async def close(self) -> None:
+        """Does nothing."""
+
+    async def _refusal(self) -> worker_calls.OrderReply | None:
+        await anyio.sleep(0)
+        outcome = None
+        if self.is_silent:
+            outcome = worker_calls.OrderOutcome.UNANSWERED
+        elif self.is_gone:
+            outcome = worker_calls.OrderOutcome.GONE
+        return worker_calls.OrderReply(outcome) if outcome else None
+
+    def _reply(
+        self, outcome: worker_calls.OrderOutcome
+    ) -> worker_calls.OrderReply:
+        return worker_calls.OrderReply(outcome, self.clock_ms)
+
+
+class FakeInstances:
+    """The platform's instances; maintenance begins at once."""
+
+    def __init__(self) -> None:
+        self.maintained: list[str] = []
+        self.failure: errors.Failure | None = None
+
+    async def list_instances(
+        self,
+    ) -> tuple[worker_calls.InstanceRecord, ...] | errors.Failure:
+        """Returns nothing."""
+        return ()
+
+    async def maintain(
+        self, instance: str, wave: int, holder: str, fence: int
+    ) -> None | errors.Failure:
+        """Notes the order."""
+        del wave, holder, fence
+        if self.failure is None:
+            self.maintained.append(instance)
+        return self.failure
+
+
+def make_dispatcher(
+    local: LocalState,
+    workers: Sequence[FakeWorker],
+    timer: timer_module.TimerService,
+    instances: FakeInstances | None = None,
+    term: int = 1,
+) -> tuple[dispatcher.Dispatcher, FakeLog]:
+    """Returns a dispatcher over fakes, and its log."""
+    log = FakeLog(local.state, term)
+    by_id = {worker.record.worker_id: worker for worker in workers}
+    made = dispatcher.Dispatcher(
+        log,  # type: ignore[arg-type]
+        local.state,
+        timer,
+        bounds.Bounds(),
+        lambda record: by_id[record.worker_id],
+        instances or FakeInstances(),
+        "core-1",
+    )
+    log.on_commit.append(made.wake)
+    return made, log
--- a/tests/run.py
+++ b/tests/run.py
@@ -15,6 +15,7 @@
 import unittest
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+_ADAPTER_FOLDER = _ROOT / "platform"
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _PARALLEL_MODULES = 4
 _MODULE_TIMEOUT_S = 300
@@ -34,9 +35,11 @@
 def _run_module(name: str) -> tuple[str, int, set[str], str]:
     started_s = time.monotonic()
     command = [sys.executable, "-m", "unittest", name]
+    environment = {**os.environ, "PYTHONPATH": str(_ADAPTER_FOLDER)}
     process = subprocess.Popen(
         command,
         cwd=_ROOT,
+        env=environment,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
         text=True,
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,223 @@
+"""Tests of the translation between the platform and the product."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+
+from fleet_adapter import caller_app
+from fleet_adapter import control_app
+from fleet_adapter import http_messages
+from fleet_adapter import settings_file
+from fleet_adapter import wire
+from tarragoncleat import errors
+from tarragoncleat.batch import jobs
+from tarragoncleat.batch import messages
+from tarragoncleat.batch import model
+from tests import batch_builders
+
+_SETTINGS = """\
+node-name=core-1
+ip-address=10.1.0.11
+zone=fukuoka-a
+region=kyushu
+bind-addresses.control=10.1.0.11:8623
+internal-port-range=7060,7075
+seed-nodes=10.1.0.11:8623,10.2.0.25:8623
+bootstrap=true
+data-dir=/data/control
+fault-tolerance.machines=1
+bounds.max-hold-ms=7000
+bounds.upkeep-s=2.5
+an-unknown-field=17
+"""
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.floats()
+    | strategies.integers()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+
+
+class SettingsTest(unittest.TestCase):
+    """Guards against settings that are taken without a check."""
+
+    def _load(self, text: str) -> settings_file.NodeSettings | errors.Failure:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "local.conf")
+            path.write_text(text, encoding="utf-8")
+            return settings_file.load(path)
+
+    def test_fields_are_typed_and_unknown_ones_ignored(self) -> None:
+        loaded = self._load(_SETTINGS)
+        assert isinstance(loaded, settings_file.NodeSettings)
+        self.assertEqual(
+            loaded.seeds, (("10.1.0.11", 7060), ("10.2.0.25", 7060))
+        )
+        self.assertEqual(loaded.bounds.max_lease_ms, 7_000)
+        self.assertEqual(loaded.bounds.maintenance_ms, 2_500)
+        self.assertIsNone(loaded.caller_address)
+
+    def test_damaged_settings_are_a_failure(self) -> None:
+        for old, new in (
+            ("bootstrap=true", "bootstrap=perhaps"),
+            ("internal-port-range=7060,7075", "internal-port-range=x"),
+            ("ip-address=10.1.0.11\n", ""),
+            ("seed-nodes=10.1.0.11:8623", "seed-nodes=10.1.0.11:0"),
+        ):
+            loaded = self._load(_SETTINGS.replace(old, new))
+            self.assertIsInstance(loaded, errors.Failure, new)
+
+
+class WireTest(unittest.TestCase):
+    """Guards against bodies that are misread instead of refused."""
+
+    def test_job_is_decoded(self) -> None:
+        body = {
+            "spec": "text",
+            "steps": [
+                {"count": 4, "cpu": 500, "mem-mb": 256, "estimated-ms": 900},
+                {
+                    "count": 2,
+                    "depends-on": [0],
+                    "long-running": True,
+                    "may-miss": 1,
+                    "fills": True,
+                },
+            ],
+        }
+        job = wire.decode_job(json.dumps(body).encode())
+        assert isinstance(job, model.JobDefinition)
+        self.assertEqual(job.steps[0].demand, (500, 256, 0))
+        self.assertEqual(job.steps[1].depends_on, (0,))
+        self.assertEqual(job.steps[1].max_unavailable, 1)
+        self.assertTrue(job.steps[1].best_effort)
+
+    def test_step_that_depends_on_a_later_one_is_refused(self) -> None:
+        body = {"steps": [{"count": 1, "depends-on": [0]}]}
+        job = wire.decode_job(json.dumps(body).encode())
+        self.assertIsInstance(job, errors.Failure)
+
+    def test_invalid_configurations_are_refused_whole(self) -> None:
+        route = batch_builders.build_manifest()["routes"][0]
+        invalid = (
+            {"routes": [{**route, "service": "unknown"}]},
+            {"routes": [route, {**route, "name": "other"}]},
+            {"routes": [{**route, "timeout-ms": 0}]},
+            {"routes": None},
+            {"version": "7"},
+            {"services": [{"rejects-overload": True}]},
+        )
+        for fields in invalid:
+            body = json.dumps(batch_builders.build_manifest(**fields)).encode()
+            decoded = wire.decode_configuration(body)
+            self.assertIsInstance(decoded, errors.Failure, fields)
+        whole = json.dumps(batch_builders.build_manifest()).encode()
+        cut = wire.decode_configuration(whole[:-5])
+        self.assertIsInstance(cut, errors.Failure)
+        decoded = wire.decode_configuration(whole)
+        assert isinstance(decoded, model.FleetConfiguration)
+        self.assertEqual(decoded.source, whole)
+
+    def test_check_in_of_another_writer_names_no_worker(self) -> None:
+        for fields in (
+            {"state": "resting"},
+            {"capacity": [1, 2]},
+            {"service": 5},
+            {"labels": "a"},
+            {"address": None},
+        ):
+            body = batch_builders.build_heartbeat_body(**fields)
+            decoded = wire.decode_heartbeat("i-1", body)
+            self.assertIsInstance(decoded, errors.Failure, fields)
+        decoded = wire.decode_heartbeat(
+            "i-1", batch_builders.build_heartbeat_body()
+        )
+        assert isinstance(decoded, messages.Heartbeat)
+        self.assertEqual(decoded.worker.rack, "r1-3")
+
+    @hypothesis.given(value=_JSON)
+    @hypothesis.settings(derandomize=True)
+    def test_any_json_is_decoded_or_refused(self, value: object) -> None:
+        body = json.dumps(value).encode()
+        for decode in (
+            wire.decode_job,
+            wire.decode_configuration,
+            wire.decode_wave,
+            lambda data: wire.decode_heartbeat("i-1", data),
+        ):
+            decoded = decode(body)
+            self.assertIsNotNone(decoded)
+
+    @hypothesis.given(
+        job_id=strategies.text("0123456789abcdef", min_size=16, max_size=16),
+        numbers=strategies.tuples(
+            *[strategies.integers(0, 10**6) for _ in range(3)]
+        ),
+    )
+    @hypothesis.settings(derandomize=True)
+    def test_names_of_tasks_are_kept(
+        self, job_id: str, numbers: tuple[int, int, int]
+    ) -> None:
+        key = model.TaskKey(job_id, *numbers)
+        self.assertEqual(wire.task_of(wire.task_name(key)), key)
+
+
+class AppTest(unittest.TestCase):
+    """Guards the statuses that tell a client what has happened."""
+
+    def _ask(
+        self, result: object, method: str = "POST", path: str = "/bids/1"
+    ) -> http_messages.Response:
+        async def call(message: object, timeout_s: float) -> object:
+            del message, timeout_s
+            return result
+
+        app = caller_app.CallerApp(call)
+        control = control_app.ControlApp(call, lambda: "http://10.0.0.1:80")
+        body = json.dumps({"steps": [{"count": 1}]}).encode()
+        request = http_messages.Request(method, "h", path, {}, body)
+        is_control = path.startswith(("/config", "/wave", "/instances"))
+        handle = control.handle if is_control else app.handle
+        return anyio.run(handle, request)
+
+    def _failed(self, kind: errors.ErrorKind) -> int:
+        return self._ask(errors.Failure(kind, "reason")).status
+
+    def test_only_what_certainly_did_not_run_is_called_so(self) -> None:
+        """A job that may be stored must not be answered with 503."""
+        self.assertEqual(self._failed(errors.ErrorKind.NO_LEADER), 503)
+        self.assertEqual(self._failed(errors.ErrorKind.NOT_FOUND), 404)
+        self.assertEqual(self._failed(errors.ErrorKind.UNDECIDED), 504)
+
+    def test_refusal_says_when_to_come_back(self) -> None:
+        failure = errors.Failure(errors.ErrorKind.NO_LEADER, "reason")
+        self.assertIsNotNone(self._ask(failure).retry_after_s)
+
+    def test_unknown_job_is_gone(self) -> None:
+        self.assertEqual(self._ask(messages.JobReply(None), "GET").status, 410)
+        reply = self._ask(messages.JobReply(jobs.JobState.RUNNING), "GET")
+        self.assertEqual(reply.body, {"state": "running"})
+
+    def test_invalid_configuration_is_never_acknowledged(self) -> None:
+        response = self._ask(messages.Done(), "PUT", "/config")
+        self.assertEqual(response.status, 400)
+
+    def test_wave_is_completed_only_when_it_is_finished(self) -> None:
+        for is_finished, state in ((True, "completed"), (False, "running")):
+            reply = messages.WaveReply(is_finished)
+            response = self._ask(reply, "GET", "/wave-get/3")
+            self.assertEqual(response.body, {"state": state})
--- /dev/null
+++ b/tests/test_batch_placement.py
@@ -0,0 +1,109 @@
+"""Tests of the choice of tasks and workers."""
+
+import unittest
+
+from tarragoncleat.batch import pacing
+from tarragoncleat.batch import placement
+from tarragoncleat.batch import urgency
+from tests import batch_builders
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards the limits that a placement must keep."""
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+
+    def _plan(self, *closed: str) -> list[tuple[int, str]]:
+        state = self.local.state
+        open_workers = dict.fromkeys(state.workers, 0.0)
+        for worker_id in closed:
+            del open_workers[worker_id]
+        views = placement.views_of(state, open_workers)
+        starts = placement.plan(state, views, self.local.time_ms)
+        return [(row.task.position, row.worker_id) for row in starts]
+
+    def test_room_is_never_exceeded(self) -> None:
+        self.local.register("w-1", "w-2")
+        self.local.submit("job-1", batch_builders.build_step(20))
+        chosen = [worker_id for _, worker_id in self._plan()]
+        self.assertEqual(chosen.count("w-1"), 4)
+        self.assertEqual(chosen.count("w-2"), 4)
+
+    def test_what_still_stops_takes_room(self) -> None:
+        """A cancelled task counts until its end is known."""
+        self.local.register("w-1")
+        self.local.submit("job-1", batch_builders.build_step(4))
+        for position in range(4):
+            self.local.start(batch_builders.task_key(position=position))
+        self.local.apply(batch_builders.commands.CancelJob("job-1"))
+        self.local.submit("job-2")
+        self.assertEqual(self._plan(), [])
+
+    def test_label_data_rack_and_spread_are_kept(self) -> None:
+        self.local.register("w-1", labels=("a", "r1"), rack="r1")
+        self.local.register("w-2", "w-3", labels=("b", "r2"), rack="r2")
+        step = batch_builders.build_step(
+            4, required_label="b", max_per_worker=1
+        )
+        self.local.submit("job-1", step)
+        self.assertEqual(
+            sorted(worker_id for _, worker_id in self._plan()), ["w-2", "w-3"]
+        )
+        self.local.submit("job-2", batch_builders.build_step(data_rack="r1"))
+        self.assertIn((0, "w-1"), self._plan())
+
+    def test_gang_starts_whole_or_not_at_all(self) -> None:
+        self.local.register("w-1")
+        self.local.submit("job-1", batch_builders.build_step(5, gang=True))
+        self.assertEqual(self._plan(), [])
+        self.local.register("w-2")
+        self.assertEqual(len(self._plan()), 5)
+
+    def test_closed_and_draining_workers_get_nothing(self) -> None:
+        self.local.register("w-1", "w-2")
+        self.local.apply(batch_builders.commands.DrainWorker("w-2"))
+        self.local.submit()
+        self.assertEqual(self._plan("w-1"), [])
+
+    def test_best_effort_tasks_take_no_processor_room(self) -> None:
+        self.local.register("w-1")
+        self.local.submit("job-1", batch_builders.build_step(4))
+        step = batch_builders.build_step(2, best_effort=True)
+        self.local.submit("job-2", step)
+        self.assertEqual(len(self._plan()), 6)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Guards the order under the load of one queue's turn."""
+
+    def _order(self, steps: list[int], age_ms: int) -> tuple:
+        local = batch_builders.LocalState()
+        local.submit(
+            "job-1",
+            *(batch_builders.build_step(estimated_ms=ms) for ms in steps),
+        )
+        job = local.state.job("job-1")
+        policy = local.state.policy_of(job)
+        return urgency.order_of(job, policy, local.time_ms + age_ms)
+
+    def test_job_that_missed_its_objective_waits_for_others(self) -> None:
+        # 1.6 times 1 s and 0.6 s are owed, so 1.2 s are left to wait.
+        self.assertLess(self._order([1000], 1_100), self._order([1000], 1_300))
+
+    def test_less_slack_comes_first(self) -> None:
+        self.assertLess(self._order([1000], 0), self._order([3000], 0))
+
+
+class PacingTest(unittest.TestCase):
+    """Guards the tasks that serve against best-effort ones beside them."""
+
+    def test_best_effort_stands_still_before_the_bound(self) -> None:
+        percent = 100
+        for _ in range(3):
+            percent = pacing.next_percent(percent, 1.5)
+        self.assertEqual(percent, 0)
+
+    def test_speed_returns_when_it_is_calm(self) -> None:
+        self.assertGreater(pacing.next_percent(0, 0.2), 0)
+        self.assertEqual(pacing.next_percent(100, 0.2), 100)
--- /dev/null
+++ b/tests/test_batch_state.py
@@ -0,0 +1,198 @@
+"""Tests of the replicated state of jobs, workers and waves."""
+
+import unittest
+
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import jobs
+from tarragoncleat.batch import state as state_module
+from tests import batch_builders
+
+_Ending = commands.Ending
+
+
+class JobTest(unittest.TestCase):
+    """Guards the rules of a job's life."""
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        self.state = self.local.state
+        self.local.register("w-1", "w-2")
+
+    def _state_of(self, job_id: str = "job-1") -> jobs.JobState | None:
+        job = self.state.job(job_id)
+        return job.state if job else None
+
+    def test_repeated_submission_remains_one_job(self) -> None:
+        """A client that got no answer sends the job again."""
+        self.local.submit()
+        self.local.start(batch_builders.task_key())
+        self.local.submit()
+        self.assertIs(self._state_of(), jobs.JobState.RUNNING)
+
+    def test_job_completes_only_when_all_steps_are_done(self) -> None:
+        first = batch_builders.build_step(2)
+        second = batch_builders.build_step(1, depends_on=(0,))
+        self.local.submit("job-1", first, second)
+        job = self.state.job("job-1")
+        assert job is not None
+        occurrence = job.occurrences[0]
+        for position in range(2):
+            key = batch_builders.task_key(position=position)
+            self.assertFalse(occurrence.is_ready(occurrence.steps[1]))
+            self.local.start(key)
+            self.local.end(key)
+        self.assertTrue(occurrence.is_ready(occurrence.steps[1]))
+        last = batch_builders.task_key()._replace(step=1)
+        self.local.start(last)
+        self.assertIs(self._state_of(), jobs.JobState.RUNNING)
+        self.local.end(last)
+        self.assertIs(self._state_of(), jobs.JobState.COMPLETED)
+
+    def test_end_of_an_earlier_run_changes_nothing(self) -> None:
+        """A lapsed run's end may arrive after the task runs elsewhere."""
+        key = batch_builders.task_key()
+        self.local.submit()
+        self.local.start(key)
+        self.local.apply(commands.LoseWorkers(("w-1",), is_final=False))
+        self.local.start(key, run=2, worker_id="w-2")
+        self.local.end(key, _Ending.DONE, run=1, worker_id="w-1")
+        self.assertIs(self._state_of(), jobs.JobState.RUNNING)
+
+    def test_only_failed_ends_count_as_attempts(self) -> None:
+        key = batch_builders.task_key()
+        self.local.submit()
+        endings = [_Ending.STOPPED, _Ending.LAPSED, _Ending.REJECTED]
+        endings += [_Ending.FAILED] * 3
+        for run, ending in enumerate(endings, 1):
+            self.assertFalse(self.state.job("job-1").has_ended)
+            self.local.start(key, run)
+            self.local.end(key, ending, run)
+        self.assertIs(self._state_of(), jobs.JobState.FAILED)
+
+    def test_long_running_task_restarts_however_it_ends(self) -> None:
+        key = batch_builders.task_key()
+        step = batch_builders.build_step(long_running=True)
+        self.local.submit("job-1", step)
+        for run in range(1, 6):
+            self.local.start(key, run)
+            ending = _Ending.DONE if run % 2 else _Ending.FAILED
+            self.local.end(key, ending, run)
+        self.assertIs(self._state_of(), jobs.JobState.RUNNING)
+        self.assertEqual(
+            self.state.job("job-1").occurrences[0].steps[0].waiting, {0}
+        )
+
+    def test_one_done_member_ends_a_gang(self) -> None:
+        step = batch_builders.build_step(3, gang=True)
+        self.local.submit("job-1", step)
+        for position in range(3):
+            self.local.start(batch_builders.task_key(position=position))
+        self.local.end(batch_builders.task_key(position=1))
+        self.assertIs(self._state_of(), jobs.JobState.COMPLETED)
+        self.assertFalse(self.state.workers["w-1"].tasks)
+
+    def test_cancelled_job_starts_nothing_and_frees_its_room(self) -> None:
+        key = batch_builders.task_key()
+        self.local.submit("job-1", batch_builders.build_step(2))
+        self.local.start(key)
+        self.local.apply(commands.CancelJob("job-1"))
+        self.local.start(batch_builders.task_key(position=1))
+        self.assertEqual(self.state.workers["w-1"].tasks, {key})
+        self.local.end(key, _Ending.STOPPED)
+        self.assertFalse(self.state.workers["w-1"].tasks)
+        self.assertIs(self._state_of(), jobs.JobState.CANCELLED)
+
+    def test_checkpoint_survives_a_stop(self) -> None:
+        key = batch_builders.task_key()
+        self.local.submit()
+        self.local.start(key)
+        self.local.end(key, _Ending.STOPPED, checkpoint="saved-1")
+        self.assertEqual(self.state.task(key)[2].checkpoint, "saved-1")
+
+
+class WorkerTest(unittest.TestCase):
+    """Guards the rules of workers' lives."""
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        self.state = self.local.state
+
+    def test_new_life_on_an_instance_ends_the_earlier_one(self) -> None:
+        self.local.register("w-1", instance="i")
+        self.local.submit()
+        self.local.start(batch_builders.task_key())
+        self.local.register("w-2", instance="i")
+        self.assertEqual(set(self.state.workers), {"w-2"})
+        job = self.state.job("job-1")
+        self.assertEqual(job.occurrences[0].steps[0].waiting, {0})
+
+    def test_late_heartbeat_of_an_ended_life_ends_no_other(self) -> None:
+        """A heartbeat that a partition delayed names an earlier life."""
+        self.local.register("w-1", instance="i")
+        self.local.register("w-2", instance="i")
+        self.local.register("w-1", instance="i")
+        self.assertEqual(set(self.state.workers), {"w-2"})
+
+    def test_draining_worker_gets_no_run_and_stays_draining(self) -> None:
+        self.local.register("w-1")
+        self.local.submit()
+        self.local.apply(commands.DrainWorker("w-1"))
+        self.local.register("w-1")
+        self.local.start(batch_builders.task_key())
+        self.assertIs(
+            self.state.workers["w-1"].state, state_module.WorkerState.DRAINING
+        )
+        self.assertFalse(self.state.workers["w-1"].tasks)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Guards versions of the configuration."""
+
+    def test_lower_and_equal_versions_change_nothing(self) -> None:
+        local = batch_builders.LocalState()
+        for version, latency_ms in ((5, 50), (5, 55), (4, 40)):
+            configuration = batch_builders.build_configuration(
+                version, latency_ms=latency_ms
+            )
+            local.apply(commands.PutConfiguration(configuration))
+        self.assertEqual(local.state.configuration.version, 5)
+        queue = local.state.queue(batch_builders.QUEUE)
+        self.assertEqual(queue.latency_ms, 50)
+
+    def test_longest_prefix_wins(self) -> None:
+        local = batch_builders.LocalState()
+        queue = local.state.route("hall.example", "/bids/123")
+        self.assertEqual(queue.name, "bids")
+        self.assertIsNone(local.state.route("hall.example", "/lots/123"))
+        self.assertIsNone(local.state.route("other.example", "/bids/123"))
+
+
+class SnapshotTest(unittest.TestCase):
+    """Guards against a snapshot that loses a part of the state."""
+
+    def test_restored_state_equals_the_original(self) -> None:
+        local = batch_builders.LocalState()
+        local.register("w-1", "w-2")
+        local.submit("job-1", batch_builders.build_step(3, checkpointing=True))
+        local.submit("job-2")
+        for position in range(2):
+            local.start(batch_builders.task_key(position=position))
+        local.end(
+            batch_builders.task_key(), _Ending.STOPPED, checkpoint="saved"
+        )
+        local.start(batch_builders.task_key(), 2, "w-2")
+        local.apply(commands.CancelJob("job-2"))
+        local.apply(commands.StartWave(1, ("instance-of-w-1",), 9_000, 2))
+        local.apply(
+            commands.NoteMaintenance(
+                1, "instance-of-w-1", commands.MaintenancePhase.CHOSEN
+            )
+        )
+        restored = state_module.BatchState()
+        restored.restore(1, local.state.snapshot())
+        self.assertEqual(restored.snapshot(), local.state.snapshot())
+        for name in ("w-1", "w-2"):
+            self.assertEqual(
+                restored.workers[name].tasks, local.state.workers[name].tasks
+            )
+        self.assertEqual(list(restored.active_jobs), ["job-1"])
