Bring the election forward when the link to the leader breaks

Cause: after a leader's planned stop the others waited for the whole election timeout. Change: the links report a lost connection, and a follower whose link to the leader broke starts its pre-vote at once, as the product's entries do.

--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -37,7 +37,11 @@
     ) -> None:
         """Prepares the process."""
         self._links = links_module.Links(
-            own_id, timer, _ignore_message, _refuse_request
+            own_id,
+            timer,
+            _ignore_message,
+            _refuse_request,
+            lambda address: None,
         )
         self._finder = leader_finder.LeaderFinder(
             self._links,
@@ -118,7 +122,11 @@
         self._seen_index = 0
         self._state = state_module.BatchState()
         self._links = links_module.Links(
-            settings.entry_id, timer, self._on_message, self._on_request
+            settings.entry_id,
+            timer,
+            self._on_message,
+            self._on_request,
+            self._on_link_lost,
         )
         self._node = log_node.LogNode(
             settings,
@@ -241,6 +249,9 @@
         del sender
         self._node.on_message(message)
 
+    def _on_link_lost(self, address: tuple[str, int]) -> None:
+        self._node.on_link_lost(address)
+
     async def _on_request(self, request: Any) -> object:
         if isinstance(request, cluster_messages.Announcement):
             return self._node.on_announcement(request)
--- a/tarragoncleat/cluster/links.py
+++ b/tarragoncleat/cluster/links.py
@@ -22,10 +22,11 @@
 from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import node_ids
 
-__all__ = ["Links", "MessageHandler", "RequestHandler"]
+__all__ = ["Links", "LossHandler", "MessageHandler", "RequestHandler"]
 
 MessageHandler = Callable[[ids.EntryId, Any], None]
 RequestHandler = Callable[[Any], Awaitable[object]]
+LossHandler = Callable[[tuple[str, int]], None]
 
 _KEEP_ALIVE_S = 0.5
 _SILENCE_S = 1.6
@@ -143,6 +144,7 @@
         timer: timer_module.TimerService,
         on_message: MessageHandler,
         on_request: RequestHandler,
+        on_lost: LossHandler,
     ) -> None:
         """Prepares the links; `run` makes them usable.
 
@@ -151,11 +153,13 @@
             timer: Clock for the pauses between dials.
             on_message: Takes a one-way message and its sender.
             on_request: Takes a request and returns the message to reply.
+            on_lost: Takes the address to which a dialled connection broke.
         """
         self._own_id = own_id
         self._timer = timer
         self._on_message = on_message
         self._on_request = on_request
+        self._on_lost = on_lost
         self._dialled: dict[tuple[str, int], _Connection] = {}
         self._dialling: dict[tuple[str, int], anyio.Event] = {}
         self._refused_until_s: dict[tuple[str, int], float] = {}
@@ -276,6 +280,7 @@
         finally:
             if self._dialled.get(address) is connection:
                 del self._dialled[address]
+                self._on_lost(address)
 
     def _on_reply(self, connection: _Connection, parts: list) -> None:
         _, number, data = parts
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -191,6 +191,12 @@
         else:
             loguru.logger.warning("ignored a message that is not of the log")
 
+    def on_link_lost(self, address: tuple[str, int]) -> None:
+        """Takes the loss of a link; that to the leader may mean its end."""
+        leader = self.leader_id
+        if leader is not None and node_ids.address_of(leader) == address:
+            self._opened.note_leader_lost()
+
     def on_announcement(
         self, announcement: messages.Announcement
     ) -> messages.Directory:
--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/replica.py
@@ -112,6 +112,11 @@
             self._core.step(message, self._now())
             self._pump()
 
+    def note_leader_lost(self) -> None:
+        """Brings the election forward when the link to the leader broke."""
+        if self._may_take_part():
+            self._core.note_leader_lost(self._now())
+
     def propose(self, payloads: Sequence[bytes]) -> int | errors.Failure:
         """Appends proposals; returns the index of the first one."""
         if self._blocked is not None:
