--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -100,9 +100,8 @@
             ids.EntryId, tuple[float, ids.AvailabilityZone]
         ] = {}
         self._zones = {settings.entry_id: settings.availability_zone}
-        self._applier = applier_module.Applier(
-            machine, (), settings.consensus.snapshot_every_records
-        )
+        self._machine = machine
+        self._applied: applier_module.Applier | None = None
         self._replica: replica_module.Replica | None = None
         self._reads: dict[int, anyio.Event] = {}
         self._read_indexes: dict[int, int] = {}
@@ -117,6 +116,13 @@
         saved = store.load(founders)
         if isinstance(saved, errors.Failure):
             return saved
+        # Snapshots name the replicas; before the first change of them these
+        # are the founders.
+        self._applied = applier_module.Applier(
+            self._machine,
+            saved.snapshot.replicas,
+            self._settings.consensus.snapshot_every_records,
+        )
         self._replica = replica_module.Replica(
             self._settings,
             self._links,
@@ -130,6 +136,12 @@
         )
         return None
 
+    @property
+    def _applier(self) -> applier_module.Applier:
+        if self._applied is None:
+            raise RuntimeError("the log is not open")
+        return self._applied
+
     @property
     def _core(self) -> consensus.Consensus:
         return self._opened.core
--- /dev/null
+++ b/tests/test_log_node.py
@@ -0,0 +1,262 @@
+"""Tests of nodes that find each other and keep their log's members."""
+
+from collections.abc import Callable
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from tarragoncleat import consensus
+from tarragoncleat import errors
+from tarragoncleat import ids
+from tarragoncleat import timer as timer_module
+from tarragoncleat.cluster import leader_finder
+from tarragoncleat.cluster import links
+from tarragoncleat.cluster import log_node
+from tarragoncleat.cluster import messages
+from tarragoncleat.cluster import node_ids
+from tests import builders
+
+_PATIENCE_S = 30.0
+_PORT = 9_481
+_ZONE = ids.AvailabilityZone("fukuoka-a")
+_TIMES = {
+    "heartbeat_ms": 50,
+    "election_timeout_min_ms": 300,
+    "election_timeout_max_ms": 600,
+    "snapshot_every_records": 20,
+}
+
+
+class _Counter:
+    """A state machine that keeps the payloads that it applied."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+
+    def apply(self, index: int, time_ms: int, payload: bytes) -> bytes:
+        del index, time_ms
+        self.payloads.append(payload)
+        return b""
+
+    def snapshot(self) -> bytes:
+        return b"|".join(self.payloads)
+
+    def restore(self, index: int, data: bytes) -> None:
+        del index
+        self.payloads = data.split(b"|") if data else []
+
+
+class _Node:
+    """One node of a group on loopback; `stop` leaves its disk."""
+
+    def __init__(self, number: int, folder: pathlib.Path) -> None:
+        self.host = f"{builders.LOOPBACK}.77.{number}"
+        self.folder = folder
+        self.machine = _Counter()
+        self.scope = anyio.CancelScope()
+
+    def open(self, seeds: list[tuple[str, int]], is_first: bool) -> None:
+        self.seeds = seeds
+        may_found = is_first and (self.host, _PORT) in seeds
+        node_id = log_node.load_identity(
+            self.folder, self.host, _PORT, may_found
+        )
+        assert not isinstance(node_id, errors.Failure)
+        self.node_id = node_id
+        timer = timer_module.TimerService()
+        self.links = links.Links(
+            node_id,
+            timer,
+            lambda sender, message: self.node.on_message(message),
+            self._answer,
+            self._on_lost,
+        )
+        self.node = log_node.LogNode(
+            builders.build_settings(
+                node_id, data_folder=self.folder, consensus=_TIMES
+            ),
+            timer,
+            self.links,
+            self.machine,
+            1,
+            lambda: None,
+        )
+        founders = [node_ids.first_id(*seed) for seed in seeds]
+        failure = self.node.open(founders if may_found else (), self.folder)
+        assert failure is None
+        self.finder = leader_finder.LeaderFinder(
+            self.links, timer, messages.Announcement(node_id, _ZONE), seeds
+        )
+
+    async def _answer(self, request: object) -> object:
+        if isinstance(request, messages.Announcement):
+            return self.node.on_announcement(request)
+        return messages.NotLeader(self.node.leader_id)
+
+    def _on_lost(self, address: tuple[str, int]) -> None:
+        self.node.on_link_lost(address)
+
+    async def run(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.links.run, True)
+                tasks.start_soon(self.node.run)
+                tasks.start_soon(self.finder.run)
+
+
+class GroupTest(unittest.TestCase):
+    """Guards acknowledged records against lost disks and restarts."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.nodes: dict[int, _Node] = {}
+        self.disks = 0
+
+    def _play(self, scenario: Callable) -> None:
+        async def main() -> None:
+            with anyio.fail_after(_PATIENCE_S):
+                async with anyio.create_task_group() as tasks:
+                    self.tasks = tasks
+                    await scenario()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def _start(
+        self,
+        number: int,
+        folder: pathlib.Path | None = None,
+        is_first: bool = False,
+    ) -> _Node:
+        if folder is None:
+            self.disks += 1
+            folder = self.folder / str(self.disks)
+        node = self.nodes[number] = _Node(number, folder)
+        seeds = [(f"{builders.LOOPBACK}.77.{n}", _PORT) for n in (1, 2, 3)]
+        node.open(seeds, is_first)
+        self.tasks.start_soon(node.run)
+        return node
+
+    async def _stop(self, number: int) -> _Node:
+        node = self.nodes.pop(number)
+        node.scope.cancel()
+        await anyio.sleep(0.1)
+        return node
+
+    async def _leader(self) -> _Node:
+        while True:
+            for node in self.nodes.values():
+                if node.node.is_leader:
+                    return node
+            await anyio.sleep(0.02)
+
+    async def _write(self, payload: bytes) -> None:
+        while True:
+            leader = await self._leader()
+            result = await leader.node.propose(payload, 1.0)
+            if not isinstance(result, errors.Failure):
+                return
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            await anyio.sleep(0.02)
+
+    def _members(self, node: _Node) -> set[str]:
+        return set(node.node.dump()["replicas"])
+
+    def test_snapshot_before_any_change_keeps_the_founders(self) -> None:
+        """A snapshot without members ended a later leader with an error."""
+
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            for number in range(60):
+                await self._write(b"%d" % number)
+            leader = await self._leader()
+            await self._until(lambda: leader.node.dump()["snapshot_index"] > 0)
+            self.assertEqual(len(self._members(leader)), 3)
+
+        self._play(scenario)
+
+    def test_new_disk_at_the_old_address_joins_as_another_member(self) -> None:
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            await self._write(b"kept")
+            old = await self._stop(2)
+            new = self._start(2)
+            self.assertNotEqual(old.node_id, new.node_id)
+            await self._until(lambda: b"kept" in new.machine.payloads)
+            leader = await self._leader()
+            self.assertNotIn(old.node_id, self._members(leader))
+            self.assertIn(new.node_id, self._members(leader))
+
+        self._play(scenario)
+
+    def test_waiting_node_takes_a_lost_replicas_place(self) -> None:
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            await self._write(b"kept")
+            waiting = self._start(4)
+            self.assertNotIn(
+                waiting.node_id, self._members(await self._leader())
+            )
+            lost = await self._stop(1)
+            await self._until(lambda: b"kept" in waiting.machine.payloads)
+            leader = await self._leader()
+            self.assertNotIn(lost.node_id, self._members(leader))
+
+        self._play(scenario)
+
+    def test_all_nodes_restart_with_what_was_acknowledged(self) -> None:
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            for number in range(50):
+                await self._write(b"%d" % number)
+            disks = {}
+            for number in (1, 2, 3):
+                disks[number] = (await self._stop(number)).folder
+            for number, folder in disks.items():
+                self._start(number, folder)
+            await self._write(b"after")
+            leader = await self._leader()
+            expected = [b"%d" % number for number in range(50)]
+            kept = [p for p in leader.machine.payloads if p in expected]
+            self.assertEqual(kept, expected)
+
+        self._play(scenario)
+
+    def test_leader_that_lost_its_majority_confirms_no_read(self) -> None:
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            await self._write(b"one")
+            leader = await self._leader()
+            self.assertTrue(await leader.node.read_barrier())
+            for number in list(self.nodes):
+                if self.nodes[number] is not leader:
+                    await self._stop(number)
+            self.assertFalse(await leader.node.read_barrier())
+
+        self._play(scenario)
+
+    def test_follower_says_who_leads(self) -> None:
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            leader = await self._leader()
+            follower = next(
+                node for node in self.nodes.values() if node is not leader
+            )
+            await self._until(
+                lambda: follower.finder.leader_id == leader.node_id
+            )
+            self.assertIsNot(follower.node._core.role, consensus.Role.LEADER)
+
+        self._play(scenario)
