Make what a killed process left durable before it counts

Change: loading syncs the last segment and the folder. Figures: both new tests fail before and pass after.

--- a/tarragoncleat/log_files.py
+++ b/tarragoncleat/log_files.py
@@ -25,6 +25,7 @@
     "pack_segment_header",
     "read_sealed",
     "read_segment",
+    "sync_file",
     "sync_folder",
     "write_all",
     "write_sealed",
@@ -103,6 +104,15 @@
         os.close(descriptor)
 
 
+def sync_file(path: pathlib.Path) -> None:
+    """Makes the content of a file durable."""
+    descriptor = os.open(path, os.O_RDWR)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def write_all(descriptor: int, data: bytes) -> None:
     """Writes all of `data`, however often the system takes only a part."""
     view = memoryview(data)
--- a/tarragoncleat/log_store.py
+++ b/tarragoncleat/log_store.py
@@ -161,6 +161,9 @@
         return not names
 
     def _load(self) -> consensus.Saved | errors.Failure:
+        # A process that was killed may have left files and names that are
+        # not durable; what is read here counts, so it must be.
+        log_files.sync_folder(self._folder)
         term_vote = self._read_term()
         if isinstance(term_vote, errors.Failure):
             return term_vote
@@ -233,6 +236,8 @@
                 return self._refuse(
                     f"{path.name} does not continue the segment before it"
                 )
+            if path == paths[-1]:
+                log_files.sync_file(path)
             expected_batch = segment.next_batch
             last_index = _replay(segment, loaded)
             self._closed.append(_Closed(path, last_index, segment.end))
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -260,3 +260,57 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class KilledThenPowerLossTest(_FolderTest):
+    """Guards writes that a killed process left in the page cache only."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # Contents at the latest sync, by inode: files are renamed.
+        self.durable: dict[int, bytes] = {}
+        for name in ("os.fsync", "os.fdatasync"):
+            patch = unittest.mock.patch(name, self._note_sync)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def _note_sync(self, descriptor: int) -> None:
+        path = pathlib.Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        if path.is_file():
+            self.durable[path.stat().st_ino] = path.read_bytes()
+
+    def _lose_power(self) -> None:
+        for path in self.folder.iterdir():
+            path.write_bytes(self.durable.get(path.stat().st_ino, b""))
+
+    def test_log_is_whole_after_a_kill_during_a_write_and_a_power_loss(
+        self,
+    ) -> None:
+        """A restart counted a write that the disk then forgot.
+
+        Seen on kcc-grid, scale-2: the node could not start any more.
+        """
+        store, _ = self._open()
+        self._write(store, 1, 2)
+        with unittest.mock.patch("os.fdatasync"):
+            # The process is killed after the write, before its sync.
+            self._write(store, 3)
+        store.close()
+        store, saved = self._open()
+        self.assertEqual(len(saved.records), 3)
+        self._write(store, 4)
+        store.close()
+        self._lose_power()
+        self.assertEqual(self._load_indexes(), [1, 2, 3, 4])
+
+    def test_names_are_durable_before_they_count(self) -> None:
+        """A renamed vote that is not durable yet must not be answered."""
+        self._open()[0].close()
+        synced: list[str] = []
+
+        def note(descriptor: int) -> None:
+            synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+
+        with unittest.mock.patch("os.fsync", note):
+            self._open()
+        self.assertIn(str(self.folder), synced)
