Serve new jobs before waiting ones under overload, and lend spare instances

Change: begun jobs first, then the newest that can still be in time; instances of the spare pool move to the pool with the most waiting work and return when they are idle.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -15,6 +15,7 @@
     "Ending",
     "LoseWorkers",
     "MaintenancePhase",
+    "NoteLoan",
     "NoteMaintenance",
     "OpenOccurrence",
     "PutConfiguration",
@@ -148,6 +149,14 @@
     cap: int
 
 
+@codec.message("batch_note_loan", compact=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteLoan:
+    """An instance of the spare pool is about to be lent."""
+
+    instance: str
+
+
 class MaintenancePhase(enum.Enum):
     """How far the maintenance of an instance is."""
 
@@ -183,4 +192,5 @@
     | EndRuns
     | StartWave
     | NoteMaintenance
+    | NoteLoan
 )
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -12,6 +12,7 @@
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import lending
 from tarragoncleat.batch import model
 from tarragoncleat.batch import pacing
 from tarragoncleat.batch import placement
@@ -71,6 +72,10 @@
         self._wake = anyio.Event()
         self._seen_ended_jobs = state.ended_jobs
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._demands: dict[str, lending.Demand] = {}
+        self._lender = lending.PoolLender(
+            state, timer, instance_calls, self, holder, self._fence
+        )
         self._waves = wave_keeper.WaveKeeper(
             state, timer, bounds, instance_calls, self, holder, self._fence
         )
@@ -159,7 +164,9 @@
             self._wake = anyio.Event()
             self._match_sessions()
             self._stop_ended_jobs()
-            starts = self._plan()
+            planned = self._plan()
+            starts = planned.starts
+            self._demands = planned.demands
             if starts:
                 result = await self.commit(commands.StartRuns(tuple(starts)))
                 if isinstance(result, applier_module.Applied):
@@ -173,7 +180,7 @@
                 await self._timer.sleep_s(_CHECK_INTERVAL_S)
             await self._wake.wait()
 
-    def _plan(self) -> list[commands.RunStart]:
+    def _plan(self) -> placement.Plan:
         now_s = self._timer.monotonic_s()
         open_workers = {
             worker_id: self._health.penalty(worker_id, now_s)
@@ -181,8 +188,10 @@
             if session.is_fresh
             and not self._health.is_shut(worker_id, now_s)
             and not self._waves.is_emptying(session.record.instance)
+            and not self._lender.is_leaving(session.record.instance)
         }
-        views = placement.views_of(self._state, open_workers)
+        passing = self._state.loans | self._waves.due_instances()
+        views = placement.views_of(self._state, open_workers, passing)
         return placement.plan(self._state, views, self._timer.wall_time_ms())
 
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
@@ -302,6 +311,7 @@
     async def _keep_waves(self) -> None:
         async for _ in self._timer.subscribe(_WAVE_INTERVAL_S):
             await self._waves.step(self._sessions)
+            await self._lender.step(self._sessions, self._demands)
 
     def _start_soon(self, call: Callable, *args: object) -> None:
         if self._tasks is not None:
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -4,16 +4,17 @@
 I/O and read no clock.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 import dataclasses
 
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import lending
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import urgency
 
-__all__ = ["WorkerView", "plan", "views_of"]
+__all__ = ["Plan", "WorkerView", "plan", "views_of"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +25,7 @@
         record: The worker.
         free: Room that no task takes.
         is_open: Whether it may get tasks now.
+        is_passing: Whether its instance will leave or be maintained soon.
         penalty: Reasons to prefer other workers; 0 for none.
         steps: Number of tasks of each step (job, occurrence, step) on it.
         serving: Number of tasks with a latency target.
@@ -33,6 +35,7 @@
     record: model.WorkerRecord
     free: model.Resources
     is_open: bool = True
+    is_passing: bool = False
     penalty: float = 0.0
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
@@ -52,18 +55,22 @@
 
 
 def views_of(
-    state: state_module.BatchState, open_workers: dict[str, float]
+    state: state_module.BatchState,
+    open_workers: dict[str, float],
+    passing: Collection[str] = (),
 ) -> dict[str, list[WorkerView]]:
     """Returns the workers of each service with the room left on them.
 
     Args:
         state: The state.
         open_workers: Penalty of each worker that may get tasks.
+        passing: Instances that are no good place for tasks that last.
     """
     views: dict[str, list[WorkerView]] = {}
     for worker_id, worker in state.workers.items():
         view = WorkerView(worker.record, worker.record.capacity)
         view.penalty = open_workers.get(worker_id, 0.0)
+        view.is_passing = worker.record.instance in passing
         view.is_open = (
             worker_id in open_workers
             and worker.state is state_module.WorkerState.UP
@@ -81,15 +88,23 @@
     """A step with tasks that may start, and its place in the order."""
 
     order: tuple
-    job: jobs_module.Job
+    in_time: bool
     step: jobs_module.Step
 
 
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Runs to start, and the work in time that found no room by service."""
+
+    starts: list[commands.RunStart] = dataclasses.field(default_factory=list)
+    demands: dict[str, lending.Demand] = dataclasses.field(default_factory=dict)
+
+
 def plan(
     state: state_module.BatchState,
     views: dict[str, list[WorkerView]],
     now_ms: int,
-) -> list[commands.RunStart]:
+) -> Plan:
     """Returns the runs to start now; takes their room from the views."""
     ready: dict[str, list[_Ready]] = {}
     for job in state.active_jobs.values():
@@ -98,13 +113,21 @@
             continue
         steps = ready.setdefault(policy.service, [])
         steps.extend(_ready_steps(job, policy, now_ms))
-    starts: list[commands.RunStart] = []
+    made = Plan()
     for service, steps in ready.items():
         steps.sort(key=lambda item: item.order)
         workers = [view for view in views[service] if view.is_open]
+        demand = made.demands[service] = lending.Demand(
+            instance_millicores=views[service][0].record.cpu_millicores
+        )
         for item in steps:
-            starts.extend(_place_step(item.step, workers))
-    return starts
+            starts = list(_place_step(item.step, workers))
+            made.starts.extend(starts)
+            if item.in_time:
+                unplaced = len(item.step.waiting) - len(starts)
+                cpu = item.step.definition.demand.cpu_millicores
+                demand.unplaced_millicores += unplaced * cpu
+    return made
 
 
 def _ready_steps(
@@ -117,7 +140,8 @@
                 if order is None:
                     order = urgency.order_of(job, policy, now_ms)
                 best_effort = step.definition.best_effort
-                yield _Ready((best_effort, *order), job, step)
+                in_time = urgency.is_in_time(order)
+                yield _Ready((best_effort, *order), in_time, step)
 
 
 def _place_step(
@@ -228,10 +252,12 @@
         disturbed = view.serving
     elif definition.latency_target_ms:
         disturbed = view.best_effort
+    is_passing = view.is_passing and definition.long_running
     same_step = view.steps.get(key[:3], 0) if definition.long_running else 0
     return (
         view.penalty,
         is_far,
+        is_passing,
         same_step,
         disturbed,
         -view.free.cpu_millicores,
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -79,6 +79,7 @@
         # A late heartbeat of an earlier life must not end the present one.
         self._ended_workers: dict[str, None] = {}
         self._waves: dict[int, Wave] = {}
+        self._loans: set[str] = set()
         self._time_ms = 0
         self._applied = 0
         self._ended_jobs = 0
@@ -105,6 +106,11 @@
         """Maintenance waves by number."""
         return self._waves
 
+    @property
+    def loans(self) -> set[str]:
+        """Instances that came from the spare pool."""
+        return self._loans
+
     @property
     def ended_jobs(self) -> int:
         """Count of jobs that ended in this process's time."""
@@ -317,6 +323,11 @@
         )
         return True
 
+    @_apply.register
+    def _note_loan(self, command: commands.NoteLoan) -> object:
+        self._loans.add(command.instance)
+        return None
+
     @_apply.register
     def _note_maintenance(self, command: commands.NoteMaintenance) -> object:
         wave = self._waves.get(command.wave)
@@ -383,6 +394,7 @@
                 ],
                 [list(_pack_wave(wave)) for wave in self._waves.values()],
                 list(self._ended_workers),
+                sorted(self._loans),
             ]
         )
 
@@ -412,6 +424,7 @@
             self._waves[wave.number] = wave
 
         self._ended_workers = dict.fromkeys(values[7])
+        self._loans = set(values[8])
 
     def _restore_job(self, job: jobs_module.Job) -> None:
         self._jobs[job.job_id] = job
--- a/tarragoncleat/batch/urgency.py
+++ b/tarragoncleat/batch/urgency.py
@@ -9,9 +9,17 @@
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 
-__all__ = ["chain_ms", "objective_ms", "order_of", "remaining_chain_ms"]
+__all__ = [
+    "chain_ms",
+    "is_in_time",
+    "objective_ms",
+    "order_of",
+    "remaining_chain_ms",
+]
 
-_LASTING, _IN_TIME, _LATE = range(3)
+_LASTING, _STARTED, _FRESH, _LATE, _WORTHLESS = range(5)
+# After this many times its objective a job earns nothing.
+_LATE_LIMIT = 3
 
 
 def chain_ms(definition: model.JobDefinition) -> int:
@@ -44,6 +52,11 @@
     return policy.stretch * chain_ms(definition) + policy.latency_ms
 
 
+def is_in_time(order: tuple) -> bool:
+    """Whether the job with this sort key can still meet its objective."""
+    return order[0] in (_LASTING, _STARTED, _FRESH)
+
+
 def order_of(
     job: jobs_module.Job, policy: model.QueuePolicy, now_ms: int
 ) -> tuple:
@@ -51,6 +64,15 @@
     if job.is_long_running:
         return (_LASTING, policy.priority, 0.0, job.job_id)
     due_ms = job.accepted_ms + objective_ms(job.definition, policy)
-    latest_start_ms = due_ms - remaining_chain_ms(job)
-    kind = _IN_TIME if latest_start_ms >= now_ms else _LATE
-    return (kind, policy.priority, latest_start_ms, job.job_id)
+    slack_ms = due_ms - remaining_chain_ms(job) - now_ms
+    if slack_ms < 0:
+        is_worthless = now_ms - job.accepted_ms > _LATE_LIMIT * (
+            due_ms - job.accepted_ms
+        )
+        kind = _WORTHLESS if is_worthless else _LATE
+        return (kind, policy.priority, due_ms, job.job_id)
+    if job.has_started:
+        return (_STARTED, policy.priority, slack_ms, job.job_id)
+    # With too little room for all, serving the oldest first lets each job
+    # wait until it is nearly late, and then too many end just too late.
+    return (_FRESH, policy.priority, -job.accepted_ms, job.job_id)
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -85,6 +85,14 @@
             for wave in self._state.waves.values()
         )
 
+    def due_instances(self) -> set[str]:
+        """Returns the instances that still wait for their maintenance."""
+        return {
+            instance
+            for wave in self._state.waves.values()
+            for instance in wave.remaining
+        }
+
     async def step(self, sessions: Sessions) -> None:
         """Takes the next steps of every wave."""
         self._sessions = sessions
--- a/tarragoncleat/batch/worker_calls.py
+++ b/tarragoncleat/batch/worker_calls.py
@@ -181,6 +181,11 @@
     ) -> tuple[InstanceRecord, ...] | errors.Failure:
         """Returns all instances."""
 
+    async def move(
+        self, instance: str, pool: str, holder: str, fence: int
+    ) -> None | errors.Failure:
+        """Moves an instance to a pool; CONFLICT when it can't move now."""
+
     async def maintain(
         self, instance: str, wave: int, holder: str, fence: int
     ) -> None | errors.Failure:
