Ask the advisor where queues with advice may run

Cause: the contracts of both sites include queues whose steps run only on workers that the advisor approves; such starts were refused for want of a ticket. Change: answers are kept by step and worker, the most urgent step is asked first, one call at a time; expired tickets are renewed, refused ones dropped.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -10,6 +10,7 @@
 from tarragoncleat import applier as applier_module
 from tarragoncleat import codec
 from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import lending
@@ -44,6 +45,7 @@
         bounds: bounds_module.Bounds,
         make_calls: MakeCalls,
         instance_calls: worker_calls.InstanceCalls,
+        advisor_calls: advice.AdvisorCalls,
         holder: str,
     ) -> None:
         """Begins a term at its first committed record.
@@ -55,6 +57,7 @@
             bounds: Bounds of the deployment.
             make_calls: Opens the calls to a worker.
             instance_calls: Calls to the platform about instances.
+            advisor_calls: Calls to the advisor.
             holder: Name of this node as holder of the instances' leases.
         """
         self._node = node
@@ -72,6 +75,7 @@
         self._wake = anyio.Event()
         self._seen_ended_jobs = state.ended_jobs
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._advisor = advice.Advisor(advisor_calls, timer)
         self._demands: dict[str, lending.Demand] = {}
         self._lender = lending.PoolLender(
             state, timer, instance_calls, self, holder, self._fence
@@ -101,6 +105,7 @@
             tasks.start_soon(self._place)
             tasks.start_soon(self._commit_ends)
             tasks.start_soon(self._check)
+            tasks.start_soon(self._advisor.run)
             tasks.start_soon(self._keep_waves)
 
     async def commit(self, command: commands.Command) -> Any:
@@ -150,12 +155,15 @@
     def on_start_refused(
         self,
         session: worker_session.WorkerSession,
+        task: model.TaskKey,
         outcome: worker_calls.OrderOutcome,
     ) -> None:
         """Prefers other workers for a while."""
-        self._health.note_refusal(
-            session.record.worker_id, outcome, self._timer.monotonic_s()
-        )
+        worker_id = session.record.worker_id
+        if outcome is worker_calls.OrderOutcome.NO_TICKET:
+            self._advisor.forget(task[:3], worker_id)
+            return
+        self._health.note_refusal(worker_id, self._timer.monotonic_s())
 
     # Placement.
 
@@ -192,7 +200,10 @@
         }
         passing = self._state.loans | self._waves.due_instances()
         views = placement.views_of(self._state, open_workers, passing)
-        return placement.plan(self._state, views, self._timer.wall_time_ms())
+        self._advisor.begin_round()
+        return placement.plan(
+            self._state, views, self._timer.wall_time_ms(), self._advisor
+        )
 
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
         for row in starts:
@@ -204,7 +215,8 @@
             if session is None or found is None or not is_current:
                 continue
             payload = found[0].definition.payload
-            session.start(row, payload, found[2].checkpoint)
+            ticket = self._advisor.ticket(row.task[:3], row.worker_id) or ""
+            session.start(row, payload, found[2].checkpoint, ticket)
 
     def _match_sessions(self) -> None:
         """Opens a session for each worker, and closes those of ended ones."""
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -11,6 +11,7 @@
 from tarragoncleat import ids
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import leader_service
@@ -98,6 +99,7 @@
         bounds: bounds_module.Bounds,
         make_calls: dispatcher_module.MakeCalls,
         instance_calls: worker_calls.InstanceCalls,
+        advisor_calls: advice.AdvisorCalls,
         holder: str,
     ) -> None:
         """Prepares the process.
@@ -110,6 +112,7 @@
             bounds: Bounds of the deployment.
             make_calls: Opens the calls to a worker.
             instance_calls: Calls to the platform about instances.
+            advisor_calls: Calls to the advisor about placements.
             holder: Name of this node as holder of the instances' leases.
         """
         self._settings = settings
@@ -117,6 +120,7 @@
         self._bounds = bounds
         self._make_calls = make_calls
         self._instance_calls = instance_calls
+        self._advisor_calls = advisor_calls
         self._holder = holder
         self._changed = anyio.Event()
         self._seen_index = 0
@@ -216,6 +220,7 @@
             self._bounds,
             self._make_calls,
             self._instance_calls,
+            self._advisor_calls,
             self._holder,
         )
         try:
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection, Iterable, Iterator, Sequence
 import dataclasses
 
+from tarragoncleat.batch import advice
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import lending
@@ -89,6 +90,7 @@
 
     order: tuple
     in_time: bool
+    is_advised: bool
     step: jobs_module.Step
 
 
@@ -104,8 +106,13 @@
     state: state_module.BatchState,
     views: dict[str, list[WorkerView]],
     now_ms: int,
+    advisor: advice.Advisor | None = None,
 ) -> Plan:
-    """Returns the runs to start now; takes their room from the views."""
+    """Returns the runs to start now; takes their room from the views.
+
+    Steps of queues with advice run only on workers with a ticket; `advisor`
+    is told which ones are missing.
+    """
     ready: dict[str, list[_Ready]] = {}
     for job in state.active_jobs.values():
         policy = state.policy_of(job)
@@ -121,7 +128,8 @@
             instance_millicores=views[service][0].record.cpu_millicores
         )
         for item in steps:
-            starts = list(_place_step(item.step, workers))
+            allowed = _allowed(item, workers, advisor)
+            starts = list(_place_step(item.step, allowed))
             made.starts.extend(starts)
             if item.in_time:
                 unplaced = len(item.step.waiting) - len(starts)
@@ -141,7 +149,34 @@
                     order = urgency.order_of(job, policy, now_ms)
                 best_effort = step.definition.best_effort
                 in_time = urgency.is_in_time(order)
-                yield _Ready((best_effort, *order), in_time, step)
+                is_advised = policy.advice is not None
+                yield _Ready((best_effort, *order), in_time, is_advised, step)
+
+
+def _allowed(
+    item: _Ready,
+    workers: Sequence[WorkerView],
+    advisor: advice.Advisor | None,
+) -> Sequence[WorkerView]:
+    """Returns the workers that may run a step, and asks for more."""
+    if not item.is_advised or advisor is None:
+        return workers
+    key = item.step.tasks[0].key[:3]
+    allowed = [
+        view
+        for view in workers
+        if advisor.ticket(key, view.record.worker_id) is not None
+    ]
+    room = [
+        view
+        for view in allowed
+        if item.step.definition.demand.fits_into(view.free)
+    ]
+    missing = len(item.step.waiting) - len(room)
+    if missing > 0:
+        others = [view.record.worker_id for view in workers]
+        advisor.want(key, others, missing)
+    return allowed
 
 
 def _place_step(
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -10,7 +10,6 @@
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_session
 
 __all__ = ["WorkerHealth"]
@@ -62,14 +61,8 @@
             record.shut_until_s = now_s + record.shut_s
             record.shut_s = min(2 * record.shut_s, _LONGEST_SHUT_S)
 
-    def note_refusal(
-        self,
-        worker_id: str,
-        outcome: worker_calls.OrderOutcome,
-        now_s: float,
-    ) -> None:
+    def note_refusal(self, worker_id: str, now_s: float) -> None:
         """Takes the refusal of a start."""
-        del outcome
         record = self._record(worker_id)
         until_s = now_s + _REFUSAL_SHUT_S
         record.shut_until_s = max(record.shut_until_s, until_s)
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -46,7 +46,10 @@
         """The worker's life has ended."""
 
     def on_start_refused(
-        self, session: "WorkerSession", outcome: worker_calls.OrderOutcome
+        self,
+        session: "WorkerSession",
+        task: model.TaskKey,
+        outcome: worker_calls.OrderOutcome,
     ) -> None:
         """The worker has refused a start."""
 
@@ -248,7 +251,7 @@
             worker=self.record.worker_id,
             outcome=outcome.value,
         )
-        self._owner.on_start_refused(self, outcome)
+        self._owner.on_start_refused(self, order.task, outcome)
         if was_unanswered:
             # An earlier copy of the order may still be carried out; a stop
             # makes the worker refuse it.
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -13,6 +13,7 @@
 from tarragoncleat import errors
 from tarragoncleat import ids
 from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher
@@ -22,6 +23,7 @@
 from tarragoncleat.cluster import roster
 
 __all__ = [
+    "FakeAdvisor",
     "FakeInstances",
     "FakeLog",
     "FakeWorker",
@@ -397,6 +399,28 @@
         return self.failure
 
 
+class FakeAdvisor:
+    """Approves the workers in `good`, and notes the calls."""
+
+    def __init__(self, good: Sequence[str] = ()) -> None:
+        self.good = good
+        self.valid_ms = 3_000
+        self.asked: list[tuple[advice.StepKey, tuple[str, ...]]] = []
+
+    async def ask(
+        self, step: advice.StepKey, worker_ids: Sequence[str]
+    ) -> advice.Approvals | errors.Failure:
+        """Approves some of the workers."""
+        self.asked.append((step, tuple(worker_ids)))
+        await anyio.sleep(0)
+        good = tuple(
+            advice.Approval(worker_id, f"ticket-{len(self.asked)}")
+            for worker_id in worker_ids
+            if worker_id in self.good
+        )
+        return advice.Approvals(good, self.valid_ms)
+
+
 def make_dispatcher(
     local: LocalState,
     workers: Sequence[FakeWorker],
@@ -414,6 +438,7 @@
         bounds.Bounds(),
         lambda record: by_id[record.worker_id],
         instances or FakeInstances(),
+        FakeAdvisor(),
         "core-1",
     )
     log.on_commit.append(made.wake)
