Explain requests from structured logs, serve metrics, and close gaps in waves

Reading found three ways: a worker that registered before the order was carried out freed its place, a repeated order's answer ended the next worker, and a new leader without sessions took a busy instance for an empty one.

--- a/tarragoncleat/batch/advice.py
+++ b/tarragoncleat/batch/advice.py
@@ -11,10 +11,11 @@
 from typing import Protocol
 
 import anyio
-import loguru
 
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import timer as timer_module
+from tarragoncleat.batch import events
 
 __all__ = ["Advisor", "AdvisorCalls", "Approval", "Approvals", "StepKey"]
 
@@ -147,12 +148,10 @@
             asked = wish.worker_ids[: min(_MAX_WORKERS, count)]
             answer = await self._calls.ask(wish.step, asked)
             if isinstance(answer, errors.Failure):
-                loguru.logger.info(
-                    "no advice",
-                    event="advice",
-                    job=wish.step[0],
-                    step=wish.step[2],
-                    reason=answer.reason,
+                event_log.emit(
+                    events.AdviceMissing(
+                        wish.step[0], wish.step[2], answer.reason
+                    )
                 )
                 await self._timer.sleep_s(_RETRY_S)
                 continue
--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -171,13 +171,13 @@
     """Records the maintenance of an instance.
 
     It is CHOSEN before the platform is called, so that a later leader counts
-    it as down. `worker_id` is the worker that the maintenance ended.
+    it as down. The worker that is on it then is the one that BEGUN ends; a
+    repeated order may be answered when the next one has registered already.
     """
 
     wave: int
     instance: str
     phase: MaintenancePhase
-    worker_id: str = ""
 
 
 Command = (
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -5,19 +5,22 @@
 
 import anyio
 import anyio.abc
-import loguru
 
 from tarragoncleat import applier as applier_module
 from tarragoncleat import codec
+from tarragoncleat import event_log
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import events
+from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import lending
 from tarragoncleat.batch import model
 from tarragoncleat.batch import pacing
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import urgency
 from tarragoncleat.batch import wave_keeper
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_health
@@ -73,7 +76,7 @@
         self._ends_wake = anyio.Event()
         self._ends_committed = True
         self._wake = anyio.Event()
-        self._seen_ended_jobs = state.ended_jobs
+        state.take_ended()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._advisor = advice.Advisor(advisor_calls, timer)
         self._demands: dict[str, lending.Demand] = {}
@@ -123,6 +126,21 @@
     async def on_ended(self, rows: list[commands.RunEnd]) -> bool:
         """Stores ends with those of other sessions in one record."""
         self._ends.extend(rows)
+        bad = [row for row in rows if row.ending is not commands.Ending.DONE]
+        if bad:
+            event_log.emit(
+                events.RunsEnded(
+                    tuple(
+                        (
+                            str(row.task),
+                            row.run,
+                            row.worker_id,
+                            row.ending.value,
+                        )
+                        for row in bad
+                    )
+                )
+            )
         for row in rows:
             self._health.note_end(row, self._timer.monotonic_s())
         done = self._ends_done
@@ -143,6 +161,9 @@
         self._health.note_report(session, self._state, now_s)
         for task, run, percent in pacing.changes(session, self._state):
             session.pace(task, run, percent)
+            event_log.emit(
+                events.TaskPaced(str(task), session.record.worker_id, percent)
+            )
 
     def on_gone(self, session: worker_session.WorkerSession) -> None:
         """Notes the end of a worker's life."""
@@ -179,11 +200,10 @@
                 result = await self.commit(commands.StartRuns(tuple(starts)))
                 if isinstance(result, applier_module.Applied):
                     self._send_starts(starts)
+                    self._log_starts(planned)
                     continue
-                loguru.logger.warning(
-                    "starts were not stored",
-                    event="starts_not_stored",
-                    reason=result.reason,
+                event_log.emit(
+                    events.StartsNotStored(len(starts), result.reason)
                 )
                 await self._timer.sleep_s(_CHECK_INTERVAL_S)
             await self._wake.wait()
@@ -218,6 +238,21 @@
             ticket = self._advisor.ticket(row.task[:3], row.worker_id) or ""
             session.start(row, payload, found[2].checkpoint, ticket)
 
+    def _log_starts(self, planned: placement.Plan) -> None:
+        waiting = sum(
+            demand.unplaced_millicores for demand in planned.demands.values()
+        )
+        event_log.emit(
+            events.RunsStarted(
+                tuple(
+                    (str(row.task), row.run, row.worker_id)
+                    for row in planned.starts
+                ),
+                self._fence,
+                waiting,
+            )
+        )
+
     def _match_sessions(self) -> None:
         """Opens a session for each worker, and closes those of ended ones."""
         workers = self._state.workers
@@ -240,15 +275,27 @@
             self._tasks.start_soon(session.run)
 
     def _stop_ended_jobs(self) -> None:
-        if self._state.ended_jobs == self._seen_ended_jobs:
-            return
-        self._seen_ended_jobs = self._state.ended_jobs
-        for worker_id, session in self._sessions.items():
-            for task in self._state.tasks_on(self._state.workers[worker_id]):
-                found = self._state.task(task.key)
-                if found is not None and found[0].has_ended:
+        for job in self._state.take_ended():
+            self._log_ended(job)
+            for task in job.running_tasks():
+                session = self._sessions.get(task.worker_id)
+                if session is not None:
                     session.stop(task.key, task.run)
 
+    def _log_ended(self, job: jobs_module.Job) -> None:
+        policy = self._state.policy_of(job)
+        objective_ms = 0.0
+        if policy is not None:
+            objective_ms = urgency.objective_ms(job.definition, policy)
+        event_log.emit(
+            events.JobEnded(
+                job.job_id,
+                job.state.value,
+                (job.ended_ms or 0) - job.accepted_ms,
+                int(objective_ms),
+            )
+        )
+
     async def _commit_ends(self) -> None:
         while True:
             await self._ends_wake.wait()
@@ -331,10 +378,12 @@
 
     def _log_worker(self, worker_id: str, what: str) -> None:
         session = self._sessions.get(worker_id)
-        loguru.logger.info(
-            "worker changed",
-            event="worker",
-            worker=worker_id,
-            service=session.record.service if session else None,
-            change=what,
+        worker = self._state.workers.get(worker_id)
+        event_log.emit(
+            events.WorkerChanged(
+                worker_id,
+                session.record.service if session else "",
+                what,
+                len(worker.tasks) if worker else 0,
+            )
         )
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -4,14 +4,15 @@
 import functools
 from typing import Any
 
-import loguru
 import msgpack
 
 from tarragoncleat import applier as applier_module
 from tarragoncleat import codec
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
+from tarragoncleat.batch import events
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
@@ -57,14 +58,23 @@
         if isinstance(located, errors.Failure):
             return located
         queue, job_id = located
-        if self._state.job(job_id) is None:
+        is_new = self._state.job(job_id) is None
+        if is_new:
             result = await self._commit(
                 commands.SubmitJob(job_id, queue.key, request.definition)
             )
             if isinstance(result, errors.Failure):
                 return result
-        loguru.logger.info(
-            "job accepted", event="job_accepted", job=job_id, queue=queue.name
+        configuration = self._state.configuration
+        event_log.emit(
+            events.JobAccepted(
+                job_id,
+                queue.name,
+                configuration.version if configuration else 0,
+                self._node.term,
+                sum(step.task_count for step in request.definition.steps),
+                is_new,
+            )
         )
         return messages.Done()
 
@@ -90,8 +100,9 @@
         result = await self._commit(commands.CancelJob(job_id))
         if isinstance(result, errors.Failure):
             return result
-        loguru.logger.info("job cancelled", event="job_cancelled", job=job_id)
-        if not msgpack.unpackb(result.result):
+        was_known = bool(msgpack.unpackb(result.result))
+        event_log.emit(events.JobCancelled(job_id, was_known))
+        if not was_known:
             return messages.JobReply(None)
         return messages.Done()
 
@@ -106,11 +117,10 @@
         result = await self._commit(commands.PutConfiguration(new))
         if isinstance(result, errors.Failure):
             return result
-        loguru.logger.info(
-            "configuration in force",
-            event="configuration",
-            version=new.version,
-            queues=len(new.queues),
+        event_log.emit(
+            events.ConfigurationInForce(
+                new.version, len(new.queues), len(new.services)
+            )
         )
         return messages.Done()
 
@@ -138,12 +148,10 @@
             result = await self._commit(commands.RegisterWorker(record))
             if isinstance(result, errors.Failure):
                 return result
-            loguru.logger.info(
-                "worker registered",
-                event="worker",
-                worker=record.worker_id,
-                service=record.service,
-                change="registered",
+            event_log.emit(
+                events.WorkerChanged(
+                    record.worker_id, record.service, "registered"
+                )
             )
             worker = self._state.workers.get(record.worker_id)
         draining = state_module.WorkerState.DRAINING
@@ -157,12 +165,8 @@
         result = await self._commit(commands.DrainWorker(record.worker_id))
         if isinstance(result, errors.Failure):
             return result
-        loguru.logger.info(
-            "worker drains",
-            event="worker",
-            worker=record.worker_id,
-            service=record.service,
-            change="draining",
+        event_log.emit(
+            events.WorkerChanged(record.worker_id, record.service, "draining")
         )
         return messages.Done()
 
@@ -194,13 +198,13 @@
             )
             if isinstance(result, errors.Failure):
                 return result
-            loguru.logger.info(
-                "wave accepted",
-                event="wave",
-                wave=request.wave,
-                instances=len(request.instances),
-                cap=request.cap,
-                duration_ms=request.duration_ms,
+            event_log.emit(
+                events.WaveAccepted(
+                    request.wave,
+                    len(request.instances),
+                    request.cap,
+                    request.duration_ms,
+                )
             )
         return messages.Done()
 
--- a/tarragoncleat/batch/lending.py
+++ b/tarragoncleat/batch/lending.py
@@ -8,12 +8,12 @@
 import dataclasses
 from typing import Protocol
 
-import loguru
-
 from tarragoncleat import applier as applier_module
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import events
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_session
@@ -217,13 +217,8 @@
         failure = await self._calls.move(
             instance, service, self._holder, self._fence
         )
-        loguru.logger.info(
-            "instance moves",
-            event="move",
-            instance=instance,
-            service=service,
-            refused=failure.reason if failure is not None else None,
-        )
+        refused = failure.reason if failure is not None else None
+        event_log.emit(events.InstanceMoved(instance, service, refused))
         self._spare.discard(instance)
         if failure is not None:
             self._leaving.discard(instance)
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -27,6 +27,10 @@
     step: int
     position: int
 
+    def __str__(self) -> str:
+        """Returns the task's name in logs."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+
 
 class QueueKey(NamedTuple):
     """Names a queue by where its callers reach it."""
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -8,12 +8,14 @@
 import loguru
 
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import ids
 from tarragoncleat import settings as settings_module
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import dispatcher as dispatcher_module
+from tarragoncleat.batch import events
 from tarragoncleat.batch import leader_service
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
@@ -212,7 +214,7 @@
             await self._lead_term(self._node.term)
 
     async def _lead_term(self, term: int) -> None:
-        loguru.logger.info("leads", event="leader", term=term)
+        event_log.emit(events.LeadershipChanged(term, leads=True))
         self._dispatcher = dispatcher_module.Dispatcher(
             self._node,
             self._state,
@@ -230,7 +232,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._dispatcher = None
-        loguru.logger.info("leads no more", event="leader", term=term)
+        event_log.emit(events.LeadershipChanged(term, leads=False))
 
     def _leads(self, term: int) -> bool:
         leader = self._node.leader_id
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -1,5 +1,6 @@
 """The replicated state machine of queues, jobs, workers and waves."""
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -20,6 +21,8 @@
 _KEEP_ENDED_MS = 180_000
 _FORGET_EVERY_RECORDS = 256
 _MAX_ENDED_WORKERS = 10_000
+# A leader takes the ends at each step; followers never do.
+_MAX_UNSEEN_ENDS = 10_000
 
 
 class WorkerState(enum.Enum):
@@ -46,8 +49,9 @@
 class Wave:
     """Maintenance of instances.
 
-    `chosen` instances were or are about to be ordered into maintenance;
-    `begun` ones have certainly begun it, or left the fleet.
+    `chosen` instances were or are about to be ordered into maintenance; each
+    has the worker that was on it, or an empty text. `begun` ones have
+    certainly begun it, or left the fleet.
     """
 
     number: int
@@ -55,7 +59,7 @@
     duration_ms: int
     cap: int
     requested_ms: int
-    chosen: set[str] = dataclasses.field(default_factory=set)
+    chosen: dict[str, str] = dataclasses.field(default_factory=dict)
     begun: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -82,7 +86,9 @@
         self._loans: set[str] = set()
         self._time_ms = 0
         self._applied = 0
-        self._ended_jobs = 0
+        self._ended: collections.deque[jobs_module.Job] = collections.deque(
+            maxlen=_MAX_UNSEEN_ENDS
+        )
 
     # Reading.
 
@@ -111,16 +117,24 @@
         """Instances that came from the spare pool."""
         return self._loans
 
-    @property
-    def ended_jobs(self) -> int:
-        """Count of jobs that ended in this process's time."""
-        return self._ended_jobs
+    def take_ended(self) -> list[jobs_module.Job]:
+        """Returns the jobs that ended since the last call."""
+        taken = list(self._ended)
+        self._ended.clear()
+        return taken
 
     @property
     def time_ms(self) -> int:
         """Leader's time of the last record."""
         return self._time_ms
 
+    def worker_on(self, instance: str) -> Worker | None:
+        """Returns the worker on an instance, or None."""
+        for worker in self._workers.values():
+            if worker.record.instance == instance:
+                return worker
+        return None
+
     def has_ended(self, worker_id: str) -> bool:
         """Whether a worker's life is known to have ended."""
         return worker_id in self._ended_workers
@@ -333,11 +347,14 @@
         wave = self._waves.get(command.wave)
         if wave is None:
             return None
-        wave.chosen.add(command.instance)
+        if command.instance not in wave.chosen:
+            worker = self.worker_on(command.instance)
+            worker_id = worker.record.worker_id if worker else ""
+            wave.chosen[command.instance] = worker_id
         if command.phase is not commands.MaintenancePhase.CHOSEN:
             wave.begun.add(command.instance)
         if command.phase is commands.MaintenancePhase.BEGUN:
-            worker = self._workers.get(command.worker_id)
+            worker = self._workers.get(wave.chosen[command.instance])
             if worker is not None:
                 self._end_worker(worker)
         return None
@@ -345,7 +362,7 @@
     def _settle(self, job: jobs_module.Job) -> None:
         if job.has_ended and job.job_id in self._active:
             del self._active[job.job_id]
-            self._ended_jobs += 1
+            self._ended.append(job)
 
     def _end_worker(self, worker: Worker) -> None:
         self._lose_tasks(worker)
@@ -419,7 +436,7 @@
             )
         for packed in values[6]:
             wave = Wave(packed[0], tuple(packed[1]), *packed[2:5])
-            wave.chosen = set(packed[5])
+            wave.chosen = dict(packed[5])
             wave.begun = set(packed[6])
             self._waves[wave.number] = wave
 
@@ -468,5 +485,5 @@
     yield wave.duration_ms
     yield wave.cap
     yield wave.requested_ms
-    yield sorted(wave.chosen)
+    yield sorted(wave.chosen.items())
     yield sorted(wave.begun)
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -3,13 +3,13 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-import loguru
-
 from tarragoncleat import applier as applier_module
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
@@ -113,12 +113,11 @@
         for instance in wave.remaining:
             if instance in wave.chosen:
                 # An earlier leader may have ordered it; repeating is safe.
-                await self._order(wave, instance, by_instance.get(instance))
+                await self._order(wave, instance)
             elif instance in self._emptying:
-                session = by_instance.get(instance)
-                is_empty = session is None or self._empty(instance, session)
+                is_empty = self._empty(instance, by_instance.get(instance))
                 if is_empty and self._down(wave) < wave.cap:
-                    await self._choose_and_order(wave, instance, session)
+                    await self._choose_and_order(wave, instance)
 
     def _choose(self, wave: state_module.Wave, by_instance: Sessions) -> None:
         """Starts to empty instances, the ones with the least work first."""
@@ -169,21 +168,28 @@
             worker.record.instance for worker in self._state.workers.values()
         }
         now_s = self._timer.monotonic_s()
-        longest_s = self._bounds.maintenance_ms / _MS_PER_S + _RETURN_MARGIN_S
+        shortest_s = self._bounds.maintenance_ms / _MS_PER_S
+        longest_s = shortest_s + _RETURN_MARGIN_S
         down = 0
         for instance in wave.chosen:
             begun_s = self._begun_s.get(instance, self._started_s)
-            is_past = now_s - begun_s > longest_s or instance in back
+            since_s = now_s - begun_s
+            # A worker that registered before the order was carried out says
+            # nothing, so the maintenance has its time in any case.
+            is_back = instance in back and since_s > shortest_s
+            is_past = is_back or since_s > longest_s
             down += instance not in wave.begun or not is_past
         return down
 
     def _empty(
-        self, instance: str, session: worker_session.WorkerSession
+        self, instance: str, session: worker_session.WorkerSession | None
     ) -> bool:
         """Stops what may be stopped; returns whether the worker is empty."""
-        worker = self._state.workers.get(session.record.worker_id)
+        worker = self._state.worker_on(instance)
         if worker is None or not worker.tasks:
             return True
+        if session is None or session.record != worker.record:
+            return False
         waited_s = self._timer.monotonic_s() - self._emptying[instance]
         holds_lasting = False
         for task in list(self._state.tasks_on(worker)):
@@ -232,20 +238,18 @@
         self,
         wave: state_module.Wave,
         instance: str,
-        session: worker_session.WorkerSession | None,
     ) -> None:
         chosen = commands.NoteMaintenance(
             wave.number, instance, commands.MaintenancePhase.CHOSEN
         )
         result = await self._committer.commit(chosen)
         if isinstance(result, applier_module.Applied):
-            await self._order(wave, instance, session)
+            await self._order(wave, instance)
 
     async def _order(
         self,
         wave: state_module.Wave,
         instance: str,
-        session: worker_session.WorkerSession | None,
     ) -> None:
         failure = await self._calls.maintain(
             instance, wave.number, self._holder, self._fence
@@ -253,26 +257,21 @@
         phase = commands.MaintenancePhase.BEGUN
         if failure is not None:
             if failure.kind is not errors.ErrorKind.NOT_FOUND:
-                loguru.logger.info(
-                    "maintenance not begun",
-                    event="maintenance_refused",
-                    wave=wave.number,
-                    instance=instance,
-                    reason=failure.reason,
-                )
+                self._log(wave, instance, failure.reason)
                 return
             phase = commands.MaintenancePhase.GONE
         self._begun_s[instance] = self._timer.monotonic_s()
-        worker_id = session.record.worker_id if session else ""
         await self._committer.commit(
-            commands.NoteMaintenance(wave.number, instance, phase, worker_id)
+            commands.NoteMaintenance(wave.number, instance, phase)
         )
         self._emptying.pop(instance, None)
-        loguru.logger.info(
-            "maintenance begun",
-            event="maintenance",
-            wave=wave.number,
-            instance=instance,
-            phase=phase.value,
-            remaining=len(wave.remaining),
+        self._log(wave, instance, None)
+
+    def _log(
+        self, wave: state_module.Wave, instance: str, refused: str | None
+    ) -> None:
+        event_log.emit(
+            events.MaintenanceOrdered(
+                wave.number, instance, len(wave.remaining), refused
+            )
         )
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -6,11 +6,12 @@
 from typing import Protocol
 
 import anyio
-import loguru
 
+from tarragoncleat import event_log
 from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import events
 from tarragoncleat.batch import leases
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
@@ -242,14 +243,14 @@
             return
         if outcome is _Outcome.FENCED:
             return
-        loguru.logger.info(
-            "start refused",
-            event="start_refused",
-            job=order.task.job_id,
-            task=list(order.task),
-            run=order.run,
-            worker=self.record.worker_id,
-            outcome=outcome.value,
+        event_log.emit(
+            events.StartRefused(
+                str(order.task),
+                order.run,
+                self.record.worker_id,
+                outcome.value,
+                was_unanswered,
+            )
         )
         self._owner.on_start_refused(self, order.task, outcome)
         if was_unanswered:
@@ -310,11 +311,10 @@
                 self._end()
                 return
             if report.outcome is _Outcome.FENCED:
-                loguru.logger.warning(
-                    "a worker obeys a later leader",
-                    event="fenced",
-                    worker=self.record.worker_id,
-                    fence=self._fence,
+                event_log.emit(
+                    events.WorkerChanged(
+                        self.record.worker_id, self.record.service, "fenced"
+                    )
                 )
                 await anyio.sleep_forever()
             self._failures += 1
--- a/tarragoncleat/cli.py
+++ b/tarragoncleat/cli.py
@@ -18,11 +18,14 @@
 from tarragoncleat import cli_options
 from tarragoncleat import cli_output
 from tarragoncleat import errors
+from tarragoncleat import explain
 from tarragoncleat import reports
 
 __all__ = ["main"]
 
 _MS_PER_S = 1000
+_REFUSED_STATUS = 1
+_USAGE_STATUS = 2
 _REPORT = pydantic.TypeAdapter(reports.Report)
 _Session = cli_options.Session
 
@@ -48,6 +51,25 @@
     return daemon.main(settings)
 
 
+def _explain(request_id: str, *files: pathlib.Path) -> int:
+    """Tells the story of a request from the logs of several processes.
+
+    Args:
+        request_id: Id of the request or job.
+        files: Logs to read.
+    """
+    lines = explain.read_lines(files)
+    if isinstance(lines, errors.Failure):
+        sys.stderr.write(f"{lines.reason}\n")
+        return _USAGE_STATUS
+    story = explain.explain(request_id, lines)
+    if not story.lines:
+        sys.stderr.write(f"no line names {request_id}\n")
+        return _REFUSED_STATUS
+    sys.stdout.write(f"{story.render()}\n")
+    return 0 if story.cause else _REFUSED_STATUS
+
+
 def _report(
     session: _Session,
     *,
@@ -370,6 +392,7 @@
     connected = cli_options.connected
     return {
         "entry": _entry,
+        "explain": _explain,
         "profile": _objects("profiles"),
         "service": _objects("services"),
         "team": _objects("teams", deletable=False),
--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -1,18 +1,20 @@
 """Finds the leader of the log and brings requests to it."""
 
 from collections.abc import Sequence
+import dataclasses
 from typing import Any
 
 import anyio
 
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import ids
 from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import links as links_module
 from tarragoncleat.cluster import messages
 from tarragoncleat.cluster import node_ids
 
-__all__ = ["LeaderFinder"]
+__all__ = ["LeaderContact", "LeaderFinder"]
 
 _ANNOUNCE_S = 0.5
 _ASK_TIMEOUT_S = 0.5
@@ -21,6 +23,16 @@
 _MAX_KNOWN = 64
 
 
+@event_log.event("leader_contact")
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderContact:
+    """The leader was found or lost; `age_ms` is that of its last word."""
+
+    leader: str | None
+    was: str | None
+    age_ms: int | None
+
+
 class LeaderFinder:
     """Asks known nodes who leads; seeds are where it begins."""
 
@@ -114,16 +126,24 @@
         if hint is None or not isinstance(address, tuple) or address == asked:
             self._forget_leader(asked)
             return
-        self._leader = address
-        self._leader_id = hint
+        self._use_leader(address, hint)
         self._learn([address])
 
     def _forget_leader(self, leader: tuple[str, int]) -> None:
         if self._leader == leader:
-            self._leader = None
-            self._leader_id = None
+            self._use_leader(None, None)
         self._wake.set()
 
+    def _use_leader(
+        self, address: tuple[str, int] | None, leader_id: ids.EntryId | None
+    ) -> None:
+        if leader_id != self._leader_id:
+            age_s = self.confirmed_age_s()
+            age_ms = None if age_s is None else int(age_s * 1000)
+            event_log.emit(LeaderContact(leader_id, self._leader_id, age_ms))
+        self._leader = address
+        self._leader_id = leader_id
+
     async def _announce(self) -> None:
         if self._leader is not None and await self._ask(self._leader):
             return
@@ -148,8 +168,7 @@
             return False
         # The word of the leader itself goes before that of others.
         if leader == address or self._leader is None:
-            self._leader = leader
-            self._leader_id = reply.leader
+            self._use_leader(leader, reply.leader)
         if leader == address and reply.is_ready:
             self._confirmed_s = self._timer.monotonic_s()
         return leader == address
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -1,6 +1,7 @@
 """A node that holds the replicated log and finds the others by itself."""
 
 from collections.abc import Callable, Sequence
+import dataclasses
 import pathlib
 from typing import Any
 
@@ -13,6 +14,7 @@
 from tarragoncleat import consensus_messages
 from tarragoncleat import consensus_output
 from tarragoncleat import errors
+from tarragoncleat import event_log
 from tarragoncleat import ids
 from tarragoncleat import log_files
 from tarragoncleat import log_store
@@ -24,8 +26,9 @@
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.cluster import roster
 
-__all__ = ["LogNode", "load_identity"]
+__all__ = ["Committed", "LogNode", "MembersChanged", "load_identity"]
 
+_MS_PER_S = 1000
 _IDENTITY_FILE = "identity"
 _LOG_FOLDER = "log"
 _ROSTER_INTERVAL_S = 0.25
@@ -61,6 +64,23 @@
     return node_id
 
 
+@event_log.event("members")
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The leader asked for other replicas; `refused` says why not."""
+
+    replicas: tuple[str, ...]
+    refused: str | None
+
+
+@event_log.event("committed", event_log.Weight.SILENT)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """A command was replicated and applied."""
+
+    took_ms: float
+
+
 class _ReadRound:
     """Reads that share one confirmation of the leadership."""
 
@@ -231,6 +251,7 @@
             The result, or a `Failure`: NO_LEADER or DISK_FULL when it will
             not be applied, UNDECIDED when it may be.
         """
+        begun_s = self._timer.monotonic_s()
         index = self._opened.propose([payload])
         if isinstance(index, errors.Failure):
             return index
@@ -243,6 +264,8 @@
                 errors.ErrorKind.UNDECIDED,
                 f"record {index} was not committed within {timeout_s} s",
             )
+        took_s = self._timer.monotonic_s() - begun_s
+        event_log.emit(Committed(took_s * _MS_PER_S))
         return waiter.outcome
 
     async def read_barrier(self) -> bool:
@@ -319,13 +342,8 @@
         if replicas is None:
             return
         result = self._opened.propose_replicas(replicas)
-        loguru.logger.info(
-            "replicas change",
-            event="members",
-            replicas=list(replicas),
-            index=result if isinstance(result, int) else None,
-            refused=None if isinstance(result, int) else result.reason,
-        )
+        refused = result.reason if isinstance(result, errors.Failure) else None
+        event_log.emit(MembersChanged(replicas, refused))
 
     def _members(self) -> list[roster.Member]:
         now = self._timer.monotonic_s()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -186,7 +186,9 @@
             del message, timeout_s
             return result
 
-        app = caller_app.CallerApp(call)
+        app = caller_app.CallerApp(
+            call, batch_builders.ManualTimer(), lambda: None
+        )
         control = control_app.ControlApp(call, lambda: "http://10.0.0.1:80")
         body = json.dumps({"steps": [{"count": 1}]}).encode()
         request = http_messages.Request(method, "h", path, {}, body)
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -196,3 +196,30 @@
                 restored.workers[name].tasks, local.state.workers[name].tasks
             )
         self.assertEqual(list(restored.active_jobs), ["job-1"])
+
+
+class WaveTest(unittest.TestCase):
+    """Guards the workers of instances under maintenance."""
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        self.local.apply(commands.StartWave(1, ("i",), 9_000, 1))
+
+    def _note(self, phase: commands.MaintenancePhase) -> None:
+        self.local.apply(commands.NoteMaintenance(1, "i", phase))
+
+    def test_answer_to_a_repeated_order_ends_no_later_worker(self) -> None:
+        """The first order may have been carried out without an answer."""
+        self.local.register("w-1", instance="i")
+        self._note(commands.MaintenancePhase.CHOSEN)
+        self.local.register("w-2", instance="i")
+        self._note(commands.MaintenancePhase.BEGUN)
+        self.assertEqual(set(self.local.state.workers), {"w-2"})
+
+    def test_begun_maintenance_ends_the_worker(self) -> None:
+        self.local.register("w-1", instance="i")
+        self._note(commands.MaintenancePhase.CHOSEN)
+        self.assertEqual(set(self.local.state.workers), {"w-1"})
+        self._note(commands.MaintenancePhase.BEGUN)
+        self.assertFalse(self.local.state.workers)
+        self.assertFalse(self.local.state.waves[1].remaining)
