--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -361,11 +361,11 @@
 
     def _stop_stuck(self) -> None:
         """Stops tasks that make no progress, to restart them elsewhere."""
-        now_s = self._timer.monotonic_s()
         for worker_id, session in self._sessions.items():
-            for task, run in self._health.stuck(worker_id, now_s):
-                self._log_worker(worker_id, "stuck_task")
-                session.stop(task, run)
+            for run_id in self._health.stuck(worker_id):
+                if run_id not in session.stopping:
+                    self._log_worker(worker_id, "stuck_task")
+                    session.stop(*run_id)
 
     async def _keep_waves(self) -> None:
         async for _ in self._timer.subscribe(_WAVE_INTERVAL_S):
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -31,6 +31,7 @@
         default_factory=lambda: deque(maxlen=_RECENT_ENDS)
     )
     shut_until_s: float = 0.0
+    reported_s: float = 0.0
     shut_s: float = _SHUT_S
     progress: dict[tuple[model.TaskKey, int], tuple[int, float]] = (
         dataclasses.field(default_factory=dict)
@@ -88,18 +89,20 @@
                 since_s = before[1]
             progress[run_id] = (row.percent, since_s)
         record.progress = progress
+        record.reported_s = now_s
 
-    def stuck(
-        self, worker_id: str, now_s: float
-    ) -> list[tuple[model.TaskKey, int]]:
-        """Returns the runs that made no progress for too long."""
+    def stuck(self, worker_id: str) -> list[tuple[model.TaskKey, int]]:
+        """Returns the runs that made no progress for too long.
+
+        Only reports count: a worker that is silent says nothing of its tasks.
+        """
         record = self._records.get(worker_id)
         if record is None:
             return []
         return [
             run_id
             for run_id, (_, since_s) in record.progress.items()
-            if now_s - since_s > _STUCK_S
+            if record.reported_s - since_s > _STUCK_S
         ]
 
     def is_shut(self, worker_id: str, now_s: float) -> bool:
--- a/tarragoncleat/explain.py
+++ b/tarragoncleat/explain.py
@@ -23,18 +23,22 @@
     """What the logs say of a request.
 
     Attributes:
+        request_id: Id of the request.
         lines: Lines that name it, in the order of time.
         context: Changes of the system shortly before its last bad line.
         cause: One sentence, or None when the logs hold no cause.
     """
 
+    request_id: str
     lines: tuple[Mapping[str, Any], ...]
     context: tuple[Mapping[str, Any], ...]
     cause: str | None
 
     def render(self) -> str:
         """Returns the story as text."""
-        shown = [_render(line) for line in self.lines]
+        shown = [
+            _render(_own_part(line, self.request_id)) for line in self.lines
+        ]
         if self.context:
             shown.append("meanwhile:")
             shown.extend(f"  {_render(line)}" for line in self.context)
@@ -77,7 +81,7 @@
     own = [line for line in all_lines if _names(line, request_id)]
     bad = [line for line in own if _cause_of(line, request_id)]
     if not bad:
-        return Story(tuple(own), (), None)
+        return Story(request_id, tuple(own), (), None)
     last = bad[-1]
     context = [
         line
@@ -85,7 +89,17 @@
         if line.get("event") in _CONTEXT_EVENTS
         and 0 <= last["time_ms"] - line["time_ms"] <= _CONTEXT_MS
     ]
-    return Story(tuple(own), tuple(context), _cause_of(last, request_id))
+    cause = _cause_of(last, request_id)
+    return Story(request_id, tuple(own), tuple(context), cause)
+
+
+def _own_part(line: Mapping[str, Any], request_id: str) -> Mapping[str, Any]:
+    """Returns a line with only the request's own runs."""
+    if "runs" not in line:
+        return line
+    prefix = f"{request_id}."
+    runs = [run for run in line["runs"] if str(run[0]).startswith(prefix)]
+    return {**line, "runs": runs}
 
 
 def _names(line: Mapping[str, Any], request_id: str) -> bool:
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -117,6 +117,17 @@
         )
         self.assertIn("lapsed", story.cause or "")
 
+    def test_runs_of_other_requests_are_left_out(self) -> None:
+        story = self._story(
+            self._line("runs_started", runs=[["x.0.0.0", 1, "w"]]),
+            self._line(
+                "runs_started",
+                runs=[["x.0.0.1", 1, "w"], [f"{_ID}.0.0.0", 1, "w"]],
+            ),
+        )
+        self.assertNotIn("x.0.0", story.render())
+        self.assertIn(f"{_ID}.0.0.0", story.render())
+
     def test_late_job_is_explained(self) -> None:
         story = self._story(
             self._line(
