--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection, Iterable, Iterator, Sequence
 import dataclasses
+import heapq
 
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import commands
@@ -184,18 +185,33 @@
 ) -> Iterable[commands.RunStart]:
     if step.definition.gang:
         return _place_gang(step, workers)
+    definition = step.definition
+    first = step.tasks[0].key
+    # Tasks of a step are alike, and placing one changes the preference of
+    # its worker only, so each worker is ranked anew only after it got a task.
+    ranked = [
+        (_rank(first, definition, view), view)
+        for view in workers
+        if _may_run(first, definition, view)
+    ]
+    heapq.heapify(ranked)
     starts = []
     for position in sorted(step.waiting):
-        task = step.tasks[position]
-        view = _best_worker(task.key, step.definition, workers)
-        if view is None:
+        if not ranked:
             break
-        view.take(task.key, step.definition)
+        view = ranked[0][1]
+        task = step.tasks[position]
+        view.take(task.key, definition)
         starts.append(
             commands.RunStart(
                 task.key, step.next_run(position), view.record.worker_id
             )
         )
+        if _may_run(first, definition, view):
+            rank = _rank(first, definition, view)
+            heapq.heapreplace(ranked, (rank, view))
+        else:
+            heapq.heappop(ranked)
     return starts
 
 
--- /dev/null
+++ b/tarragoncleat_bench/batch.py
@@ -0,0 +1,143 @@
+"""What jobs of steps cost their leader: commands, placement and snapshots.
+
+Processor time of this process only, so that other work on the machine changes
+little. The slopes by task and worker go into docs/CAPACITY.md.
+"""
+
+from collections.abc import Callable
+import itertools
+import random
+import time
+
+from tarragoncleat import codec
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import model
+from tarragoncleat.batch import placement
+from tarragoncleat.batch import state as state_module
+from tarragoncleat_bench import rows
+
+__all__ = ["run"]
+
+_GROUP = "batch"
+_QUEUES = 8
+_WORKERS = (40, 180, 1_000)
+_TASKS_PER_JOB = 8
+_ROUNDS = 5
+_US_PER_S = 1_000_000
+_MS_PER_S = 1_000
+
+
+class _Fleet:
+    """A state that is driven without a log."""
+
+    def __init__(self, workers: int, seed: int) -> None:
+        self.state = state_module.BatchState()
+        self._index = itertools.count(1)
+        self._random = random.Random(seed)
+        services = [f"service-{number}" for number in range(_QUEUES)]
+        queues = tuple(
+            model.QueuePolicy(
+                name, "host", f"/{name}/", name, 3_000, 600, 0, 3, 1.6
+            )
+            for name in services
+        )
+        policies = tuple(
+            model.ServicePolicy(name, True, False) for name in services
+        )
+        self.apply(
+            commands.PutConfiguration(
+                model.FleetConfiguration(1, b"{}", queues, policies)
+            )
+        )
+        self.queues = [queue.key for queue in queues]
+        for number in range(workers):
+            record = model.WorkerRecord(
+                f"w-{number}",
+                services[number % _QUEUES],
+                f"10.0.0.{number}:80",
+                "zone",
+                f"i-{number}",
+                ("a", f"r-{number // 8}"),
+                f"r-{number // 8}",
+                16_000,
+                65_536,
+                0,
+            )
+            self.apply(commands.RegisterWorker(record))
+
+    def apply(self, command: commands.Command) -> None:
+        payload = codec.encode(command)
+        self.state.apply(next(self._index), 1_000, payload)
+
+    def submit(self, count: int) -> None:
+        for number in range(count):
+            step = model.StepDefinition(
+                _TASKS_PER_JOB, self._random.randrange(300, 2_000), 512, 0, 900
+            )
+            self.apply(
+                commands.SubmitJob(
+                    f"{number:016x}",
+                    self.queues[number % _QUEUES],
+                    model.JobDefinition("x" * 75, (step,)),
+                )
+            )
+
+    def plan(self) -> list[commands.RunStart]:
+        open_workers = dict.fromkeys(self.state.workers, 0.0)
+        views = placement.views_of(self.state, open_workers)
+        return placement.plan(self.state, views, 1_000).starts
+
+
+def run(seed: int) -> list[rows.Row]:
+    """Measures commands, placement and snapshots at three sizes."""
+    measured = []
+    for workers in _WORKERS:
+        measured.extend(_measure(workers, seed))
+    return measured
+
+
+def _measure(workers: int, seed: int) -> list[rows.Row]:
+    fleet = _Fleet(workers, seed)
+    jobs = workers
+    submit_s = _processor_s(lambda: fleet.submit(jobs))
+    # Planning changes no state, so the least of some rounds is the cost.
+    plan_s = min(_processor_s(fleet.plan) for _ in range(_ROUNDS))
+    starts = fleet.plan()
+    start_s = _processor_s(
+        lambda: fleet.apply(commands.StartRuns(tuple(starts)))
+    )
+    idle_plan_s = min(_processor_s(fleet.plan) for _ in range(_ROUNDS))
+    snapshot_s = _processor_s(fleet.state.snapshot)
+    ends = tuple(
+        commands.RunEnd(
+            row.task, row.run, row.worker_id, commands.Ending.DONE, ""
+        )
+        for row in starts
+    )
+    end_s = _processor_s(lambda: fleet.apply(commands.EndRuns(ends)))
+    size = f"{workers} workers, {jobs} jobs"
+    return [
+        _row(f"accept a job, {size}", "us", submit_s / jobs * _US_PER_S, seed),
+        _row(f"plan a burst, {size}", "ms", plan_s * _MS_PER_S, seed),
+        _row(f"plan a full fleet, {size}", "ms", idle_plan_s * _MS_PER_S, seed),
+        _row(
+            f"store a start, {size}",
+            "us",
+            start_s / len(starts) * _US_PER_S,
+            seed,
+        ),
+        _row(
+            f"store an end, {size}", "us", end_s / len(ends) * _US_PER_S, seed
+        ),
+        _row(f"snapshot, {size}", "ms", snapshot_s * _MS_PER_S, seed),
+    ]
+
+
+def _processor_s(call: Callable[[], object]) -> float:
+    started_s = time.process_time()
+    call()
+    return time.process_time() - started_s
+
+
+def _row(name: str, unit: str, figure: float, seed: int) -> rows.Row:
+    return rows.Row(_GROUP, name, unit, figure, seed=seed)
--- a/tarragoncleat_bench/main.py
+++ b/tarragoncleat_bench/main.py
@@ -15,6 +15,7 @@
 _GROUPS = {
     "planning": "tarragoncleat_bench.planning",
     "state": "tarragoncleat_bench.state",
+    "batch": "tarragoncleat_bench.batch",
     "membership": "tarragoncleat_bench.membership",
     "request-path": "tarragoncleat_bench.request_path",
     "control": "tarragoncleat_bench.control",
@@ -31,8 +32,8 @@
 
     Args:
         folder: Folder of the results; it is created.
-        group: Groups to measure (planning, state, membership, request-path,
-            control); all when none is given.
+        group: Groups to measure (planning, state, batch, membership,
+            request-path, control); all when none is given.
         seed: Seed of the random inputs.
     """
     names = group or list(_GROUPS)
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from tarragoncleat.batch import pacing
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import urgency
@@ -130,3 +133,44 @@
     def test_speed_returns_when_it_is_calm(self) -> None:
         self.assertGreater(pacing.next_percent(0, 0.2), 0)
         self.assertEqual(pacing.next_percent(100, 0.2), 100)
+
+
+class OrderOfWorkersTest(unittest.TestCase):
+    """Guards the shortcut that ranks each worker only when it changes."""
+
+    @hypothesis.settings(derandomize=True, max_examples=60)
+    @hypothesis.given(
+        rooms=strategies.lists(
+            strategies.integers(0, 9), min_size=1, max_size=6
+        ),
+        tasks=strategies.integers(1, 12),
+        limit=strategies.integers(0, 3),
+    )
+    def test_each_task_gets_the_worker_that_is_best_at_its_turn(
+        self, rooms: list[int], tasks: int, limit: int
+    ) -> None:
+        local = batch_builders.LocalState()
+        for number, room in enumerate(rooms):
+            local.register(f"w-{number}", cpu_millicores=room * 1_000)
+        step = batch_builders.build_step(tasks, max_per_worker=limit)
+        local.submit("job-1", step)
+        state = local.state
+        views = placement.views_of(state, dict.fromkeys(state.workers, 0.0))
+        made = placement.plan(state, views, local.time_ms)
+        free = {f"w-{n}": room for n, room in enumerate(rooms)}
+        counts = dict.fromkeys(free, 0)
+        for row in made.starts:
+            open_names = [
+                name
+                for name, room in free.items()
+                if room >= 1 and (not limit or counts[name] < limit)
+            ]
+            best = min(open_names, key=lambda name: (-free[name], name))
+            self.assertEqual(row.worker_id, best)
+            free[best] -= 1
+            counts[best] += 1
+        left = any(
+            room >= 1 and (not limit or counts[name] < limit)
+            for name, room in free.items()
+        )
+        self.assertTrue(len(made.starts) == tasks or not left)
