State the committer and the sessions once, and use the usual words for fences

Cause: two modules defined the same protocol and alias, a parameter was only deleted, and three comments used other words than the glossary. Change: one definition each, no unused parameter; no decision changes.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from tarragoncleat import codec
 from tarragoncleat.batch import model
@@ -10,6 +10,7 @@
 __all__ = [
     "CancelJob",
     "Command",
+    "Committer",
     "DrainWorker",
     "EndRuns",
     "Ending",
@@ -194,3 +195,10 @@
     | NoteMaintenance
     | NoteLoan
 )
+
+
+class Committer(Protocol):
+    """Replicates commands."""
+
+    async def commit(self, command: Command) -> object:
+        """Replicates a command."""
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -211,7 +211,7 @@
     def _plan(self) -> placement.Plan:
         now_s = self._timer.monotonic_s()
         open_workers = {
-            worker_id: self._health.penalty(worker_id, now_s)
+            worker_id: self._health.penalty(worker_id)
             for worker_id, session in self._sessions.items()
             if session.is_fresh
             and not self._health.is_shut(worker_id, now_s)
--- a/tarragoncleat/batch/lending.py
+++ b/tarragoncleat/batch/lending.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Mapping
 import dataclasses
-from typing import Protocol
 
 from tarragoncleat import applier as applier_module
 from tarragoncleat import errors
@@ -29,16 +28,6 @@
 _WORTH_SHARE = 0.5
 
 
-class Committer(Protocol):
-    """Replicates commands."""
-
-    async def commit(self, command: commands.Command) -> object:
-        """Replicates a command."""
-
-
-Sessions = Mapping[str, worker_session.WorkerSession]
-
-
 @dataclasses.dataclass(slots=True)
 class Demand:
     """Work of a service that found no room, in 1/1000 core."""
@@ -78,7 +67,7 @@
         state: state_module.BatchState,
         timer: timer_module.TimerService,
         instance_calls: worker_calls.InstanceCalls,
-        committer: Committer,
+        committer: commands.Committer,
         holder: str,
         fence: int,
     ) -> None:
@@ -109,7 +98,7 @@
         return instance in self._leaving
 
     async def step(
-        self, sessions: Sessions, demands: Mapping[str, Demand]
+        self, sessions: worker_session.Sessions, demands: Mapping[str, Demand]
     ) -> None:
         """Takes the next steps."""
         spare_pool = self._spare_pool()
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -1,8 +1,5 @@
 """Carries out maintenance waves within their caps and availability budgets."""
 
-from collections.abc import Mapping
-from typing import Protocol
-
 from tarragoncleat import applier as applier_module
 from tarragoncleat import errors
 from tarragoncleat import event_log
@@ -28,16 +25,6 @@
 _SERVICE_SHARE = 0.25
 
 
-class Committer(Protocol):
-    """Replicates commands."""
-
-    async def commit(self, command: commands.Command) -> object:
-        """Replicates a command."""
-
-
-Sessions = Mapping[str, worker_session.WorkerSession]
-
-
 class WaveKeeper:
     """Empties instances, orders their maintenance and waits for them."""
 
@@ -47,7 +34,7 @@
         timer: timer_module.TimerService,
         bounds: bounds_module.Bounds,
         instance_calls: worker_calls.InstanceCalls,
-        committer: Committer,
+        committer: commands.Committer,
         holder: str,
         fence: int,
     ) -> None:
@@ -70,7 +57,7 @@
         self._holder = holder
         self._fence = fence
         self._started_s = timer.monotonic_s()
-        self._sessions: Sessions = {}
+        self._sessions: worker_session.Sessions = {}
         self._emptying: dict[str, float] = {}
         self._begun_s: dict[str, float] = {}
 
@@ -93,7 +80,7 @@
             for instance in wave.remaining
         }
 
-    async def step(self, sessions: Sessions) -> None:
+    async def step(self, sessions: worker_session.Sessions) -> None:
         """Takes the next steps of every wave."""
         self._sessions = sessions
         by_instance = {
@@ -107,7 +94,7 @@
             del self._emptying[instance]
 
     async def _step_wave(
-        self, wave: state_module.Wave, by_instance: Sessions
+        self, wave: state_module.Wave, by_instance: worker_session.Sessions
     ) -> None:
         self._choose(wave, by_instance)
         for instance in wave.remaining:
@@ -119,7 +106,9 @@
                 if is_empty and self._down(wave) < wave.cap:
                     await self._choose_and_order(wave, instance)
 
-    def _choose(self, wave: state_module.Wave, by_instance: Sessions) -> None:
+    def _choose(
+        self, wave: state_module.Wave, by_instance: worker_session.Sessions
+    ) -> None:
         """Starts to empty instances, the ones with the least work first."""
         waiting = [
             name
@@ -147,7 +136,9 @@
         )
         return max(1, int(workers * _SERVICE_SHARE))
 
-    def _busy_by_service(self, by_instance: Sessions) -> dict[str, int]:
+    def _busy_by_service(
+        self, by_instance: worker_session.Sessions
+    ) -> dict[str, int]:
         busy: dict[str, int] = {}
         for instance in self._emptying:
             session = by_instance.get(instance)
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -110,9 +110,8 @@
         record = self._records.get(worker_id)
         return record is not None and now_s < record.shut_until_s
 
-    def penalty(self, worker_id: str, now_s: float) -> float:
+    def penalty(self, worker_id: str) -> float:
         """Returns how much other workers are preferred to this one."""
-        del now_s
         record = self._records.get(worker_id)
         if record is None or not record.ends:
             return 0.0
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -1,7 +1,7 @@
 """A leader's dealings with one worker: leases, orders and reports."""
 
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 import dataclasses
 from typing import Protocol
 
@@ -17,7 +17,7 @@
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
 
-__all__ = ["SessionOwner", "WorkerSession"]
+__all__ = ["SessionOwner", "Sessions", "WorkerSession"]
 
 _MS_PER_S = 1000
 # Three quarters of the longest lease: the rest covers the time in which a
@@ -450,3 +450,6 @@
         if not self._is_over:
             self._is_over = True
             self._owner.on_gone(self)
+
+
+Sessions = Mapping[str, WorkerSession]
--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/fleet_instances.py
@@ -151,7 +151,7 @@
     updated = dataclasses.replace(instance, state=state)
     if state in (_STATE.LOST, _STATE.IN_MAINTENANCE):
         # The lease ends with the loss or the reboot, and an ended lease is
-        # taken again only with a higher fence number.
+        # taken again only with a higher fence.
         updated = dataclasses.replace(updated, fence=instance.fence + 1)
     if state is _STATE.LOST:
         fleet_jobs.requeue_all(change, instance.instance_id, "instance lost")
--- a/tarragoncleat/platform_client.py
+++ b/tarragoncleat/platform_client.py
@@ -2,7 +2,7 @@
 
 Every call is safe to repeat. A worker that can't be reached and one that
 answers outside the interface give a `Failure`; a refusal (HTTP 409, for
-example of an old fence number) gives one of kind CONFLICT.
+example of an old fence) gives one of kind CONFLICT.
 """
 
 import collections
--- a/tarragoncleat/worker_leases.py
+++ b/tarragoncleat/worker_leases.py
@@ -69,7 +69,7 @@
         Args:
             instance_id: The worker.
             requested_s: Monotonic time at which the report was requested.
-            fence: Fence number of the renewal.
+            fence: Fence of the renewal.
         """
         lease = self._of(instance_id)
         held_until_s = requested_s + self._lease_s - self._margin_s
