Keep a worker's failure streak over a silence, and free four tests from load

Cause: four tests of KNOWN-RED.txt failed once beside a load of about 20. - Quarantine: a worker that fell silent left the in-service state, and its count of failures was dropped; after it came back it failed three more jobs. A test that silences the broken worker on purpose shows 4 failed jobs, the figure seen. This was a fault of the product, not of the test. - Majority killed: a process that had just started and had not heard of the leader refused all 300 proposals as not run. Seen again in 1 of 3 runs beside 20 busy processes. - Replica removed and added again: one proposal during an election was refused as not run; the test took that for a fault. - Overload by standing: the queue's timeout of 1 s left 0.1 s over what the queue needs, so that queued requests timed out beside load.

Change: a streak outlasts the lost and the returning state. The tests repeat only proposals that were reported as not run, and still check that none is lost or applied twice; the upstream holds its answers until all requests have their place, in place of sleeps.

Before: the new tests of the streak fail (4 failed jobs, 3 expected). After: both pass; the four tests pass 3 of 3 times each beside 16 busy processes and 12 tests at once.

Conclusion: the quarantine's failure and the killed majority were reproduced and mended. The other two have the cause that the code shows; their failures were not seen again before the change (3 runs each beside load).

--- a/tarragoncleat/quarantine.py
+++ b/tarragoncleat/quarantine.py
@@ -15,6 +15,15 @@
 
 __all__ = ["FailureStreaks"]
 
+# A silence repairs nothing: a worker that comes back from it is still broken.
+_STREAK_LASTS = frozenset(
+    {
+        pools.InstanceState.IN_SERVICE,
+        pools.InstanceState.LOST,
+        pools.InstanceState.RETURNING,
+    }
+)
+
 
 class FailureStreaks:
     """Counts the different jobs that failed in a row on each worker."""
@@ -39,12 +48,11 @@
         free: dict[ids.PoolId, int] = {}
         for name, failed in tuple(self._failed.items()):
             instance = view.instances.get(name)
-            if (
-                instance is None
-                or instance.state is not pools.InstanceState.IN_SERVICE
-            ):
+            if instance is None or instance.state not in _STREAK_LASTS:
                 del self._failed[name]
                 continue
+            if instance.state is not pools.InstanceState.IN_SERVICE:
+                continue
             if len(failed) < self._after:
                 continue
             pool_id = instance.pool_id
--- a/tarragoncleat_bench/control_cluster.py
+++ b/tarragoncleat_bench/control_cluster.py
@@ -184,6 +184,19 @@
             time.sleep(_POLL_S)
         raise TimeoutError("no leader")
 
+    def wait_in_touch(self) -> None:
+        """Waits until no running node refuses proposals for want of a leader.
+
+        A process that has just started, and has not heard of the leader yet,
+        refuses proposals as not run.
+        """
+        deadline_s = time.monotonic() + _READY_TIMEOUT_S
+        for node in self.running():
+            while node.ask(do="status")["dump"]["cut_off_since_ms"] is not None:
+                if time.monotonic() > deadline_s:
+                    raise TimeoutError(f"{node.name} has no contact")
+                time.sleep(_POLL_S)
+
     def wait_applied(self, index: int) -> None:
         """Waits until every running node has applied `index`."""
         deadline_s = time.monotonic() + _READY_TIMEOUT_S
--- a/tests/standin_upstream.py
+++ b/tests/standin_upstream.py
@@ -3,6 +3,7 @@
 Request headers choose what happens to one request:
 
 - `X-Standin-Delay-Ms`: time before the answer;
+- `X-Standin-Hold`: path of a file; the answer waits until it exists;
 - `X-Standin-Answer-Bytes`: size of the answer's body, sent in pieces;
 - `X-Standin-Status`: status code;
 - `X-Standin-Chunked: 1`: the answer has no Content-Length;
@@ -45,6 +46,7 @@
 _PIECE_BYTES = 65_536
 _READ_BYTES = 65_536
 _SLOW_READ_S = 2.0
+_HOLD_POLL_S = 0.01
 _RENEWALS_PER_LEASE = 3
 _RESET = struct.pack("ii", 1, 0)
 
@@ -212,6 +214,10 @@
         delay_ms = float(headers.get("x-standin-delay-ms", options.delay_ms))
         if delay_ms:
             await anyio.sleep(delay_ms / 1000)
+        if "x-standin-hold" in headers:
+            hold_file = pathlib.Path(headers["x-standin-hold"])
+            while not hold_file.exists():
+                await anyio.sleep(_HOLD_POLL_S)
         return await self._send_answer(request, headers, facts, fault)
 
     async def _send_refusal(self) -> None:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -258,6 +258,33 @@
         self.assertEqual(len(failed), 3)
         self.assertIs(cluster.state("w0").state, _STATE.QUARANTINED)
 
+    def test_broken_worker_is_quarantined_in_spite_of_a_silence(self) -> None:
+        """Guards against a streak of failures that a pause forgets."""
+        cluster = _Cluster(self, 14, ["--fail-tasks"], [], [], [])
+
+        def failed() -> int:
+            states = [job.state for job in cluster.fleet.jobs.values()]
+            return states.count(jobs.JobState.FAILED)
+
+        async def scenario() -> None:
+            names = [f"job{number}" for number in range(24)]
+            cluster.submit(*names, run_s=0.1, declared_cores=16.0)
+            await cluster.wait(lambda: failed() > 0, "a failed job")
+            cluster.call("w0", "faults", {"silent": True})
+            await cluster.wait(
+                lambda: cluster.state("w0").state is _STATE.LOST, "w0 lost"
+            )
+            names = [f"late{number}" for number in range(24)]
+            cluster.submit(*names, run_s=0.1, declared_cores=16.0)
+            cluster.call("w0", "faults", {"silent": False})
+            await cluster.wait(
+                lambda: cluster.state("w0").state is _STATE.QUARANTINED,
+                "w0 quarantined",
+            )
+
+        cluster.run(scenario)
+        self.assertEqual(failed(), 3)
+
     def test_new_leader_repeats_no_action(self) -> None:
         """Guards against a second reboot or a lost wave after an election."""
         cluster = _Cluster(self, 4, ["--reboot-s", "2"], [], [], [])
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -295,6 +295,26 @@
             view = desk.index.refresh(desk.fleet)
             self.assertEqual(list(streaks.due(view)), [])
 
+    def test_streak_outlasts_a_silence_but_not_a_maintenance(self) -> None:
+        """Guards against a broken worker that a short silence acquits."""
+        states = pools.InstanceState
+        for away, quarantined in (
+            ((states.LOST, states.RETURNING, states.IN_SERVICE), True),
+            ((states.QUARANTINED, states.IN_SERVICE), False),
+        ):
+            desk = _Desk(8)
+            streaks = quarantine.FailureStreaks(settings.ControllerSettings())
+            name = ids.InstanceId("i0")
+            for job in ("a", "b"):
+                streaks.record(name, ids.JobId(job), True)
+            for state in away:
+                desk.driver.must(commands.RecordInstanceState(name, state))
+                view = desk.index.refresh(desk.fleet)
+                self.assertEqual(list(streaks.due(view)), [])
+            streaks.record(name, ids.JobId("c"), True)
+            due = list(streaks.due(desk.index.refresh(desk.fleet)))
+            self.assertEqual(bool(due), quarantined)
+
 
 class PreemptionOrderTest(unittest.TestCase):
     """Guards against urgent work behind other work of a high standing."""
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -38,6 +38,15 @@
 
         anyio.run(main)
 
+    async def _propose_until_run(
+        self, cluster: memory_links.Cluster, name: str, payload: bytes
+    ) -> None:
+        """Repeats a proposal that certainly wasn't run, as a caller would."""
+        while not (outcome := await cluster.entries[name].propose(payload, 60)):
+            self.assertIs(outcome.kind, errors.ErrorKind.NO_LEADER)
+            await anyio.sleep(0.02)
+        self.assertEqual(outcome.result, b"did " + payload)
+
     def test_every_entry_applies_what_any_entry_proposes(self) -> None:
         async def scenario(cluster: memory_links.Cluster) -> None:
             for number, entry in enumerate(tuple(cluster.entries.values())):
@@ -148,9 +157,7 @@
                     leader = await cluster.leader()
                     await anyio.sleep(0.02)
                 payload = b"%d" % is_replica
-                self.assertTrue(
-                    await cluster.entries[other].propose(payload, 60)
-                )
+                await self._propose_until_run(cluster, other, payload)
                 while payload not in cluster.machines[other].payloads:
                     await anyio.sleep(0.02)
             replicas = cluster.entries[leader].dump()["replica"]["replicas"]
--- a/tests/test_replication_processes.py
+++ b/tests/test_replication_processes.py
@@ -3,11 +3,13 @@
 import collections
 import pathlib
 import tempfile
+import time
 import unittest
 
 from tarragoncleat_bench import control_cluster
 
 _ZONES = ("a", "b", "c", "c", "d")
+_RETRY_S = 0.02
 _SMALL_SNAPSHOTS = "snapshot_every_records = 100"
 
 
@@ -23,6 +25,7 @@
         self.addCleanup(self.cluster.close)
         self.nodes = list(self.cluster.nodes.values())
         self.leader = self.cluster.wait_leader()
+        self.cluster.wait_in_touch()
         self.applied: set[int] = set()
         self.not_run: set[int] = set()
 
@@ -33,6 +36,25 @@
             if kind == "no_leader":
                 self.not_run.add(tag)
 
+    def _apply_all(
+        self, node: control_cluster.Node, first: int, count: int
+    ) -> None:
+        """Proposes tags until each is applied.
+
+        An election, which a busy machine may cause, refuses proposals as not
+        run; these are repeated, and `_check_orders` finds one that ran twice.
+        """
+        answer = node.propose(first, count, parallel=8)
+        while True:
+            self.applied |= {tag for tag, _, _ in answer["applied"]}
+            kinds = {kind for _, kind, _ in answer["failed"]}
+            self.assertLessEqual(kinds, {"no_leader"})
+            left = set(range(first, first + count)) - self.applied
+            if not left:
+                return
+            time.sleep(_RETRY_S)
+            answer = node.propose(min(left), 1)
+
     def _check_orders(self) -> None:
         """Compares the order of all changes on every running entry."""
         last = self.cluster.wait_leader().propose(10**6, 1)["applied"][0]
@@ -59,7 +81,7 @@
         self._check_orders()
 
     def test_majority_killed_and_restarted(self) -> None:
-        self._note(self.nodes[4].propose(0, 300, parallel=8))
+        self._apply_all(self.nodes[4], 0, 300)
         killed = [
             self.leader,
             next(n for n in self.nodes[:3] if n is not self.leader),
@@ -73,14 +95,14 @@
         self._check_orders()
 
     def test_replica_and_learner_away_for_500_changes(self) -> None:
-        self._note(self.nodes[0].propose(0, 50, parallel=8))
+        self._apply_all(self.nodes[0], 0, 50)
         away = [
             next(n for n in self.nodes[:3] if n is not self.leader),
             self.nodes[4],
         ]
         for node in away:
             node.kill()
-        self._note(self.leader.propose(1_000, 500, parallel=8))
+        self._apply_all(self.leader, 1_000, 500)
         for node in away:
             node.start()
         self.assertEqual(len(self.applied), 550)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -220,24 +220,42 @@
             directory.standings[standing.value] = standing
             self._upstreams.add(standing.value, "up-1", _ADDRESSES["up-1"])
         replies: dict[str, list[rig.Reply]] = {}
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        hold_file = pathlib.Path(folder) / "answer"
 
         async def call(service: str) -> None:
             caller = rig.Caller(_ENTRY)
             async with contextlib.aclosing(caller):
-                headers = {"X-Standin-Delay-Ms": "300"}
+                headers = {"X-Standin-Hold": str(hold_file)}
                 reply = await caller.request(
                     "POST", f"/services/{service}/", headers, b"1"
                 )
                 replies.setdefault(service, []).append(reply)
 
+        async def wait_taken(api: Any, taken: int) -> None:
+            """Waits until each of the first `taken` requests has its place."""
+            while True:
+                state = api.dump()["dispatcher"]
+                refused = sum(len(found) for found in replies.values())
+                if state["in_flight"] + state["queued"] + refused == taken:
+                    return
+                await anyio.sleep(0.01)
+
         async def check(api: Any) -> None:
             async with anyio.create_task_group() as group:
-                for service in ("low", "normal", "urgent"):
+                for sent, service in enumerate(("low", "normal", "urgent"), 1):
                     for _ in range(4):
                         group.start_soon(call, service)
-                    await anyio.sleep(0.05)
+                    await wait_taken(api, 4 * sent)
+                hold_file.touch()
 
-        limits = {"max_in_flight": 2, "max_queued": 6}
+        # No request may leave the queue by its timeout, however slow the
+        # machine: only the refusals by standing are counted.
+        limits = {
+            "max_in_flight": 2,
+            "max_queued": 6,
+            "queue_timeout_ms": 60_000,
+        }
         self._run(check, routing=limits, directory=directory)
         refused = {
             service: [reply for reply in got if reply.status == 503]
