Keep the views of workers whose tasks have not changed

Cause: a plan follows each commit and looked up each task on each worker anew, although a commit changes a few workers.

Change: worker_views keeps the view of each worker until its tasks change or a plan takes room of it.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -26,6 +26,7 @@
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_health
 from tarragoncleat.batch import worker_session
+from tarragoncleat.batch import worker_views
 from tarragoncleat.cluster import log_node
 
 __all__ = ["Dispatcher"]
@@ -81,6 +82,7 @@
         state.take_ended()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._advisor = advice.Advisor(advisor_calls, timer)
+        self._views = worker_views.ViewCache()
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._mover = pool_mover.PoolMover(
             state, timer, bounds, instance_calls, self, holder, self._fence
@@ -222,7 +224,7 @@
             and not self._mover.is_leaving(session.record.instance)
         }
         passing = self._waves.due_instances()
-        views = placement.views_of(self._state, open_workers, passing)
+        views = self._views.refresh(self._state, open_workers, passing)
         self._advisor.begin_round()
         return placement.plan(
             self._state, views, self._timer.wall_time_ms(), self._advisor
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -4,7 +4,7 @@
 I/O and read no clock.
 """
 
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 import dataclasses
 import heapq
 
@@ -15,84 +15,13 @@
 from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import urgency
+from tarragoncleat.batch import worker_views
 
-__all__ = ["Plan", "WorkerView", "plan", "views_of"]
+__all__ = ["Plan", "plan"]
 
 _ANCHORED, _IN_USE, _VACANT = range(3)
 
 
-@dataclasses.dataclass(slots=True)
-class WorkerView:
-    """A worker with the room that is left on it.
-
-    Attributes:
-        record: The worker.
-        free: Room that no task takes.
-        is_open: Whether it may get tasks now.
-        is_passing: Whether its instance will leave or be maintained soon.
-        penalty: Reasons to prefer other workers; 0 for none.
-        steps: Number of tasks of each step (job, occurrence, step) on it.
-        serving: Number of tasks with a latency target.
-        best_effort: Number of tasks that use left-over processor time.
-        lasting: Number of tasks that last.
-        tasks: Number of tasks.
-    """
-
-    record: model.WorkerRecord
-    free: model.Resources
-    is_open: bool = True
-    is_passing: bool = False
-    penalty: float = 0.0
-    steps: dict[tuple[str, int, int], int] = dataclasses.field(
-        default_factory=dict
-    )
-    serving: int = 0
-    best_effort: int = 0
-    lasting: int = 0
-    tasks: int = 0
-
-    def take(
-        self, key: model.TaskKey, definition: model.StepDefinition
-    ) -> None:
-        """Takes the room of a task."""
-        self.free = self.free.minus(definition.demand)
-        step = key[:3]
-        self.steps[step] = self.steps.get(step, 0) + 1
-        self.serving += definition.latency_target_ms > 0
-        self.best_effort += definition.best_effort
-        self.lasting += definition.long_running
-        self.tasks += 1
-
-
-def views_of(
-    state: state_module.BatchState,
-    open_workers: dict[str, float],
-    passing: Collection[str] = (),
-) -> dict[str, list[WorkerView]]:
-    """Returns the workers of each service with the room left on them.
-
-    Args:
-        state: The state.
-        open_workers: Penalty of each worker that may get tasks.
-        passing: Instances that are no good place for tasks that last.
-    """
-    views: dict[str, list[WorkerView]] = {}
-    for worker_id, worker in state.workers.items():
-        view = WorkerView(worker.record, worker.record.capacity)
-        view.penalty = open_workers.get(worker_id, 0.0)
-        view.is_passing = worker.record.instance in passing
-        view.is_open = (
-            worker_id in open_workers
-            and worker.state is state_module.WorkerState.UP
-        )
-        for key in worker.tasks:
-            found = state.task(key)
-            if found is not None:
-                view.take(key, found[1].definition)
-        views.setdefault(worker.record.service, []).append(view)
-    return views
-
-
 @dataclasses.dataclass(slots=True)
 class _Ready:
     """A step with tasks that may start, and its place in the order."""
@@ -116,7 +45,7 @@
 
 def plan(
     state: state_module.BatchState,
-    views: dict[str, list[WorkerView]],
+    views: dict[str, list[worker_views.WorkerView]],
     now_ms: int,
     advisor: advice.Advisor | None = None,
 ) -> Plan:
@@ -143,7 +72,7 @@
 
 def _plan_service(
     steps: Sequence[_Ready],
-    views: Sequence[WorkerView],
+    views: Sequence[worker_views.WorkerView],
     advisor: advice.Advisor | None,
     starts: list[commands.RunStart],
 ) -> pool_sizing.Demand:
@@ -190,8 +119,8 @@
 
 
 def _with_room(
-    workers: Sequence[WorkerView], least: model.Resources
-) -> list[WorkerView]:
+    workers: Sequence[worker_views.WorkerView], least: model.Resources
+) -> list[worker_views.WorkerView]:
     return [view for view in workers if least.fits_into(view.free)]
 
 
@@ -212,9 +141,9 @@
 
 def _allowed(
     item: _Ready,
-    workers: Sequence[WorkerView],
+    workers: Sequence[worker_views.WorkerView],
     advisor: advice.Advisor | None,
-) -> Sequence[WorkerView]:
+) -> Sequence[worker_views.WorkerView]:
     """Returns the workers that may run a step, and asks for more."""
     if not item.is_advised or advisor is None:
         return workers
@@ -237,7 +166,7 @@
 
 
 def _place_step(
-    step: jobs_module.Step, workers: Sequence[WorkerView]
+    step: jobs_module.Step, workers: Sequence[worker_views.WorkerView]
 ) -> Iterable[commands.RunStart]:
     if step.definition.gang:
         return _place_gang(step, workers)
@@ -272,7 +201,7 @@
 
 
 def _place_gang(
-    step: jobs_module.Step, workers: Sequence[WorkerView]
+    step: jobs_module.Step, workers: Sequence[worker_views.WorkerView]
 ) -> list[commands.RunStart]:
     """Places all members, or none of them."""
     if len(step.waiting) < len(step.tasks):
@@ -293,8 +222,8 @@
 
 
 def _workers_for_gang(
-    step: jobs_module.Step, group: Sequence[WorkerView]
-) -> list[WorkerView] | None:
+    step: jobs_module.Step, group: Sequence[worker_views.WorkerView]
+) -> list[worker_views.WorkerView] | None:
     """Returns a worker for each member, or None when they don't all fit."""
     copies = [
         dataclasses.replace(view, steps=dict(view.steps)) for view in group
@@ -311,8 +240,8 @@
 
 
 def _gang_groups(
-    definition: model.StepDefinition, workers: Sequence[WorkerView]
-) -> Iterator[Sequence[WorkerView]]:
+    definition: model.StepDefinition, workers: Sequence[worker_views.WorkerView]
+) -> Iterator[Sequence[worker_views.WorkerView]]:
     """Yields the sets of workers to try: single racks first if they help."""
     if definition.rack_local:
         for rack in sorted({view.record.rack for view in workers}):
@@ -323,8 +252,8 @@
 def _best_worker(
     key: model.TaskKey,
     definition: model.StepDefinition,
-    workers: Sequence[WorkerView],
-) -> WorkerView | None:
+    workers: Sequence[worker_views.WorkerView],
+) -> worker_views.WorkerView | None:
     best = None
     best_rank: tuple = ()
     for view in workers:
@@ -337,7 +266,9 @@
 
 
 def _may_run(
-    key: model.TaskKey, definition: model.StepDefinition, view: WorkerView
+    key: model.TaskKey,
+    definition: model.StepDefinition,
+    view: worker_views.WorkerView,
 ) -> bool:
     if not definition.demand.fits_into(view.free):
         return False
@@ -349,7 +280,9 @@
 
 
 def _rank(
-    key: model.TaskKey, definition: model.StepDefinition, view: WorkerView
+    key: model.TaskKey,
+    definition: model.StepDefinition,
+    view: worker_views.WorkerView,
 ) -> tuple:
     """Returns the preference of a worker; the least is the best."""
     data_rack = definition.data_rack
@@ -372,7 +305,7 @@
     )
 
 
-def _packing(view: WorkerView) -> tuple[int, int]:
+def _packing(view: worker_views.WorkerView) -> tuple[int, int]:
     """Returns the preference that empties whole workers.
 
     Workers with tasks that last can't leave, so their room goes first, evenly;
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -1,6 +1,7 @@
 """The replicated state machine of queues, jobs, workers and waves."""
 
 import collections
+import collections.abc
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -34,15 +35,39 @@
 
 
 class Worker:
-    """A worker, and the tasks that run or may run on it."""
+    """A worker, and the tasks that run or may run on it.
 
-    __slots__ = ("record", "state", "tasks")
+    `revision` grows with each change of the tasks.
+    """
+
+    __slots__ = ("_tasks", "record", "revision", "state")
 
     def __init__(self, record: model.WorkerRecord) -> None:
         """Creates a worker on which nothing runs."""
         self.record = record
         self.state = WorkerState.UP
-        self.tasks: set[model.TaskKey] = set()
+        self._tasks: set[model.TaskKey] = set()
+        self.revision = 0
+
+    @property
+    def tasks(self) -> collections.abc.Set[model.TaskKey]:
+        """Tasks that run or may run on it."""
+        return self._tasks
+
+    def add_task(self, key: model.TaskKey) -> None:
+        """Takes a task."""
+        self._tasks.add(key)
+        self.revision += 1
+
+    def discard_task(self, key: model.TaskKey) -> None:
+        """Forgets a task."""
+        self._tasks.discard(key)
+        self.revision += 1
+
+    def clear_tasks(self) -> None:
+        """Forgets all tasks."""
+        self._tasks.clear()
+        self.revision += 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -300,7 +325,7 @@
             )
             started.append(may_start)
             if may_start and worker is not None:
-                worker.tasks.add(row.task)
+                worker.add_task(row.task)
         return started
 
     @_apply.register
@@ -314,7 +339,7 @@
             for task in job.end(row, max_attempts, self._time_ms):
                 worker = self._workers.get(task.worker_id)
                 if worker is not None:
-                    worker.tasks.discard(task.key)
+                    worker.discard_task(task.key)
             self._settle(job)
         return None
 
@@ -365,7 +390,7 @@
             found = self.task(key)
             if found is not None:
                 found[0].lose(found[2])
-        worker.tasks.clear()
+        worker.clear_tasks()
 
     def _forget_old_jobs(self) -> None:
         limit_ms = self._time_ms - _KEEP_ENDED_MS
@@ -437,7 +462,7 @@
         for task in job.running_tasks():
             worker = self._workers.get(task.worker_id)
             if worker is not None:
-                worker.tasks.add(task.key)
+                worker.add_task(task.key)
 
     def tasks_on(self, worker: Worker) -> Iterator[jobs_module.Task]:
         """Yields the tasks that run or may run on a worker."""
--- a/tarragoncleat_bench/batch.py
+++ b/tarragoncleat_bench/batch.py
@@ -14,6 +14,7 @@
 from tarragoncleat.batch import model
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_views
 from tarragoncleat_bench import rows
 
 __all__ = ["run"]
@@ -84,7 +85,7 @@
 
     def plan(self) -> list[commands.RunStart]:
         open_workers = dict.fromkeys(self.state.workers, 0.0)
-        views = placement.views_of(self.state, open_workers)
+        views = worker_views.views_of(self.state, open_workers)
         return placement.plan(self.state, views, 1_000).starts
 
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -8,6 +8,7 @@
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import model
 from tarragoncleat.batch import placement
+from tarragoncleat.batch import worker_views
 from tests import batch_builders
 
 _STEP = ("job-1", 0, 0)
@@ -87,7 +88,7 @@
         async def scenario() -> None:
             for _ in range(3):
                 open_workers = dict.fromkeys(_WORKERS, 0.0)
-                views = placement.views_of(local.state, open_workers)
+                views = worker_views.views_of(local.state, open_workers)
                 made = placement.plan(
                     local.state, views, local.time_ms, self.advisor
                 )
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -11,6 +11,7 @@
 from tarragoncleat.batch import pacing
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import urgency
+from tarragoncleat.batch import worker_views
 from tests import batch_builders
 
 
@@ -25,7 +26,7 @@
         open_workers = dict.fromkeys(state.workers, 0.0)
         for worker_id in closed:
             del open_workers[worker_id]
-        views = placement.views_of(state, open_workers)
+        views = worker_views.views_of(state, open_workers)
         made = placement.plan(state, views, self.local.time_ms)
         return [(row.task.position, row.worker_id) for row in made.starts]
 
@@ -152,6 +153,43 @@
         self.assertTrue(urgency.is_in_time(order))
 
 
+class ViewCacheTest(unittest.TestCase):
+    """Guards kept views against workers that changed behind them."""
+
+    @hypothesis.settings(derandomize=True, max_examples=60)
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.sampled_from(["submit", "plan", "end", "lose", "redo"]),
+            max_size=25,
+        )
+    )
+    def test_kept_views_equal_new_ones(self, steps: list[str]) -> None:
+        local = batch_builders.LocalState()
+        local.register("w-1", "w-2", "w-3")
+        cache = worker_views.ViewCache()
+        for number, step in enumerate(steps):
+            state = local.state
+            open_workers = dict.fromkeys(state.workers, 0.0)
+            views = cache.refresh(state, open_workers)
+            self.assertEqual(views, worker_views.views_of(state, open_workers))
+            if step == "submit":
+                work = batch_builders.build_step(1 + number % 3)
+                local.submit(f"job-{number}", work)
+            elif step == "plan":
+                starts = placement.plan(state, views, local.time_ms).starts
+                if number % 2:
+                    local.apply(commands.StartRuns(tuple(starts)))
+            elif step == "end":
+                for job in list(state.active_jobs.values()):
+                    for task in list(job.running_tasks())[:1]:
+                        local.end(task.key, run=task.run, worker_id="w-1")
+            elif step == "lose":
+                local.apply(commands.LoseWorkers(("w-2",), is_final=False))
+            else:
+                snapshot = state.snapshot()
+                state.restore(1, snapshot)
+
+
 class OverloadTest(unittest.TestCase):
     """Guards the leader's time while hundreds of jobs find no room."""
 
@@ -161,7 +199,7 @@
         local.register(*names)
         for number in range(60):
             local.submit(f"job-{number}", batch_builders.build_step(2))
-        views = placement.views_of(local.state, dict.fromkeys(names, 0.0))
+        views = worker_views.views_of(local.state, dict.fromkeys(names, 0.0))
         tried = 0
         real = placement._may_run
 
@@ -223,7 +261,7 @@
         step = batch_builders.build_step(tasks, max_per_worker=limit)
         local.submit("job-1", step)
         state = local.state
-        views = placement.views_of(state, dict.fromkeys(state.workers, 0.0))
+        views = worker_views.views_of(state, dict.fromkeys(state.workers, 0.0))
         made = placement.plan(state, views, local.time_ms)
         free = {f"w-{n}": room for n, room in enumerate(rooms)}
         counts = dict.fromkeys(free, 0)
