--- a/tarragoncleat/__main__.py
+++ b/tarragoncleat/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line as `python -m tarragoncleat`."""
 
-from tarragoncleat import cli
+from tarragoncleat.administration import cli
 
 cli.main()
--- /dev/null
+++ b/tarragoncleat/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Administration: the command line, the API and reports."""
--- a/tarragoncleat/admin_api.py
+++ b/tarragoncleat/administration/admin_api.py
@@ -4,18 +4,18 @@
 import dataclasses
 from typing import Any, Protocol
 
-from tarragoncleat import admin_commands
-from tarragoncleat import admin_http
-from tarragoncleat import admin_reads
-from tarragoncleat import auth
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet as fleet_module
-from tarragoncleat import ids
-from tarragoncleat import metrics as metrics_module
-from tarragoncleat import reports
-from tarragoncleat import settings as settings_module
+from tarragoncleat.administration import admin_commands
+from tarragoncleat.administration import admin_http
+from tarragoncleat.administration import admin_reads
+from tarragoncleat.administration import auth
+from tarragoncleat.administration import reports
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics as metrics_module
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet as fleet_module
 
 __all__ = ["PREFIX", "AdminApi", "ReplicatedLog"]
 
--- a/tarragoncleat/admin_client.py
+++ b/tarragoncleat/administration/admin_client.py
@@ -11,7 +11,7 @@
 
 import httpcore
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = ["AdminClient", "Reply"]
 
--- a/tarragoncleat/admin_commands.py
+++ b/tarragoncleat/administration/admin_commands.py
@@ -5,16 +5,16 @@
 
 import pydantic
 
-from tarragoncleat import admin_http
-from tarragoncleat import auth
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.administration import admin_http
+from tarragoncleat.administration import auth
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = ["build_command", "check_id", "check_service_scope"]
 
--- a/tarragoncleat/admin_http.py
+++ b/tarragoncleat/administration/admin_http.py
@@ -10,7 +10,7 @@
 
 import pydantic_core
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = [
     "Answer",
--- a/tarragoncleat/admin_reads.py
+++ b/tarragoncleat/administration/admin_reads.py
@@ -5,13 +5,13 @@
 import heapq
 from typing import Any
 
-from tarragoncleat import auth
-from tarragoncleat import errors
-from tarragoncleat import fleet as fleet_module
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import ledger
-from tarragoncleat import pools
+from tarragoncleat.administration import auth
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import fleet as fleet_module
+from tarragoncleat.state import jobs
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
 
 __all__ = ["KINDS", "ledger_filter", "read_ledger", "read_list", "read_one"]
 
--- a/tarragoncleat/auth.py
+++ b/tarragoncleat/administration/auth.py
@@ -5,10 +5,10 @@
 import hashlib
 import hmac
 
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import settings
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
 
 __all__ = ["Authenticator", "Scope"]
 
--- a/tarragoncleat/cli.py
+++ b/tarragoncleat/administration/cli.py
@@ -15,11 +15,11 @@
 import defopt
 import pydantic
 
-from tarragoncleat import cli_options
-from tarragoncleat import cli_output
-from tarragoncleat import errors
-from tarragoncleat import explain
-from tarragoncleat import reports
+from tarragoncleat.administration import cli_options
+from tarragoncleat.administration import cli_output
+from tarragoncleat.administration import explain
+from tarragoncleat.administration import reports
+from tarragoncleat.kernel import errors
 
 __all__ = ["main"]
 
@@ -47,7 +47,7 @@
         settings: Settings file of the entry.
     """
     # The daemon is loaded only here, so that the client starts quickly.
-    daemon = importlib.import_module("tarragoncleat.entry")
+    daemon = importlib.import_module("tarragoncleat.process.entry")
     return daemon.main(settings)
 
 
--- a/tarragoncleat/cli_options.py
+++ b/tarragoncleat/administration/cli_options.py
@@ -9,9 +9,9 @@
 import sys
 from typing import Any, Literal
 
-from tarragoncleat import admin_client
-from tarragoncleat import cli_output
-from tarragoncleat import errors
+from tarragoncleat.administration import admin_client
+from tarragoncleat.administration import cli_output
+from tarragoncleat.kernel import errors
 
 __all__ = ["Session", "connected"]
 
--- a/tarragoncleat/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -6,7 +6,7 @@
 import pathlib
 from typing import Any
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = ["Story", "explain", "read_lines"]
 
--- a/tarragoncleat/reports.py
+++ b/tarragoncleat/administration/reports.py
@@ -6,11 +6,11 @@
 import datetime as dt
 import html
 
-from tarragoncleat import fleet as fleet_module
-from tarragoncleat import ids
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import fleet as fleet_module
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = ["Point", "Report", "build", "to_html", "to_markdown"]
 
--- a/tarragoncleat/batch/advice.py
+++ b/tarragoncleat/batch/advice.py
@@ -12,10 +12,10 @@
 
 import anyio
 
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import events
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["Advisor", "AdvisorCalls", "Approval", "Approvals", "StepKey"]
 
--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -4,8 +4,8 @@
 import enum
 from typing import NamedTuple, Protocol
 
-from tarragoncleat import codec
 from tarragoncleat.batch import model
+from tarragoncleat.kernel import codec
 
 __all__ = [
     "CancelJob",
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -6,10 +6,6 @@
 import anyio
 import anyio.abc
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import codec
-from tarragoncleat import event_log
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
@@ -28,6 +24,10 @@
 from tarragoncleat.batch import worker_session
 from tarragoncleat.batch import worker_views
 from tarragoncleat.cluster import log_node
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
 
 __all__ = ["Dispatcher"]
 
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from tarragoncleat import event_log
+from tarragoncleat.kernel import event_log
 
 __all__ = [
     "AdviceMissing",
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -6,10 +6,6 @@
 
 import msgpack
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import event_log
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
@@ -17,6 +13,10 @@
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.cluster import log_node
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.log import applier as applier_module
 
 __all__ = ["LeaderService"]
 
--- a/tarragoncleat/batch/messages.py
+++ b/tarragoncleat/batch/messages.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from tarragoncleat import codec
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import model
+from tarragoncleat.kernel import codec
 
 __all__ = [
     "CancelRequest",
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import NamedTuple
 
-from tarragoncleat import codec
+from tarragoncleat.kernel import codec
 
 __all__ = [
     "Advice",
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -7,11 +7,6 @@
 import anyio
 import loguru
 
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import ids
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import dispatcher as dispatcher_module
@@ -24,6 +19,11 @@
 from tarragoncleat.cluster import log_node
 from tarragoncleat.cluster import messages as cluster_messages
 from tarragoncleat.cluster import node_ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["ControlNode", "EntryNode"]
 
--- a/tarragoncleat/batch/pool_mover.py
+++ b/tarragoncleat/batch/pool_mover.py
@@ -3,9 +3,6 @@
 from collections.abc import Callable, Iterator, Mapping
 import dataclasses
 
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
@@ -13,6 +10,9 @@
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_session
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["PoolMover"]
 
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -10,11 +10,11 @@
 
 import msgpack
 
-from tarragoncleat import codec
-from tarragoncleat import errors
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
 
 __all__ = ["BatchState", "Wave", "Worker", "WorkerState"]
 
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -1,9 +1,5 @@
 """Carries out maintenance waves within their caps and availability budgets."""
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
@@ -11,6 +7,10 @@
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.batch import worker_session
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
 
 __all__ = ["WaveKeeper"]
 
--- a/tarragoncleat/batch/worker_calls.py
+++ b/tarragoncleat/batch/worker_calls.py
@@ -7,9 +7,9 @@
 import enum
 from typing import Protocol
 
-from tarragoncleat import errors
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
+from tarragoncleat.kernel import errors
 
 __all__ = [
     "EndedRun",
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -7,8 +7,6 @@
 
 import anyio
 
-from tarragoncleat import event_log
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
@@ -16,6 +14,8 @@
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["SessionOwner", "Sessions", "WorkerSession"]
 
--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -6,13 +6,13 @@
 
 import anyio
 
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import ids
-from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import links as links_module
 from tarragoncleat.cluster import messages
 from tarragoncleat.cluster import node_ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["LeaderContact", "LeaderFinder"]
 
--- a/tarragoncleat/cluster/links.py
+++ b/tarragoncleat/cluster/links.py
@@ -15,12 +15,12 @@
 import loguru
 import msgpack
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import frames
-from tarragoncleat import ids
-from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import node_ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import frames
 
 __all__ = ["Links", "LossHandler", "MessageHandler", "RequestHandler"]
 
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -9,22 +9,22 @@
 import anyio.lowlevel
 import loguru
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
-from tarragoncleat import errors
-from tarragoncleat import event_log
-from tarragoncleat import ids
-from tarragoncleat import log_files
-from tarragoncleat import log_store
-from tarragoncleat import replica as replica_module
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import links as links_module
 from tarragoncleat.cluster import messages
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.cluster import roster
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
+from tarragoncleat.log import log_files
+from tarragoncleat.log import log_store
+from tarragoncleat.log import replica as replica_module
 
 __all__ = ["Committed", "LogNode", "MembersChanged", "load_identity"]
 
--- a/tarragoncleat/cluster/messages.py
+++ b/tarragoncleat/cluster/messages.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 
 __all__ = ["Announcement", "Directory", "NotLeader", "Refusal"]
 
--- a/tarragoncleat/cluster/node_ids.py
+++ b/tarragoncleat/cluster/node_ids.py
@@ -2,8 +2,8 @@
 
 import secrets
 
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 
 __all__ = ["address_of", "first_id", "later_id"]
 
--- a/tarragoncleat/cluster/roster.py
+++ b/tarragoncleat/cluster/roster.py
@@ -8,8 +8,8 @@
 from collections.abc import Sequence
 import dataclasses
 
-from tarragoncleat import ids
 from tarragoncleat.cluster import node_ids
+from tarragoncleat.kernel import ids
 
 __all__ = ["Candidate", "Member", "next_replicas", "wanted_count"]
 
--- /dev/null
+++ b/tarragoncleat/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the leader: waves, placement, moves, and visits to workers."""
--- a/tarragoncleat/balancer.py
+++ b/tarragoncleat/decisions/balancer.py
@@ -9,12 +9,12 @@
 from collections.abc import Collection, Iterable, Mapping
 import dataclasses
 
-from tarragoncleat import budget
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import settings
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import budget
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = ["Balancer", "Move"]
 
--- a/tarragoncleat/command_proposals.py
+++ b/tarragoncleat/decisions/command_proposals.py
@@ -5,11 +5,11 @@
 
 import loguru
 
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import settings
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
 
 __all__ = ["Proposer", "Replication", "was_not_committed"]
 
--- a/tarragoncleat/control_term.py
+++ b/tarragoncleat/decisions/control_term.py
@@ -7,27 +7,27 @@
 import anyio.abc
 import loguru
 
-from tarragoncleat import balancer
-from tarragoncleat import command_proposals
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import placer
-from tarragoncleat import planner
-from tarragoncleat import platform_client
-from tarragoncleat import platform_messages
-from tarragoncleat import pools
-from tarragoncleat import preemption
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import stuck_pools
-from tarragoncleat import timer
-from tarragoncleat import usage
-from tarragoncleat import worker_leases
-from tarragoncleat import worker_visits
-from tarragoncleat import worker_watch
+from tarragoncleat.decisions import balancer
+from tarragoncleat.decisions import command_proposals
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import placer
+from tarragoncleat.decisions import planner
+from tarragoncleat.decisions import preemption
+from tarragoncleat.decisions import stuck_pools
+from tarragoncleat.decisions import usage
+from tarragoncleat.decisions import worker_client
+from tarragoncleat.decisions import worker_leases
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.decisions import worker_visits
+from tarragoncleat.decisions import worker_watch
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = ["Term"]
 
@@ -53,7 +53,7 @@
         fleet: fleet_view.FleetReader,
         replication: command_proposals.Replication,
         clock: timer.TimerService,
-        client: platform_client.PlatformClient,
+        client: worker_client.PlatformClient,
         since_s: float,
         on_news: Callable[[], None],
     ) -> None:
@@ -260,7 +260,7 @@
             if self._leases.has_ended(name, now_s):
                 continue
             for task_id in status.active_tasks():
-                named = platform_messages.job_of_task(task_id)
+                named = worker_messages.job_of_task(task_id)
                 if named is not None:
                     held.add(named[0])
         return held
--- a/tarragoncleat/controller.py
+++ b/tarragoncleat/decisions/controller.py
@@ -11,12 +11,12 @@
 import anyio
 import anyio.abc
 
-from tarragoncleat import command_proposals
-from tarragoncleat import control_term
-from tarragoncleat import fleet_view
-from tarragoncleat import platform_client
-from tarragoncleat import settings
-from tarragoncleat import timer
+from tarragoncleat.decisions import command_proposals
+from tarragoncleat.decisions import control_term
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import worker_client
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
 
 __all__ = ["Controller"]
 
@@ -41,7 +41,7 @@
         self._fleet = fleet
         self._replication = replication
         self._clock = clock
-        self._client = platform_client.PlatformClient(
+        self._client = worker_client.PlatformClient(
             self._limits.call_timeout_ms / _MS_PER_S
         )
         self._term: control_term.Term | None = None
--- a/tarragoncleat/fleet_view.py
+++ b/tarragoncleat/decisions/fleet_view.py
@@ -11,11 +11,11 @@
 import types
 from typing import Any, Protocol
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = [
     "ACTIVE_JOB_STATES",
--- a/tarragoncleat/observations.py
+++ b/tarragoncleat/decisions/observations.py
@@ -3,14 +3,14 @@
 from collections.abc import Collection, Iterator
 import dataclasses
 
-from tarragoncleat import commands
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import planner
-from tarragoncleat import platform_messages
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.decisions import planner
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = [
     "Seen",
@@ -45,7 +45,7 @@
         state_age_s: How long this leader has seen it in its state.
     """
 
-    report: platform_messages.Report | None
+    report: worker_messages.Report | None
     is_fresh: bool
     lease_held: bool
     lease_ended: bool
@@ -104,7 +104,7 @@
 def job_changes(
     active: Collection[jobs.Job],
     seen_jobs: Collection[jobs.Job],
-    report: platform_messages.Report,
+    report: worker_messages.Report,
 ) -> Iterator[commands.JobChange]:
     """Yields the job states that a report shows.
 
@@ -115,7 +115,7 @@
     """
     tasks = {task.task_id: task for task in report.tasks}
     for job in active:
-        task = tasks.get(platform_messages.task_id_of(job))
+        task = tasks.get(worker_messages.task_id_of(job))
         if task is not None:
             change = _job_change(job, task)
         elif job.state is not jobs.JobState.PLACED and job in seen_jobs:
@@ -171,7 +171,7 @@
     instance: pools.Instance,
     target: ids.PoolId,
     seen: Seen,
-    report: platform_messages.Report,
+    report: worker_messages.Report,
 ) -> commands.SwitchPool | None:
     ended = seen.lease_ended or report.lease_has_ended(instance.fence)
     drained = report.draining or instance.state is _STATE.LOST
@@ -184,7 +184,7 @@
     instance: pools.Instance,
     wave: waves.Wave | None,
     seen: Seen,
-    report: platform_messages.Report,
+    report: worker_messages.Report,
 ) -> commands.RecordInstanceState | None:
     cancelled = wave is None or wave.state is waves.WaveState.CANCELLED
     if instance.state is _STATE.DRAINING:
@@ -199,9 +199,9 @@
 
 
 def _job_change(
-    job: jobs.Job, task: platform_messages.Task
+    job: jobs.Job, task: worker_messages.Task
 ) -> commands.JobChange | None:
-    states = platform_messages.TaskState
+    states = worker_messages.TaskState
     if task.state is states.EXITED:
         if task.exit == 0:
             return _change(job, jobs.JobState.SUCCEEDED, "")
--- a/tarragoncleat/placer.py
+++ b/tarragoncleat/decisions/placer.py
@@ -9,15 +9,15 @@
 from collections.abc import Callable, Collection
 import dataclasses
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pool_capacity
-from tarragoncleat import pools
-from tarragoncleat import preemption
-from tarragoncleat import profiles
-from tarragoncleat import team_use
-from tarragoncleat import usage
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import pool_capacity
+from tarragoncleat.decisions import preemption
+from tarragoncleat.decisions import team_use
+from tarragoncleat.decisions import usage
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = ["Decision", "Note", "Placement", "Placer"]
 
--- a/tarragoncleat/planner.py
+++ b/tarragoncleat/decisions/planner.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 import dataclasses
 
-from tarragoncleat import budget
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import wave_choice
-from tarragoncleat import waves
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import wave_choice
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import budget
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = ["STEPPING", "Wanted", "WavePlanner", "WaveStep"]
 
--- a/tarragoncleat/pool_capacity.py
+++ b/tarragoncleat/decisions/pool_capacity.py
@@ -9,12 +9,12 @@
 from collections.abc import Collection, Iterable, Iterator
 import dataclasses
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import usage
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import usage
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = ["Host", "PoolCapacity"]
 
--- a/tarragoncleat/preemption.py
+++ b/tarragoncleat/decisions/preemption.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 import dataclasses
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pool_capacity
-from tarragoncleat import profiles
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import pool_capacity
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import profiles
 
 __all__ = [
     "Interruption",
--- a/tarragoncleat/quarantine.py
+++ b/tarragoncleat/decisions/quarantine.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterator
 import math
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import pools
-from tarragoncleat import settings
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import pools
 
 __all__ = ["FailureStreaks"]
 
--- a/tarragoncleat/stuck_pools.py
+++ b/tarragoncleat/decisions/stuck_pools.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Collection, Mapping
 
-from tarragoncleat import ids
-from tarragoncleat import planner
-from tarragoncleat import settings
+from tarragoncleat.decisions import planner
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
 
 __all__ = ["StuckPools"]
 
--- a/tarragoncleat/team_use.py
+++ b/tarragoncleat/decisions/team_use.py
@@ -8,10 +8,10 @@
 from collections.abc import Mapping
 import dataclasses
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import profiles
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import profiles
 
 __all__ = ["TeamUse", "Trial"]
 
--- a/tarragoncleat/usage.py
+++ b/tarragoncleat/decisions/usage.py
@@ -10,8 +10,8 @@
 import dataclasses
 import math
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
 
 __all__ = ["UsageModel"]
 
--- a/tarragoncleat/worker_actions.py
+++ b/tarragoncleat/decisions/worker_actions.py
@@ -7,11 +7,11 @@
 from collections.abc import Collection, Iterator, Mapping
 import dataclasses
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import platform_messages
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = [
     "Call",
@@ -68,7 +68,7 @@
 
 
 def wants_lease(
-    instance: pools.Instance, report: platform_messages.Report
+    instance: pools.Instance, report: worker_messages.Report
 ) -> bool:
     """Tells whether the worker's lease is to be renewed.
 
@@ -83,7 +83,7 @@
     instance: pools.Instance,
     active: Collection[jobs.Job],
     known_jobs: Mapping[ids.JobId, jobs.Job],
-    report: platform_messages.Report,
+    report: worker_messages.Report,
 ) -> Iterator[Call]:
     """Yields the calls to make, in order.
 
@@ -96,13 +96,13 @@
         known_jobs: Every job by id.
         report: The last report of the worker.
     """
-    wanted = {platform_messages.task_id_of(job): job for job in active}
+    wanted = {worker_messages.task_id_of(job): job for job in active}
     for task in report.tasks:
         if task.state.is_active:
             yield from _task_calls(task, wanted, known_jobs)
     yield from _drain_calls(instance, report)
     if instance.state is _STATE.IN_MAINTENANCE and report.is_idle:
-        yield Reboot(platform_messages.reboot_action_id(instance))
+        yield Reboot(worker_messages.reboot_action_id(instance))
     if instance.state is not _STATE.IN_SERVICE:
         return
     reported = {task.task_id for task in report.tasks}
@@ -112,7 +112,7 @@
 
 
 def _task_calls(
-    task: platform_messages.Task,
+    task: worker_messages.Task,
     wanted: Mapping[str, jobs.Job],
     known_jobs: Mapping[ids.JobId, jobs.Job],
 ) -> Iterator[Call]:
@@ -121,20 +121,20 @@
         action = _ending(task, known_jobs)
     elif (
         job.state is jobs.JobState.THROTTLED
-        and task.state is platform_messages.TaskState.RUNNING
+        and task.state is worker_messages.TaskState.RUNNING
     ):
         action = profiles.Interruption.THROTTLE
     else:
         return
-    action_id = platform_messages.interrupt_action_id(task.task_id, action)
+    action_id = worker_messages.interrupt_action_id(task.task_id, action)
     yield InterruptTask(task.task_id, action, action_id)
 
 
 def _ending(
-    task: platform_messages.Task, known_jobs: Mapping[ids.JobId, jobs.Job]
+    task: worker_messages.Task, known_jobs: Mapping[ids.JobId, jobs.Job]
 ) -> profiles.Interruption:
     """Returns how to end a task that the committed state doesn't want."""
-    named = platform_messages.job_of_task(task.task_id)
+    named = worker_messages.job_of_task(task.task_id)
     job = None if named is None else known_jobs.get(named[0])
     if named is None or job is None or job.attempt != named[1]:
         return profiles.Interruption.STOP
@@ -144,9 +144,9 @@
 
 
 def _drain_calls(
-    instance: pools.Instance, report: platform_messages.Report
+    instance: pools.Instance, report: worker_messages.Report
 ) -> Iterator[Call]:
-    action_id = platform_messages.drain_action_id(instance)
+    action_id = worker_messages.drain_action_id(instance)
     if instance.state in _DRAINED_STATES and not report.draining:
         yield SetDraining(action_id, True)
     if instance.state in _OPEN_STATES and report.draining:
--- a/tarragoncleat/platform_client.py
+++ b/tarragoncleat/decisions/worker_client.py
@@ -16,11 +16,11 @@
 import httpcore
 import pydantic
 
-from tarragoncleat import errors
-from tarragoncleat import jobs
-from tarragoncleat import platform_messages
-from tarragoncleat import profiles
-from tarragoncleat import settings
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import jobs
+from tarragoncleat.state import profiles
 
 __all__ = ["PlatformClient"]
 
@@ -29,8 +29,8 @@
 _DEFAULT_MAX_IDLE = 2_048
 _OK = 200
 _CONFLICT = 409
-_REPORT = pydantic.TypeAdapter(platform_messages.Report)
-_REBOOT = pydantic.TypeAdapter(platform_messages.RebootStatus)
+_REPORT = pydantic.TypeAdapter(worker_messages.Report)
+_REBOOT = pydantic.TypeAdapter(worker_messages.RebootStatus)
 
 
 class PlatformClient:
@@ -64,7 +64,7 @@
 
     async def read_report(
         self, address: str
-    ) -> platform_messages.Report | errors.Failure:
+    ) -> worker_messages.Report | errors.Failure:
         """Reads the report of a worker."""
         body = await self._call("GET", address, "report", None)
         return _parse(_REPORT, body)
@@ -116,7 +116,7 @@
 
     async def reboot(
         self, address: str, action_id: str
-    ) -> platform_messages.RebootStatus | errors.Failure:
+    ) -> worker_messages.RebootStatus | errors.Failure:
         """Reboots a worker once for each action id.
 
         The answer to a repeated call tells whether that reboot is done.
--- a/tarragoncleat/worker_leases.py
+++ b/tarragoncleat/decisions/worker_leases.py
@@ -10,8 +10,8 @@
 
 import dataclasses
 
-from tarragoncleat import ids
-from tarragoncleat import settings
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
 
 __all__ = ["WorkerLeases"]
 
--- a/tarragoncleat/platform_messages.py
+++ b/tarragoncleat/decisions/worker_messages.py
@@ -7,10 +7,10 @@
 import dataclasses
 import enum
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = [
     "RebootStatus",
--- a/tarragoncleat/worker_visits.py
+++ b/tarragoncleat/decisions/worker_visits.py
@@ -12,17 +12,17 @@
 import anyio.abc
 import loguru
 
-from tarragoncleat import errors
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import platform_client
-from tarragoncleat import platform_messages
-from tarragoncleat import pools
-from tarragoncleat import settings
-from tarragoncleat import timer
-from tarragoncleat import worker_actions
-from tarragoncleat import worker_leases
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import worker_actions
+from tarragoncleat.decisions import worker_client
+from tarragoncleat.decisions import worker_leases
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
 
 __all__ = ["WorkerStatus", "WorkerVisits"]
 
@@ -60,7 +60,7 @@
 
     instance: pools.Instance | None = None
     active: tuple[jobs.Job, ...] = ()
-    report: platform_messages.Report | None = None
+    report: worker_messages.Report | None = None
     reported_s: float = 0.0
     started: tuple[str, ...] = ()
     reboot_done: str | None = None
@@ -83,7 +83,7 @@
     def __init__(
         self,
         limits: settings.ControllerSettings,
-        client: platform_client.PlatformClient,
+        client: worker_client.PlatformClient,
         clock: timer.TimerService,
         leases: worker_leases.WorkerLeases,
         is_leader: Callable[[], bool],
@@ -213,7 +213,7 @@
     async def _renew(
         self,
         instance: pools.Instance,
-        report: platform_messages.Report,
+        report: worker_messages.Report,
         requested_s: float,
         received_s: float,
     ) -> None:
@@ -234,7 +234,7 @@
         status: WorkerStatus,
         instance: pools.Instance,
         active: tuple[jobs.Job, ...],
-        report: platform_messages.Report,
+        report: worker_messages.Report,
     ) -> None:
         for call in worker_actions.calls(instance, active, self._jobs, report):
             if not self._is_leader():
@@ -252,11 +252,11 @@
 
     def _may_start(self, instance: pools.Instance, task_id: str) -> bool:
         """Checks again, because a job may be cancelled during a visit."""
-        named = platform_messages.job_of_task(task_id)
+        named = worker_messages.job_of_task(task_id)
         job = None if named is None else self._jobs.get(named[0])
         if job is None or job.state is not jobs.JobState.PLACED:
             return False
-        if platform_messages.task_id_of(job) != task_id:
+        if worker_messages.task_id_of(job) != task_id:
             return False
         now_s = self._clock.monotonic_s()
         name = instance.instance_id
@@ -284,7 +284,7 @@
 @functools.singledispatch
 async def _perform(
     call: worker_actions.Call,
-    client: platform_client.PlatformClient,
+    client: worker_client.PlatformClient,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -294,7 +294,7 @@
 @_perform.register
 async def _start_task(
     call: worker_actions.StartTask,
-    client: platform_client.PlatformClient,
+    client: worker_client.PlatformClient,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -310,7 +310,7 @@
 @_perform.register
 async def _interrupt_task(
     call: worker_actions.InterruptTask,
-    client: platform_client.PlatformClient,
+    client: worker_client.PlatformClient,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -322,7 +322,7 @@
 @_perform.register
 async def _set_draining(
     call: worker_actions.SetDraining,
-    client: platform_client.PlatformClient,
+    client: worker_client.PlatformClient,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -334,7 +334,7 @@
 @_perform.register
 async def _reboot(
     call: worker_actions.Reboot,
-    client: platform_client.PlatformClient,
+    client: worker_client.PlatformClient,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -347,7 +347,7 @@
 
 
 def _has_news(
-    old: platform_messages.Report | None, new: platform_messages.Report
+    old: worker_messages.Report | None, new: worker_messages.Report
 ) -> bool:
     """Tells whether anything but clocks and usage differs."""
     if old is None or old.boot_id != new.boot_id:
@@ -357,5 +357,5 @@
     return _task_states(old) != _task_states(new)
 
 
-def _task_states(report: platform_messages.Report) -> dict[str, object]:
+def _task_states(report: worker_messages.Report) -> dict[str, object]:
     return {task.task_id: task.state for task in report.tasks}
--- a/tarragoncleat/worker_watch.py
+++ b/tarragoncleat/decisions/worker_watch.py
@@ -7,20 +7,20 @@
 from collections.abc import Mapping
 import dataclasses
 
-from tarragoncleat import commands
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import observations
-from tarragoncleat import platform_messages
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import quarantine
-from tarragoncleat import settings
-from tarragoncleat import usage
-from tarragoncleat import waves
-from tarragoncleat import worker_leases
-from tarragoncleat import worker_visits
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import observations
+from tarragoncleat.decisions import quarantine
+from tarragoncleat.decisions import usage
+from tarragoncleat.decisions import worker_leases
+from tarragoncleat.decisions import worker_messages
+from tarragoncleat.decisions import worker_visits
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = ["Observed", "WorkerWatch"]
 
@@ -148,7 +148,7 @@
         now_s: float,
     ) -> observations.Seen:
         name = instance.instance_id
-        reboot_id = platform_messages.reboot_action_id(instance)
+        reboot_id = worker_messages.reboot_action_id(instance)
         return observations.Seen(
             status.report,
             status.instance is instance,
@@ -197,10 +197,10 @@
     def _learn(
         self,
         active: tuple[jobs.Job, ...],
-        report: platform_messages.Report,
+        report: worker_messages.Report,
         now_ms: int,
     ) -> None:
-        by_task = {platform_messages.task_id_of(job): job for job in active}
+        by_task = {worker_messages.task_id_of(job): job for job in active}
         for task in report.tasks:
             job = by_task.get(task.task_id)
             if job is None:
--- /dev/null
+++ b/tarragoncleat/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""What every part uses: ids, errors, settings, time, messages and logs."""
--- a/tarragoncleat/codec.py
+++ b/tarragoncleat/kernel/codec.py
@@ -15,7 +15,7 @@
 import msgpack
 import pydantic
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = ["decode", "encode", "message"]
 
--- a/tarragoncleat/settings.py
+++ b/tarragoncleat/kernel/settings.py
@@ -8,8 +8,8 @@
 
 import pydantic
 
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 
 __all__ = [
     "Address",
--- /dev/null
+++ b/tarragoncleat/log/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log."""
--- a/tarragoncleat/admission.py
+++ b/tarragoncleat/log/admission.py
@@ -22,15 +22,15 @@
 import loguru
 import msgpack
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import log_files
-from tarragoncleat import replica as replica_module
-from tarragoncleat import replication_messages
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus
+from tarragoncleat.log import log_files
+from tarragoncleat.log import replica as replica_module
+from tarragoncleat.log import replication_messages
 
 __all__ = ["Admission", "AdmissionState"]
 
--- a/tarragoncleat/applier.py
+++ b/tarragoncleat/log/applier.py
@@ -5,10 +5,10 @@
 
 import anyio
 
-from tarragoncleat import consensus_log
-from tarragoncleat import consensus_messages
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_log
+from tarragoncleat.log import consensus_messages
 
 __all__ = ["Applied", "Applier", "StateMachine", "Waiter"]
 
--- a/tarragoncleat/consensus.py
+++ b/tarragoncleat/log/consensus.py
@@ -11,13 +11,13 @@
 import functools
 import random
 
-from tarragoncleat import consensus_leader
-from tarragoncleat import consensus_log
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
-from tarragoncleat import consensus_replica
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_leader
+from tarragoncleat.log import consensus_log
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
+from tarragoncleat.log import consensus_replica
 
 __all__ = ["Consensus", "Role", "Saved"]
 
--- a/tarragoncleat/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 import dataclasses
 
-from tarragoncleat import consensus_log
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
-from tarragoncleat import ids
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_log
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
 
 __all__ = ["Leadership"]
 
--- a/tarragoncleat/consensus_log.py
+++ b/tarragoncleat/log/consensus_log.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
-from tarragoncleat import consensus_messages
-from tarragoncleat import ids
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_messages
 
 __all__ = ["Log"]
 
--- a/tarragoncleat/consensus_messages.py
+++ b/tarragoncleat/log/consensus_messages.py
@@ -7,8 +7,8 @@
 
 import msgpack
 
-from tarragoncleat import codec
-from tarragoncleat import ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
 
 __all__ = [
     "AppendReply",
--- a/tarragoncleat/consensus_output.py
+++ b/tarragoncleat/log/consensus_output.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from tarragoncleat import consensus_messages
-from tarragoncleat import ids
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_messages
 
 __all__ = ["Envelope", "Now", "Output", "ReadyRead", "Times"]
 
--- a/tarragoncleat/consensus_replica.py
+++ b/tarragoncleat/log/consensus_replica.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from tarragoncleat import consensus_log
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
+from tarragoncleat.log import consensus_log
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
 
 __all__ = ["ReplicaLog"]
 
--- a/tarragoncleat/feed.py
+++ b/tarragoncleat/log/feed.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 import dataclasses
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import ids
-from tarragoncleat import replication_messages
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import replication_messages
 
 __all__ = ["FOLLOW_INTERVAL_S", "Feed", "LeaderView"]
 
--- a/tarragoncleat/followers.py
+++ b/tarragoncleat/log/followers.py
@@ -6,12 +6,12 @@
 
 import loguru
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus_messages
-from tarragoncleat import feed
-from tarragoncleat import ids
-from tarragoncleat import replication_messages
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import feed
+from tarragoncleat.log import replication_messages
 
 __all__ = ["Follower", "rank_sources"]
 
--- a/tarragoncleat/in_force.py
+++ b/tarragoncleat/log/in_force.py
@@ -4,8 +4,8 @@
 import dataclasses
 import types
 
-from tarragoncleat import ids
-from tarragoncleat import replication_messages
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import replication_messages
 
 __all__ = ["InForce", "InForceTable"]
 
--- a/tarragoncleat/log_files.py
+++ b/tarragoncleat/log/log_files.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = [
     "Frame",
--- a/tarragoncleat/log_store.py
+++ b/tarragoncleat/log/log_store.py
@@ -14,11 +14,11 @@
 import loguru
 import msgpack
 
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import log_files
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import log_files
 
 __all__ = ["LogStore", "Write"]
 
--- a/tarragoncleat/read_index.py
+++ b/tarragoncleat/log/read_index.py
@@ -7,12 +7,12 @@
 import anyio
 import anyio.lowlevel
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus_output
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import replication_messages
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus_output
+from tarragoncleat.log import replication_messages
 
 __all__ = ["ReadBarriers"]
 
--- a/tarragoncleat/replica.py
+++ b/tarragoncleat/log/replica.py
@@ -7,16 +7,16 @@
 import anyio.to_thread
 import loguru
 
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import log_store
-from tarragoncleat import replication_messages
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
+from tarragoncleat.log import log_store
+from tarragoncleat.log import replication_messages
 
 __all__ = ["Replica"]
 
--- a/tarragoncleat/replication.py
+++ b/tarragoncleat/log/replication.py
@@ -6,22 +6,22 @@
 import anyio
 import loguru
 
-from tarragoncleat import admission as admission_module
-from tarragoncleat import applier as applier_module
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import errors
-from tarragoncleat import feed as feed_module
-from tarragoncleat import followers
-from tarragoncleat import ids
-from tarragoncleat import in_force as in_force_module
-from tarragoncleat import log_store
-from tarragoncleat import proposals as proposals_module
-from tarragoncleat import read_index
-from tarragoncleat import replica as replica_module
-from tarragoncleat import replication_messages
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import admission as admission_module
+from tarragoncleat.log import applier as applier_module
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import feed as feed_module
+from tarragoncleat.log import followers
+from tarragoncleat.log import in_force as in_force_module
+from tarragoncleat.log import log_store
+from tarragoncleat.log import proposals as proposals_module
+from tarragoncleat.log import read_index
+from tarragoncleat.log import replica as replica_module
+from tarragoncleat.log import replication_messages
 
 __all__ = ["Applied", "InForce", "Replication", "StateMachine"]
 
--- a/tarragoncleat/replication_messages.py
+++ b/tarragoncleat/log/replication_messages.py
@@ -6,10 +6,10 @@
 
 from anyio.streams import memory
 
-from tarragoncleat import codec
-from tarragoncleat import consensus_messages
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_messages
 
 __all__ = [
     "FollowBatch",
--- /dev/null
+++ b/tarragoncleat/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of entries and upstreams."""
--- a/tarragoncleat/candidates.py
+++ b/tarragoncleat/membership/candidates.py
@@ -4,10 +4,10 @@
 import dataclasses
 import math
 
-from tarragoncleat import entry_view
-from tarragoncleat import ids
-from tarragoncleat import registry as registry_module
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import registry as registry_module
+from tarragoncleat.membership import upstreams
 
 __all__ = ["CandidateTable"]
 
--- a/tarragoncleat/entry_view.py
+++ b/tarragoncleat/membership/entry_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 import math
 
-from tarragoncleat import ids
+from tarragoncleat.kernel import ids
 
 __all__ = ["EntryView"]
 
--- a/tarragoncleat/frames.py
+++ b/tarragoncleat/membership/frames.py
@@ -6,7 +6,7 @@
 
 import struct
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 
 __all__ = ["KEEP_ALIVE", "MAX_BODY_BYTES", "Decoder", "pack"]
 
--- a/tarragoncleat/heartbeats.py
+++ b/tarragoncleat/membership/heartbeats.py
@@ -5,15 +5,15 @@
 
 import loguru
 
-from tarragoncleat import candidates
-from tarragoncleat import entry_view
-from tarragoncleat import ids
-from tarragoncleat import in_flight
-from tarragoncleat import membership_messages as messages
-from tarragoncleat import peering
-from tarragoncleat import registry as registry_module
-from tarragoncleat import registry_exchange
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import candidates
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import in_flight
+from tarragoncleat.membership import membership_messages as messages
+from tarragoncleat.membership import peering
+from tarragoncleat.membership import registry as registry_module
+from tarragoncleat.membership import registry_exchange
 
 __all__ = ["Heartbeats", "Progress"]
 
--- a/tarragoncleat/in_flight.py
+++ b/tarragoncleat/membership/in_flight.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from tarragoncleat import ids
+from tarragoncleat.kernel import ids
 
 __all__ = ["OwnCounts", "ReportedCounts", "handle"]
 
--- a/tarragoncleat/membership.py
+++ b/tarragoncleat/membership/membership.py
@@ -15,19 +15,19 @@
 import anyio
 import loguru
 
-from tarragoncleat import candidates as candidates_module
-from tarragoncleat import entry_view
-from tarragoncleat import errors
-from tarragoncleat import heartbeats
-from tarragoncleat import ids
-from tarragoncleat import membership_messages as messages
-from tarragoncleat import peering
-from tarragoncleat import probes
-from tarragoncleat import registry as registry_module
-from tarragoncleat import registry_exchange
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import candidates as candidates_module
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import heartbeats
+from tarragoncleat.membership import membership_messages as messages
+from tarragoncleat.membership import peering
+from tarragoncleat.membership import probes
+from tarragoncleat.membership import registry as registry_module
+from tarragoncleat.membership import registry_exchange
+from tarragoncleat.membership import upstreams
 
 __all__ = ["Announcement", "Candidate", "Membership", "UpstreamRecord"]
 
--- a/tarragoncleat/membership_messages.py
+++ b/tarragoncleat/membership/membership_messages.py
@@ -3,9 +3,9 @@
 import dataclasses
 from typing import NamedTuple
 
-from tarragoncleat import codec
-from tarragoncleat import ids
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import upstreams
 
 __all__ = [
     "FindUpstream",
--- a/tarragoncleat/peer_connection.py
+++ b/tarragoncleat/membership/peer_connection.py
@@ -7,10 +7,10 @@
 import anyio.abc
 import loguru
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import frames
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import frames
 
 __all__ = ["Connection", "Counters", "Hello", "Reply", "Request"]
 
--- a/tarragoncleat/peer_session.py
+++ b/tarragoncleat/membership/peer_session.py
@@ -6,10 +6,10 @@
 
 import loguru
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import peer_connection
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import peer_connection
 
 __all__ = ["Owner", "Received", "Session"]
 
--- a/tarragoncleat/peering.py
+++ b/tarragoncleat/membership/peering.py
@@ -17,13 +17,13 @@
 from anyio.streams import memory
 import loguru
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import peer_connection
-from tarragoncleat import peer_session
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import peer_connection
+from tarragoncleat.membership import peer_session
 
 __all__ = ["PeerLinks", "Received"]
 
--- a/tarragoncleat/probes.py
+++ b/tarragoncleat/membership/probes.py
@@ -3,10 +3,10 @@
 import anyio
 import loguru
 
-from tarragoncleat import candidates
-from tarragoncleat import ids
-from tarragoncleat import registry as registry_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import candidates
+from tarragoncleat.membership import registry as registry_module
 
 __all__ = ["Prober"]
 
--- a/tarragoncleat/registry.py
+++ b/tarragoncleat/membership/registry.py
@@ -14,9 +14,9 @@
 
 import xxhash
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import upstreams
 
 __all__ = [
     "BUCKETS",
--- a/tarragoncleat/registry_exchange.py
+++ b/tarragoncleat/membership/registry_exchange.py
@@ -11,14 +11,14 @@
 import anyio.abc
 import loguru
 
-from tarragoncleat import candidates
-from tarragoncleat import entry_view
-from tarragoncleat import ids
-from tarragoncleat import membership_messages as messages
-from tarragoncleat import peering
-from tarragoncleat import registry as registry_module
-from tarragoncleat import timer as timer_module
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.membership import candidates
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import membership_messages as messages
+from tarragoncleat.membership import peering
+from tarragoncleat.membership import registry as registry_module
+from tarragoncleat.membership import upstreams
 
 __all__ = ["RegistryExchange"]
 
--- a/tarragoncleat/upstream_api.py
+++ b/tarragoncleat/membership/upstream_api.py
@@ -7,11 +7,11 @@
 
 import pydantic
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import membership as membership_module
-from tarragoncleat import settings as settings_module
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.membership import membership as membership_module
+from tarragoncleat.membership import upstreams
 
 __all__ = ["Authenticate", "OwnerOf", "UpstreamApi"]
 
--- a/tarragoncleat/upstreams.py
+++ b/tarragoncleat/membership/upstreams.py
@@ -3,8 +3,8 @@
 import dataclasses
 import enum
 
-from tarragoncleat import codec
-from tarragoncleat import ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
 
 __all__ = [
     "Announcement",
--- /dev/null
+++ b/tarragoncleat/process/__init__.py
@@ -0,0 +1,1 @@
+"""The entry's daemon and its HTTP listener."""
--- a/tarragoncleat/entry.py
+++ b/tarragoncleat/process/entry.py
@@ -11,23 +11,23 @@
 import anyio.abc
 import loguru
 
-from tarragoncleat import admin_api
-from tarragoncleat import auth
-from tarragoncleat import caller_api
-from tarragoncleat import claims
-from tarragoncleat import controller
-from tarragoncleat import errors
-from tarragoncleat import fleet
-from tarragoncleat import http_app
-from tarragoncleat import http_server
-from tarragoncleat import logs
-from tarragoncleat import membership
-from tarragoncleat import metrics
-from tarragoncleat import peering
-from tarragoncleat import replication
-from tarragoncleat import settings
-from tarragoncleat import timer
-from tarragoncleat import upstream_api
+from tarragoncleat.administration import admin_api
+from tarragoncleat.administration import auth
+from tarragoncleat.decisions import controller
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import logs
+from tarragoncleat.kernel import metrics
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.log import replication
+from tarragoncleat.membership import membership
+from tarragoncleat.membership import peering
+from tarragoncleat.membership import upstream_api
+from tarragoncleat.process import http_app
+from tarragoncleat.process import http_server
+from tarragoncleat.requests import caller_api
+from tarragoncleat.requests import claims
+from tarragoncleat.state import fleet
 
 __all__ = ["Entry", "main"]
 
--- a/tarragoncleat/http_app.py
+++ b/tarragoncleat/process/http_app.py
@@ -3,11 +3,11 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from tarragoncleat import answers
-from tarragoncleat import auth
-from tarragoncleat import caller_requests
-from tarragoncleat import errors
-from tarragoncleat import settings
+from tarragoncleat.administration import auth
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import settings
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import caller_requests
 
 __all__ = ["App", "HttpApp", "RawHeaders", "caller_authentication"]
 
--- a/tarragoncleat/http_server.py
+++ b/tarragoncleat/process/http_server.py
@@ -13,9 +13,9 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
-from tarragoncleat import errors
-from tarragoncleat import settings
-from tarragoncleat import timer
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
 
 __all__ = ["HttpServer", "ListenerCounts"]
 
--- /dev/null
+++ b/tarragoncleat/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of the callers' requests."""
--- a/tarragoncleat/answers.py
+++ b/tarragoncleat/requests/answers.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
-from tarragoncleat import caller_requests
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.requests import caller_requests
 
 __all__ = ["CompleteAnswer", "Send", "build_error", "send_complete"]
 
--- a/tarragoncleat/caller_api.py
+++ b/tarragoncleat/requests/caller_api.py
@@ -7,22 +7,22 @@
 import anyio
 import h11
 
-from tarragoncleat import answers
-from tarragoncleat import caller_requests
-from tarragoncleat import claims as claims_module
-from tarragoncleat import dispatching
-from tarragoncleat import errors
-from tarragoncleat import forwarding
-from tarragoncleat import ids
-from tarragoncleat import limits
-from tarragoncleat import lingering
-from tarragoncleat import metrics as metrics_module
-from tarragoncleat import profiles
-from tarragoncleat import request_watch
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
-from tarragoncleat import upstream_connections
-from tarragoncleat import visits
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics as metrics_module
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import caller_requests
+from tarragoncleat.requests import claims as claims_module
+from tarragoncleat.requests import dispatching
+from tarragoncleat.requests import forwarding
+from tarragoncleat.requests import limits
+from tarragoncleat.requests import lingering
+from tarragoncleat.requests import request_watch
+from tarragoncleat.requests import upstream_connections
+from tarragoncleat.requests import visits
+from tarragoncleat.state import profiles
 
 __all__ = ["Authenticate", "CallerApi", "ClaimStore", "ServiceDirectory"]
 
--- a/tarragoncleat/caller_requests.py
+++ b/tarragoncleat/requests/caller_requests.py
@@ -10,9 +10,9 @@
 import anyio
 import h11
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import settings as settings_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
 
 __all__ = [
     "REQUEST_ID",
--- a/tarragoncleat/claims.py
+++ b/tarragoncleat/requests/claims.py
@@ -9,15 +9,15 @@
 import anyio
 import loguru
 
-from tarragoncleat import answers
-from tarragoncleat import caller_requests
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import settings as settings_module
-from tarragoncleat import stored_answers
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import caller_requests
+from tarragoncleat.requests import stored_answers
+from tarragoncleat.state import commands
 
 __all__ = [
     "ClaimRequest",
--- a/tarragoncleat/dispatching.py
+++ b/tarragoncleat/requests/dispatching.py
@@ -6,14 +6,14 @@
 
 import anyio
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import limits
-from tarragoncleat import metrics as metrics_module
-from tarragoncleat import profiles
-from tarragoncleat import routing
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics as metrics_module
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import limits
+from tarragoncleat.requests import routing
+from tarragoncleat.state import profiles
 
 __all__ = ["Demand", "Dispatcher", "Lease", "UpstreamSource"]
 
--- a/tarragoncleat/exchanges.py
+++ b/tarragoncleat/requests/exchanges.py
@@ -3,11 +3,11 @@
 import anyio
 import h11
 
-from tarragoncleat import answers
-from tarragoncleat import caller_requests
-from tarragoncleat import errors
-from tarragoncleat import upstream_connections
-from tarragoncleat import visits
+from tarragoncleat.kernel import errors
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import caller_requests
+from tarragoncleat.requests import upstream_connections
+from tarragoncleat.requests import visits
 
 __all__ = ["Exchange"]
 
--- a/tarragoncleat/forwarding.py
+++ b/tarragoncleat/requests/forwarding.py
@@ -5,17 +5,17 @@
 import anyio
 import h11
 
-from tarragoncleat import answers
-from tarragoncleat import dispatching
-from tarragoncleat import errors
-from tarragoncleat import exchanges
-from tarragoncleat import limits
-from tarragoncleat import metrics as metrics_module
-from tarragoncleat import profiles
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
-from tarragoncleat import upstream_connections
-from tarragoncleat import visits
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import metrics as metrics_module
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import dispatching
+from tarragoncleat.requests import exchanges
+from tarragoncleat.requests import limits
+from tarragoncleat.requests import upstream_connections
+from tarragoncleat.requests import visits
+from tarragoncleat.state import profiles
 
 __all__ = ["Forwarder"]
 
--- a/tarragoncleat/limits.py
+++ b/tarragoncleat/requests/limits.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 import dataclasses
 
-from tarragoncleat import ids
-from tarragoncleat import profiles
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import profiles
 
 __all__ = [
     "AdmissionQueue",
--- a/tarragoncleat/lingering.py
+++ b/tarragoncleat/requests/lingering.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from tarragoncleat import answers
-from tarragoncleat import caller_requests
+from tarragoncleat.requests import answers
+from tarragoncleat.requests import caller_requests
 
 __all__ = ["LingeringSend"]
 
--- a/tarragoncleat/request_watch.py
+++ b/tarragoncleat/requests/request_watch.py
@@ -3,9 +3,9 @@
 import anyio
 import anyio.abc
 
-from tarragoncleat import ids
-from tarragoncleat import timer as timer_module
-from tarragoncleat import visits
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import visits
 
 __all__ = ["RequestWatch"]
 
--- a/tarragoncleat/routing.py
+++ b/tarragoncleat/requests/routing.py
@@ -7,9 +7,9 @@
 import dataclasses
 from typing import Protocol, TypeVar
 
-from tarragoncleat import ids
-from tarragoncleat import limits
-from tarragoncleat import settings as settings_module
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.requests import limits
 
 __all__ = ["ServiceRouter", "Upstream", "start_weight"]
 
--- a/tarragoncleat/stored_answers.py
+++ b/tarragoncleat/requests/stored_answers.py
@@ -3,9 +3,9 @@
 import collections
 import dataclasses
 
-from tarragoncleat import answers
-from tarragoncleat import codec
-from tarragoncleat import ids
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
+from tarragoncleat.requests import answers
 
 __all__ = ["StoredAnswerReply", "StoredAnswerRequest", "StoredAnswers"]
 
--- a/tarragoncleat/upstream_connections.py
+++ b/tarragoncleat/requests/upstream_connections.py
@@ -12,11 +12,11 @@
 import anyio
 import h11
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import routing
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer as timer_module
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.requests import routing
 
 __all__ = ["Connection", "ConnectionPool", "open_connection"]
 
--- /dev/null
+++ b/tarragoncleat/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state of the fleet and its rules."""
--- a/tarragoncleat/budget.py
+++ b/tarragoncleat/state/budget.py
@@ -12,10 +12,10 @@
 from collections.abc import Collection, Hashable, Iterable
 import dataclasses
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = [
     "Room",
--- a/tarragoncleat/commands.py
+++ b/tarragoncleat/state/commands.py
@@ -10,13 +10,13 @@
 
 import pydantic
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = [
     "ANY_FIRM",
--- a/tarragoncleat/fleet.py
+++ b/tarragoncleat/state/fleet.py
@@ -10,25 +10,25 @@
 import msgpack
 import xxhash
 
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_claims  # noqa: F401  (registers its rules)
-from tarragoncleat import fleet_instances  # noqa: F401  (registers its rules)
-from tarragoncleat import fleet_jobs  # noqa: F401  (registers its rules)
-from tarragoncleat import fleet_moves  # noqa: F401  (registers its rules)
-from tarragoncleat import fleet_profiles  # noqa: F401  (registers its rules)
-from tarragoncleat import fleet_rules
-from tarragoncleat import fleet_snapshot
-from tarragoncleat import fleet_state
-from tarragoncleat import fleet_waves  # noqa: F401  (registers its rules)
-from tarragoncleat import ids
-from tarragoncleat import jobs as job_types
-from tarragoncleat import ledger as ledger_types
-from tarragoncleat import pools as pool_types
-from tarragoncleat import profiles as profile_types
-from tarragoncleat import settings
-from tarragoncleat import waves as wave_types
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_claims  # noqa: F401  (registers its rules)
+from tarragoncleat.state import fleet_instances  # noqa: F401  (registers its rules)
+from tarragoncleat.state import fleet_jobs  # noqa: F401  (registers its rules)
+from tarragoncleat.state import fleet_moves  # noqa: F401  (registers its rules)
+from tarragoncleat.state import fleet_profiles  # noqa: F401  (registers its rules)
+from tarragoncleat.state import fleet_rules
+from tarragoncleat.state import fleet_snapshot
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import fleet_waves  # noqa: F401  (registers its rules)
+from tarragoncleat.state import jobs as job_types
+from tarragoncleat.state import ledger as ledger_types
+from tarragoncleat.state import pools as pool_types
+from tarragoncleat.state import profiles as profile_types
+from tarragoncleat.state import waves as wave_types
 
 __all__ = ["Fleet"]
 
--- a/tarragoncleat/fleet_claims.py
+++ b/tarragoncleat/state/fleet_claims.py
@@ -1,9 +1,9 @@
 """Rules of the claims of idempotency keys."""
 
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_rules
-from tarragoncleat import fleet_state
+from tarragoncleat.kernel import errors
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_rules
+from tarragoncleat.state import fleet_state
 
 __all__: list[str] = []
 
--- a/tarragoncleat/fleet_instances.py
+++ b/tarragoncleat/state/fleet_instances.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_jobs
-from tarragoncleat import fleet_rules
-from tarragoncleat import fleet_state
-from tarragoncleat import fleet_waves
-from tarragoncleat import ledger
-from tarragoncleat import pools
+from tarragoncleat.kernel import errors
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_jobs
+from tarragoncleat.state import fleet_rules
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import fleet_waves
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
 
 __all__: list[str] = []
 
--- a/tarragoncleat/fleet_profiles.py
+++ b/tarragoncleat/state/fleet_profiles.py
@@ -3,13 +3,13 @@
 import dataclasses
 import math
 
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_rules
-from tarragoncleat import ids
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_rules
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__: list[str] = []
 
--- a/tarragoncleat/fleet_rules.py
+++ b/tarragoncleat/state/fleet_rules.py
@@ -9,14 +9,14 @@
 import functools
 from typing import Any, TypeVar
 
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_state
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import jobs
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = [
     "Change",
--- a/tarragoncleat/fleet_snapshot.py
+++ b/tarragoncleat/state/fleet_snapshot.py
@@ -13,14 +13,14 @@
 import msgpack
 import pydantic
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import fleet_state
-from tarragoncleat import jobs
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import jobs
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = ["decode_state", "encode_state"]
 
--- a/tarragoncleat/fleet_state.py
+++ b/tarragoncleat/state/fleet_state.py
@@ -13,12 +13,12 @@
 import dataclasses
 from typing import Generic, TypeVar
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = [
     "Amount",
--- a/tarragoncleat/fleet_waves.py
+++ b/tarragoncleat/state/fleet_waves.py
@@ -5,15 +5,15 @@
 import dataclasses
 from typing import Any
 
-from tarragoncleat import budget
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet_rules
-from tarragoncleat import fleet_state
-from tarragoncleat import ids
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import waves
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import budget
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet_rules
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import waves
 
 __all__ = ["finish_if_done", "left_undone", "lost", "returned", "skip"]
 
--- a/tarragoncleat/jobs.py
+++ b/tarragoncleat/state/jobs.py
@@ -5,8 +5,8 @@
 
 import pydantic
 
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 
 __all__ = [
     "THROTTLED_CORE_SHARE",
--- a/tarragoncleat/ledger.py
+++ b/tarragoncleat/state/ledger.py
@@ -6,8 +6,8 @@
 import enum
 import itertools
 
-from tarragoncleat import ids
-from tarragoncleat import profiles
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import profiles
 
 __all__ = ["Entry", "Filter", "Ledger", "LedgerKind", "Page"]
 
--- a/tarragoncleat/pools.py
+++ b/tarragoncleat/state/pools.py
@@ -5,9 +5,9 @@
 
 import pydantic
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import settings
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
 
 __all__ = [
     "Instance",
--- a/tarragoncleat_bench/baselines.py
+++ b/tarragoncleat_bench/baselines.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping, Sequence
 import math
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import placer
-from tarragoncleat import pools
-from tarragoncleat import waves
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import placer
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import waves
 
 __all__ = ["batches", "first_fit", "one_at_a_time"]
 
--- a/tarragoncleat_bench/batch.py
+++ b/tarragoncleat_bench/batch.py
@@ -9,12 +9,12 @@
 import random
 import time
 
-from tarragoncleat import codec
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_views
+from tarragoncleat.kernel import codec
 from tarragoncleat_bench import rows
 
 __all__ = ["run"]
--- a/tarragoncleat_bench/control_node.py
+++ b/tarragoncleat_bench/control_node.py
@@ -21,12 +21,12 @@
 import defopt
 import msgpack
 
-from tarragoncleat import errors
-from tarragoncleat import logs
-from tarragoncleat import peering
-from tarragoncleat import replication
-from tarragoncleat import settings as settings_module
-from tarragoncleat import timer
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import logs
+from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import timer
+from tarragoncleat.log import replication
+from tarragoncleat.membership import peering
 
 __all__ = ["TagMachine", "main"]
 
--- a/tarragoncleat_bench/membership.py
+++ b/tarragoncleat_bench/membership.py
@@ -10,11 +10,11 @@
 import anyio
 import loguru
 
-from tarragoncleat import entry_view
-from tarragoncleat import ids
-from tarragoncleat import membership
-from tarragoncleat import registry
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import membership
+from tarragoncleat.membership import registry
+from tarragoncleat.membership import upstreams
 from tarragoncleat_bench import rows
 from tests import peer_cluster
 
--- a/tarragoncleat_bench/planning_fleet.py
+++ b/tarragoncleat_bench/planning_fleet.py
@@ -5,11 +5,11 @@
 import random
 from typing import Any
 
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 
 __all__ = ["LARGE", "SIZES", "MemoryFleet", "Size", "build"]
 
--- a/tarragoncleat_bench/planning_jobs.py
+++ b/tarragoncleat_bench/planning_jobs.py
@@ -8,13 +8,13 @@
 import random
 import time
 
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import placer
-from tarragoncleat import preemption
-from tarragoncleat import profiles
-from tarragoncleat import usage
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import placer
+from tarragoncleat.decisions import preemption
+from tarragoncleat.decisions import usage
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import jobs
+from tarragoncleat.state import profiles
 from tarragoncleat_bench import baselines
 from tarragoncleat_bench import planning_fleet
 
--- a/tarragoncleat_bench/planning_waves.py
+++ b/tarragoncleat_bench/planning_waves.py
@@ -8,13 +8,13 @@
 import random
 import time
 
-from tarragoncleat import budget
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import planner
-from tarragoncleat import pools
-from tarragoncleat import settings
-from tarragoncleat import waves
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import planner
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import budget
+from tarragoncleat.state import pools
+from tarragoncleat.state import waves
 from tarragoncleat_bench import baselines
 from tarragoncleat_bench import planning_fleet
 
--- a/tarragoncleat_bench/request_path.py
+++ b/tarragoncleat_bench/request_path.py
@@ -16,8 +16,8 @@
 import sys
 import time
 
-from tarragoncleat import profiles
-from tarragoncleat import settings
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import profiles
 from tarragoncleat_bench import rows
 
 __all__ = ["run"]
--- a/tarragoncleat_bench/request_path_load.py
+++ b/tarragoncleat_bench/request_path_load.py
@@ -10,7 +10,7 @@
 import defopt
 from hdrh import histogram
 
-from tarragoncleat import settings
+from tarragoncleat.kernel import settings
 
 __all__ = ["load", "main"]
 
--- a/tarragoncleat_bench/request_path_servers.py
+++ b/tarragoncleat_bench/request_path_servers.py
@@ -17,13 +17,13 @@
 import h11
 import uvicorn
 
-from tarragoncleat import caller_api
-from tarragoncleat import http_server
-from tarragoncleat import ids
-from tarragoncleat import metrics
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import timer
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.process import http_server
+from tarragoncleat.requests import caller_api
+from tarragoncleat.state import profiles
 
 __all__ = ["bare", "finished", "main", "upstream"]
 
--- a/tarragoncleat_bench/state.py
+++ b/tarragoncleat_bench/state.py
@@ -9,15 +9,15 @@
 import tracemalloc
 from typing import Any
 
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import fleet as fleet_module
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import waves
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet as fleet_module
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 from tarragoncleat_bench import rows
 
 __all__ = ["run"]
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -8,11 +8,6 @@
 
 import anyio
 
-from tarragoncleat import applier
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import commands
@@ -21,6 +16,11 @@
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_calls
 from tarragoncleat.cluster import roster
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import applier
 
 __all__ = [
     "FakeAdvisor",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,15 +5,15 @@
 import types
 from typing import Any
 
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet
-from tarragoncleat import ids
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.membership import upstreams
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 
 __all__ = [
     "LOOPBACK",
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -5,11 +5,11 @@
 import random
 from typing import Any
 
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
 
 __all__ = ["World"]
 
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -9,10 +9,10 @@
 from anyio.streams import memory
 import msgpack
 
-from tarragoncleat import codec
-from tarragoncleat import ids
-from tarragoncleat import replication
-from tarragoncleat import timer
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer
+from tarragoncleat.log import replication
 from tests import builders
 
 __all__ = ["Cluster", "ListMachine", "MemoryLinks", "Network"]
--- a/tests/peer_cluster.py
+++ b/tests/peer_cluster.py
@@ -9,10 +9,10 @@
 import anyio
 import anyio.abc
 
-from tarragoncleat import ids
-from tarragoncleat import membership
-from tarragoncleat import peering
-from tarragoncleat import timer
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer
+from tarragoncleat.membership import membership
+from tarragoncleat.membership import peering
 from tests import builders
 from tests import fault_proxy
 
--- a/tests/request_path_rig.py
+++ b/tests/request_path_rig.py
@@ -13,13 +13,13 @@
 import anyio
 import h11
 
-from tarragoncleat import caller_api
-from tarragoncleat import claims
-from tarragoncleat import http_server
-from tarragoncleat import ids
-from tarragoncleat import metrics
-from tarragoncleat import profiles
-from tarragoncleat import timer
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics
+from tarragoncleat.kernel import timer
+from tarragoncleat.process import http_server
+from tarragoncleat.requests import caller_api
+from tarragoncleat.requests import claims
+from tarragoncleat.state import profiles
 from tests import builders
 
 __all__ = [
--- a/tests/system_rig.py
+++ b/tests/system_rig.py
@@ -12,8 +12,8 @@
 
 import anyio
 
-from tarragoncleat import admin_client
-from tarragoncleat import errors
+from tarragoncleat.administration import admin_client
+from tarragoncleat.kernel import errors
 from tests import builders
 from tests import fault_proxy
 from tests import request_path_rig
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -14,10 +14,10 @@
 from fleet_adapter import http_messages
 from fleet_adapter import settings_file
 from fleet_adapter import wire
-from tarragoncleat import errors
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
+from tarragoncleat.kernel import errors
 from tests import batch_builders
 
 _SETTINGS = """\
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -17,16 +17,16 @@
 import msgpack
 import uvicorn
 
-from tarragoncleat import admin_api
-from tarragoncleat import admin_client
-from tarragoncleat import auth
-from tarragoncleat import cli
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import metrics
-from tarragoncleat import settings
-from tarragoncleat import waves
+from tarragoncleat.administration import admin_api
+from tarragoncleat.administration import admin_client
+from tarragoncleat.administration import auth
+from tarragoncleat.administration import cli
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import metrics
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import waves
 from tests import builders
 
 _HOST, _PORT = f"{builders.LOOPBACK}.80.1", 8124
--- a/tests/test_batch_leases.py
+++ b/tests/test_batch_leases.py
@@ -5,10 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import ids
 from tarragoncleat.batch import leases
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.cluster import roster
+from tarragoncleat.kernel import ids
 from tests import batch_builders
 
 _MAX_MS = 6_000
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,13 +11,13 @@
 
 import anyio
 
-from tarragoncleat import caller_api
-from tarragoncleat import claims
-from tarragoncleat import errors
-from tarragoncleat import fleet
-from tarragoncleat import ids
-from tarragoncleat import settings
-from tarragoncleat import timer
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.requests import caller_api
+from tarragoncleat.requests import claims
+from tarragoncleat.state import fleet
 from tests import builders
 from tests import request_path_rig as rig
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -7,10 +7,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from tarragoncleat import consensus_leader
-from tarragoncleat import consensus_log
-from tarragoncleat import consensus_messages
-from tarragoncleat import consensus_output
+from tarragoncleat.log import consensus_leader
+from tarragoncleat.log import consensus_log
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import consensus_output
 from tests import consensus_world
 
 _NAMES = ("a", "b", "c", "d", "e")
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -11,15 +11,15 @@
 
 import anyio
 
-from tarragoncleat import commands
-from tarragoncleat import controller
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import timer
-from tarragoncleat import waves
+from tarragoncleat.decisions import controller
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 from tests import builders
 
 _STATE = pools.InstanceState
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,10 +5,10 @@
 
 import anyio
 
-from tarragoncleat import timer as timer_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import worker_calls
+from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
 _PATIENCE_S = 20.0
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -8,8 +8,8 @@
 
 import loguru
 
-from tarragoncleat import event_log
-from tarragoncleat import explain
+from tarragoncleat.administration import explain
+from tarragoncleat.kernel import event_log
 
 _ID = "5c0e7a21d94b36f8"
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,16 +3,16 @@
 import dataclasses
 import unittest
 
-from tarragoncleat import codec
-from tarragoncleat import commands
-from tarragoncleat import errors
-from tarragoncleat import fleet
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet
+from tarragoncleat.state import jobs
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 from tests import builders
 
 _STATE = pools.InstanceState
--- a/tests/test_fleet_properties.py
+++ b/tests/test_fleet_properties.py
@@ -7,15 +7,15 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from tarragoncleat import budget
-from tarragoncleat import commands
-from tarragoncleat import fleet
-from tarragoncleat import fleet_state
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import waves
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import budget
+from tarragoncleat.state import commands
+from tarragoncleat.state import fleet
+from tarragoncleat.state import fleet_state
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 from tests import builders
 
 _STATE = pools.InstanceState
--- a/tests/test_http_app.py
+++ b/tests/test_http_app.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from tarragoncleat import http_app
+from tarragoncleat.process import http_app
 
 
 class HttpAppTest(unittest.TestCase):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,8 +13,8 @@
 import anyio
 import trustme
 
-from tarragoncleat import http_server
-from tarragoncleat import timer
+from tarragoncleat.kernel import timer
+from tarragoncleat.process import http_server
 from tests import builders
 
 _HOST = f"{builders.LOOPBACK}.90.1"
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -9,9 +9,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import settings
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import settings
 from tests import builders
 
 
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -7,15 +7,15 @@
 
 import anyio
 
-from tarragoncleat import consensus
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import timer as timer_module
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links
 from tarragoncleat.cluster import log_node
 from tarragoncleat.cluster import messages
 from tarragoncleat.cluster import node_ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import consensus
 from tests import builders
 
 _PATIENCE_S = 30.0
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -8,11 +8,11 @@
 import unittest
 import unittest.mock
 
-from tarragoncleat import consensus
-from tarragoncleat import consensus_messages
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import log_store
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus
+from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import log_store
 
 _REPLICAS = (ids.EntryId("a"), ids.EntryId("b"))
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,8 @@
 import anyio
 import loguru
 
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 from tests import builders
 from tests import peer_cluster
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -12,12 +12,12 @@
 from hypothesis import strategies
 import loguru
 
-from tarragoncleat import codec
-from tarragoncleat import errors
-from tarragoncleat import frames
-from tarragoncleat import ids
-from tarragoncleat import membership_messages as messages
-from tarragoncleat import peer_connection
+from tarragoncleat.kernel import codec
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import frames
+from tarragoncleat.membership import membership_messages as messages
+from tarragoncleat.membership import peer_connection
 from tests import fault_proxy
 from tests import peer_cluster
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -6,18 +6,18 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import commands
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import placer
-from tarragoncleat import pools
-from tarragoncleat import preemption
-from tarragoncleat import profiles
-from tarragoncleat import quarantine
-from tarragoncleat import settings
-from tarragoncleat import usage
-from tarragoncleat import worker_leases
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import placer
+from tarragoncleat.decisions import preemption
+from tarragoncleat.decisions import quarantine
+from tarragoncleat.decisions import usage
+from tarragoncleat.decisions import worker_leases
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 from tests import builders
 
 _STATE = jobs.JobState
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -6,17 +6,17 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import balancer
-from tarragoncleat import commands
-from tarragoncleat import fleet_view
-from tarragoncleat import ids
-from tarragoncleat import jobs
-from tarragoncleat import planner
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import settings
-from tarragoncleat import stuck_pools
-from tarragoncleat import waves
+from tarragoncleat.decisions import balancer
+from tarragoncleat.decisions import fleet_view
+from tarragoncleat.decisions import planner
+from tarragoncleat.decisions import stuck_pools
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
+from tarragoncleat.state import waves
 from tests import builders
 
 _STATE = pools.InstanceState
--- a/tests/test_pool_mover.py
+++ b/tests/test_pool_mover.py
@@ -4,13 +4,13 @@
 
 import anyio
 
-from tarragoncleat import errors
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
 from tarragoncleat.batch import pool_mover
 from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import worker_calls
+from tarragoncleat.kernel import errors
 from tests import batch_builders
 
 _CORES = 1_000
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,12 +8,12 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import candidates
-from tarragoncleat import entry_view
-from tarragoncleat import ids
-from tarragoncleat import in_flight
-from tarragoncleat import registry
-from tarragoncleat import upstreams
+from tarragoncleat.kernel import ids
+from tarragoncleat.membership import candidates
+from tarragoncleat.membership import entry_view
+from tarragoncleat.membership import in_flight
+from tarragoncleat.membership import registry
+from tarragoncleat.membership import upstreams
 from tests import builders
 
 _ZONE = ids.AvailabilityZone("fukuoka-a")
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from tarragoncleat import errors
-from tarragoncleat import ids
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
 from tests import memory_links
 
 _ZONES = ("a", "b", "c", "c", "d", "d")
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from tarragoncleat import commands
-from tarragoncleat import ids
-from tarragoncleat import ledger
-from tarragoncleat import pools
-from tarragoncleat import profiles
-from tarragoncleat import reports
+from tarragoncleat.administration import reports
+from tarragoncleat.kernel import ids
+from tarragoncleat.state import commands
+from tarragoncleat.state import ledger
+from tarragoncleat.state import pools
+from tarragoncleat.state import profiles
 from tests import builders
 
 _STATE = pools.InstanceState
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from tarragoncleat import profiles
+from tarragoncleat.state import profiles
 from tests import request_path_rig as rig
 
 _ENTRY = f"{rig.HOST}:9100"
--- a/tests/test_roster_world.py
+++ b/tests/test_roster_world.py
@@ -7,9 +7,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import consensus_messages
-from tarragoncleat import ids
 from tarragoncleat.cluster import roster
+from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus_messages
 from tests import consensus_world
 
 _ZONE = ids.AvailabilityZone("z")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,11 +6,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat import ids
-from tarragoncleat import limits
-from tarragoncleat import profiles
-from tarragoncleat import routing
-from tarragoncleat import settings
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.requests import limits
+from tarragoncleat.requests import routing
+from tarragoncleat.state import profiles
 
 _ZONES = ("fukuoka-a", "kumamoto")
 _SETTINGS = settings.RoutingSettings(
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 from tests import system_rig
 
 _ZONES = {"fukuoka-a": 2, "kumamoto": 1, "kagoshima": 1}
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from tarragoncleat import errors
+from tarragoncleat.kernel import errors
 from tests import system_rig
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/tests/test_upstream_api.py
+++ b/tests/test_upstream_api.py
@@ -8,13 +8,13 @@
 
 import anyio
 
-from tarragoncleat import errors
-from tarragoncleat import ids
-from tarragoncleat import membership
-from tarragoncleat import peering
-from tarragoncleat import settings
-from tarragoncleat import timer
-from tarragoncleat import upstream_api
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import settings
+from tarragoncleat.kernel import timer
+from tarragoncleat.membership import membership
+from tarragoncleat.membership import peering
+from tarragoncleat.membership import upstream_api
 from tests import builders
 
 _BODY = {
--- a/tests/test_wave_keeper.py
+++ b/tests/test_wave_keeper.py
@@ -4,12 +4,12 @@
 
 import anyio
 
-from tarragoncleat import errors
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
 from tarragoncleat.batch import wave_keeper
 from tarragoncleat.batch import worker_calls
+from tarragoncleat.kernel import errors
 from tests import batch_builders
 
 
