Tell the lives of a worker apart by their reports, and store every refusal

Cause: a heartbeat of an unknown life ended every other worker of its instance. Separately, found by reading: a refused start whose end could not be stored stayed a running task for as long as its leader.

Change: a heartbeat adds a worker and ends none. A worker ends another one of its instance by a report that was asked for after the other's last answer. Waves and moves look at all workers of an instance. A refusal is offered to the log until it is stored.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -162,6 +162,7 @@
             self._start_soon(
                 self.commit, commands.RegisterWorker(session.record)
             )
+        self._end_earlier_lives(session)
         now_s = self._timer.monotonic_s()
         self._health.note_report(session, self._state, now_s)
         for task, run, percent in pacing.changes(session, self._state):
@@ -170,6 +171,21 @@
                 events.TaskPaced(str(task), session.record.worker_id, percent)
             )
 
+    def _end_earlier_lives(self, session: worker_session.WorkerSession) -> None:
+        """Ends the other workers that were on the instance of this one."""
+        for worker in self._state.workers_on(session.record.instance):
+            worker_id = worker.record.worker_id
+            other = self._sessions.get(worker_id)
+            if other is None or other is session:
+                continue
+            has_lapsed = worker.state is state_module.WorkerState.LAPSED
+            if has_lapsed or session.outlives(other):
+                self._log_worker(worker_id, "followed")
+                self._start_soon(
+                    self.commit,
+                    commands.LoseWorkers((worker_id,), is_final=True),
+                )
+
     def on_gone(self, session: worker_session.WorkerSession) -> None:
         """Notes the end of a worker's life."""
         worker_id = session.record.worker_id
--- a/tarragoncleat/batch/pool_mover.py
+++ b/tarragoncleat/batch/pool_mover.py
@@ -1,8 +1,10 @@
 """Moves instances between pools, and to and from the spare pool."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 import dataclasses
 
+import anyio
+
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
@@ -36,6 +38,15 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Move:
+    """A move to a pool; `worker_id` is empty for an instance that is off."""
+
+    instance: str
+    pool: str
+    worker_id: str
+
+
 class PoolMover:
     """Lets vacant instances go where work waits, or switches them off."""
 
@@ -104,15 +115,22 @@
         self._refill_calls(now_s)
         await self._list(spare_pool)
         self._forget_past(now_s)
+        moves = []
         for session in list(self._vacant(sessions, now_s)):
             sound = is_sound(session.record.worker_id)
-            await self._step_vacant(session, demands, spare_pool, sound)
+            target = self._target(session, demands, spare_pool, sound)
+            if target is not None and self._take_call():
+                record = session.record
+                moves.append(
+                    self._plan_move(record.instance, target, record.worker_id)
+                )
         for instance in sorted(self._spare):
             service = self._neediest(demands, instance)
             if service is None:
-                return
+                break
             if not self._is_due(instance) and self._take_call():
-                await self._move(instance, service, "")
+                moves.append(self._plan_move(instance, service))
+        await self._carry_out(moves)
 
     def _spare_pool(self) -> str | None:
         configuration = self._state.configuration
@@ -188,13 +206,18 @@
     ) -> Iterator[worker_session.WorkerSession]:
         """Yields the sessions of workers that run nothing."""
         vacant_since_s = {}
+        busy = {
+            worker.record.instance
+            for worker in self._state.workers.values()
+            if worker.tasks
+        }
         for session in sessions.values():
             instance = session.record.instance
             worker = self._state.workers.get(session.record.worker_id)
             if (
                 worker is None
                 or worker.state is not state_module.WorkerState.UP
-                or worker.tasks
+                or instance in busy
                 or self._is_due(instance)
             ):
                 self._leaving.pop(instance, None)
@@ -205,60 +228,86 @@
                 yield session
         self._vacant_since_s = vacant_since_s
 
-    async def _step_vacant(
+    def _target(
         self,
         session: worker_session.WorkerSession,
         demands: Mapping[str, pool_sizing.Demand],
         spare_pool: str,
         is_sound: bool,
-    ) -> None:
-        """Lets a vacant instance go where it is needed, or switches it off."""
+    ) -> str | None:
+        """Returns where a vacant instance moves now, or None.
+
+        It is closed to new tasks one step before it moves: a start that is
+        being stored now would be lost by the move.
+        """
         instance, service = session.record.instance, session.record.service
         now_s = self._timer.monotonic_s()
         leaving = self._leaving.get(instance)
         demand = demands.get(service)
         if demand is None:
-            return
+            return None
         if leaving is None:
             growth = self._trend.growth_millicores(service)
             if not pool_sizing.can_spare(demand, growth):
-                return
+                return None
         target = self._neediest(demands, instance) if is_sound else None
         vacant_s = now_s - self._vacant_since_s[instance]
         if target is None and vacant_s >= _VACANT_BEFORE_RETURN_S:
             target = spare_pool
         if target is None or target == service:
             self._leaving.pop(instance, None)
-        elif leaving is None:
-            # A start that is being stored now would be lost by the move.
+            return None
+        if leaving is None:
             until_s = now_s + _LATE_MOVE_S
             self._leaving[instance] = _Leaving(now_s, until_s)
             demand.free_millicores -= session.record.cpu_millicores
-        elif now_s > leaving.since_s and self._take_call():
-            await self._move(instance, target, session.record.worker_id)
+            return None
+        return target if now_s > leaving.since_s else None
 
-    async def _move(self, instance: str, service: str, worker_id: str) -> None:
-        """Moves an instance on which nothing runs."""
+    def _plan_move(
+        self, instance: str, pool: str, worker_id: str = ""
+    ) -> _Move:
+        """Counts a move as under way, before the platform has answered."""
+        if pool != self._spare_pool():
+            self._arriving[instance] = (pool, self._timer.monotonic_s())
+        return _Move(instance, pool, worker_id)
+
+    async def _carry_out(self, moves: Sequence[_Move]) -> None:
+        """Moves instances on which nothing runs, all at once.
+
+        A queue's turn lasts seconds; dozens of moves one after another, each
+        with its commit, would come too late for it.
+        """
+        if not moves:
+            return
+        moved: list[_Move] = []
+        async with anyio.create_task_group() as tasks:
+            for move in moves:
+                tasks.start_soon(self._call, move, moved)
+        workers = tuple(move.worker_id for move in moved if move.worker_id)
+        if workers:
+            await self._committer.commit(
+                commands.LoseWorkers(workers, is_final=True)
+            )
+        for move in moved:
+            self._leaving.pop(move.instance, None)
+
+    async def _call(self, move: _Move, moved: list[_Move]) -> None:
+        instance = move.instance
         failure = await self._calls.move(
-            instance, service, self._holder, self._fence
+            instance, move.pool, self._holder, self._fence
         )
         refused = failure.reason if failure is not None else None
-        event_log.emit(events.InstanceMoved(instance, service, refused))
+        event_log.emit(events.InstanceMoved(instance, move.pool, refused))
         self._spare.discard(instance)
-        if failure is not None:
-            if failure.kind is errors.ErrorKind.NOT_FOUND:
-                self._unfit.add((instance, service))
-            if failure.kind is not errors.ErrorKind.UNDECIDED:
-                self._leaving.pop(instance, None)
-            self._vacant_since_s.pop(instance, None)
-            return
-        if service == self._spare_pool():
-            self._spare.add(instance)
-        else:
-            self._arriving[instance] = (service, self._timer.monotonic_s())
-        if worker_id:
-            await self._committer.commit(
-                commands.LoseWorkers((worker_id,), is_final=True)
-            )
-        self._leaving.pop(instance, None)
         self._vacant_since_s.pop(instance, None)
+        if failure is None:
+            moved.append(move)
+            if move.pool == self._spare_pool():
+                self._spare.add(instance)
+            return
+        self._arriving.pop(instance, None)
+        if failure.kind is errors.ErrorKind.NOT_FOUND:
+            self._unfit.add((instance, move.pool))
+        if failure.kind is not errors.ErrorKind.UNDECIDED:
+            self._leaving.pop(instance, None)
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -75,8 +75,8 @@
     """Maintenance of instances.
 
     `chosen` instances were or are about to be ordered into maintenance; each
-    has the worker that was on it, or an empty text. `begun` ones have
-    certainly begun it, or left the fleet.
+    has the workers that were on it. `begun` ones have certainly begun it, or
+    left the fleet.
     """
 
     number: int
@@ -84,7 +84,7 @@
     duration_ms: int
     cap: int
     requested_ms: int
-    chosen: dict[str, str] = dataclasses.field(default_factory=dict)
+    chosen: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
     begun: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -105,6 +105,7 @@
         self._jobs: dict[str, jobs_module.Job] = {}
         self._active: dict[str, jobs_module.Job] = {}
         self._workers: dict[str, Worker] = {}
+        self._by_instance: dict[str, list[str]] = {}
         # A late heartbeat of an earlier life must not end the present one.
         self._ended_workers: dict[str, None] = {}
         self._waves: dict[int, Wave] = {}
@@ -147,12 +148,14 @@
         """Leader's time of the last record."""
         return self._time_ms
 
-    def worker_on(self, instance: str) -> Worker | None:
-        """Returns the worker on an instance, or None."""
-        for worker in self._workers.values():
-            if worker.record.instance == instance:
-                return worker
-        return None
+    def workers_on(self, instance: str) -> list[Worker]:
+        """Returns the workers on an instance.
+
+        There is more than one while it is not certain which of them lives: a
+        heartbeat of an earlier life may arrive after one of a later life.
+        """
+        names = self._by_instance.get(instance, ())
+        return [self._workers[name] for name in names]
 
     def has_ended(self, worker_id: str) -> bool:
         """Whether a worker's life is known to have ended."""
@@ -285,10 +288,7 @@
             if known.state is WorkerState.LAPSED:
                 known.state = WorkerState.UP
             return False
-        for other in list(self._workers.values()):
-            if other.record.instance == record.instance:
-                self._end_worker(other)
-        self._workers[record.worker_id] = Worker(record)
+        self._add_worker(Worker(record))
         return True
 
     @_apply.register
@@ -362,15 +362,17 @@
         if wave is None:
             return None
         if command.instance not in wave.chosen:
-            worker = self.worker_on(command.instance)
-            worker_id = worker.record.worker_id if worker else ""
-            wave.chosen[command.instance] = worker_id
+            wave.chosen[command.instance] = tuple(
+                worker.record.worker_id
+                for worker in self.workers_on(command.instance)
+            )
         if command.phase is not commands.MaintenancePhase.CHOSEN:
             wave.begun.add(command.instance)
         if command.phase is commands.MaintenancePhase.BEGUN:
-            worker = self._workers.get(wave.chosen[command.instance])
-            if worker is not None:
-                self._end_worker(worker)
+            for worker_id in wave.chosen[command.instance]:
+                worker = self._workers.get(worker_id)
+                if worker is not None:
+                    self._end_worker(worker)
         return None
 
     def _settle(self, job: jobs_module.Job) -> None:
@@ -378,10 +380,20 @@
             del self._active[job.job_id]
             self._ended.append(job)
 
+    def _add_worker(self, worker: Worker) -> None:
+        record = worker.record
+        self._workers[record.worker_id] = worker
+        names = self._by_instance.setdefault(record.instance, [])
+        names.append(record.worker_id)
+
     def _end_worker(self, worker: Worker) -> None:
         self._lose_tasks(worker)
-        del self._workers[worker.record.worker_id]
-        self._ended_workers[worker.record.worker_id] = None
+        record = worker.record
+        del self._workers[record.worker_id]
+        self._by_instance[record.instance].remove(record.worker_id)
+        if not self._by_instance[record.instance]:
+            del self._by_instance[record.instance]
+        self._ended_workers[record.worker_id] = None
         if len(self._ended_workers) > _MAX_ENDED_WORKERS:
             del self._ended_workers[next(iter(self._ended_workers))]
 
@@ -442,14 +454,14 @@
         for record, state in values[5]:
             worker = Worker(_unpack_worker(record))
             worker.state = WorkerState(state)
-            self._workers[worker.record.worker_id] = worker
+            self._add_worker(worker)
         for definition, packed in values[4]:
             self._restore_job(
                 jobs_module.Job.unpack(packed, codec.decode(definition))
             )
         for packed in values[6]:
             wave = Wave(packed[0], tuple(packed[1]), *packed[2:5])
-            wave.chosen = dict(packed[5])
+            wave.chosen = {name: tuple(ids) for name, ids in packed[5]}
             wave.begun = set(packed[6])
             self._waves[wave.number] = wave
 
--- a/tarragoncleat/batch/wave_keeper.py
+++ b/tarragoncleat/batch/wave_keeper.py
@@ -102,7 +102,7 @@
                 # An earlier leader may have ordered it; repeating is safe.
                 await self._order(wave, instance)
             elif instance in self._emptying:
-                is_empty = self._empty(instance, by_instance.get(instance))
+                is_empty = self._empty(instance)
                 if is_empty and self._down(wave) < wave.cap:
                     await self._choose_and_order(wave, instance)
 
@@ -172,16 +172,24 @@
             down += instance not in wave.begun or not is_past
         return down
 
-    def _empty(
-        self, instance: str, session: worker_session.WorkerSession | None
-    ) -> bool:
-        """Stops what may be stopped; returns whether the worker is empty."""
-        worker = self._state.worker_on(instance)
-        if worker is None or not worker.tasks:
+    def _empty(self, instance: str) -> bool:
+        """Stops what may be stopped; returns whether the instance is empty."""
+        # Each worker is asked to empty itself, also after one that is not yet.
+        left = [
+            worker
+            for worker in self._state.workers_on(instance)
+            if not self._empty_worker(worker)
+        ]
+        return not left
+
+    def _empty_worker(self, worker: state_module.Worker) -> bool:
+        if not worker.tasks:
             return True
-        if session is None or session.record != worker.record:
+        session = self._sessions.get(worker.record.worker_id)
+        if session is None:
             return False
-        waited_s = self._timer.monotonic_s() - self._emptying[instance]
+        since_s = self._emptying[worker.record.instance]
+        waited_s = self._timer.monotonic_s() - since_s
         holds_lasting = False
         for task in list(self._state.tasks_on(worker)):
             found = self._state.task(task.key)
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -99,6 +99,8 @@
         self._acknowledged = 0
         self._failures = 0
         self._has_report = False
+        self._reported_s: float | None = None
+        self._asked_s = 0.0
         self._is_over = False
         self._running: dict[_RunId, worker_calls.RunningTask] = {}
         self._orders: deque[Callable[[], Awaitable[None]]] = deque()
@@ -133,6 +135,19 @@
         silence_s = self._timer.monotonic_s() - self._lease.seen_s
         return self._has_report and not self._failures and silence_s < _FRESH_S
 
+    def outlives(self, other: "WorkerSession") -> bool:
+        """Whether a report here proves that another worker's life has ended.
+
+        Both are on one instance, where one life follows another. The latest
+        report here was asked for after the other worker had last answered; an
+        answer that was long on its way proves nothing.
+        """
+        return (
+            other._reported_s is not None
+            and self._reported_s is not None
+            and self._asked_s > other._reported_s
+        )
+
     @property
     def has_lapsed(self) -> bool:
         """Whether nothing can run there, because no lease is left."""
@@ -265,7 +280,10 @@
             commands.Ending.REJECTED,
             "",
         )
-        await self._owner.on_ended([row])
+        while self._is_current(order.task, order.run):
+            if await self._owner.on_ended([row]):
+                return
+            await self._timer.sleep_s(_FIRST_PAUSE_S)
 
     async def _stop(self, task: model.TaskKey, run: int) -> None:
         order = worker_calls.StopOrder(task, run, self._fence)
@@ -357,6 +375,8 @@
         self, report: worker_calls.HoldReport, sent_s: float
     ) -> None:
         self._has_report = True
+        self._asked_s = sent_s
+        self._reported_s = self._timer.monotonic_s()
         self._running = {(row.task, row.run): row for row in report.running}
         rows = [
             commands.RunEnd(
--- a/tests/test_pool_mover.py
+++ b/tests/test_pool_mover.py
@@ -203,6 +203,21 @@
         self.assertEqual(self.calls.moved, [])
         self.assertFalse(self.mover.is_leaving("instance-of-w-1"))
 
+    def test_moves_of_a_turn_are_made_at_once(self) -> None:
+        """A turn of seconds must not wait for one call after another."""
+        self.calls.instances = ()
+        self.local.register("w-1", "w-2", "w-3", service="other")
+        for _ in range(2):
+            self.timer.advance(0.2)
+            self._step(0, free_cores=0)
+        before = len(self.log.committed)
+        while not self.calls.moved:
+            self.timer.advance(0.2)
+            self._step(40, free_cores=0)
+        self.assertEqual(len(self.calls.moved), 3)
+        self.assertEqual(len(self.log.committed), before + 1)
+        self.assertEqual(dict(self.local.state.workers), {})
+
     def test_last_room_of_a_pool_stays(self) -> None:
         """Guards against a pool that can take no job at all."""
         self.local.register("w-1")
