Confirm the leadership before instances are moved

Cause: found by reading. A leader that thaws runs its timers before it hears of its successor. A move carries its fence, but the platform refuses an old fence only on machines that have seen the new one; a move of any other machine would end what its successor started there.

Change: before a round of moves the mover passes a read barrier, shared with other reads, and moves nothing without it.

Before: test_deposed_leader_moves_nothing fails. After: it passes.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -192,3 +192,6 @@
 
     async def commit(self, command: Command) -> object:
         """Replicates a command."""
+
+    async def confirm(self) -> bool:
+        """Returns whether this node certainly led when it was asked."""
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -126,6 +126,10 @@
             codec.encode(command), _COMMIT_TIMEOUT_S
         )
 
+    async def confirm(self) -> bool:
+        """Returns whether this node certainly led when it was asked."""
+        return await self._node.read_barrier()
+
     # What sessions tell.
 
     async def on_ended(self, rows: list[commands.RunEnd]) -> bool:
--- a/tarragoncleat/batch/pool_mover.py
+++ b/tarragoncleat/batch/pool_mover.py
@@ -276,10 +276,15 @@
         """Moves instances on which nothing runs, all at once.
 
         A queue's turn lasts seconds; dozens of moves one after another, each
-        with its commit, would come too late for it.
+        with its commit, would come too late for it. A leader that was frozen
+        knows nothing of what runs by now, so it confirms first that it leads.
         """
         if not moves:
             return
+        if not await self._committer.confirm():
+            for move in moves:
+                self._arriving.pop(move.instance, None)
+            return
         moved: list[_Move] = []
         async with anyio.create_task_group() as tasks:
             for move in moves:
--- a/tests/test_pool_mover.py
+++ b/tests/test_pool_mover.py
@@ -132,6 +132,11 @@
             1,
         )
         self.sound = True
+        self.leads = True
+
+    async def confirm(self) -> bool:
+        """Leads as long as the test says so."""
+        return self.leads
 
     async def commit(self, command: commands.Command) -> object:
         """Replicates a command."""
@@ -203,6 +208,15 @@
         self.assertEqual(self.calls.moved, [])
         self.assertFalse(self.mover.is_leaving("instance-of-w-1"))
 
+    def test_deposed_leader_moves_nothing(self) -> None:
+        """A leader that was frozen does not know what runs by now."""
+        self.leads = False
+        self._step(8)
+        self.assertEqual(self.calls.moved, [])
+        self.leads = True
+        self._step(8)
+        self.assertEqual(self.calls.moved, [("spare-1", "bidding")])
+
     def test_moves_of_a_turn_are_made_at_once(self) -> None:
         """A turn of seconds must not wait for one call after another."""
         self.calls.instances = ()
--- a/tests/test_wave_keeper.py
+++ b/tests/test_wave_keeper.py
@@ -46,6 +46,10 @@
         )
         self.sessions: dict[str, _Session] = {}
 
+    async def confirm(self) -> bool:
+        """Always leads."""
+        return True
+
     async def commit(self, command: commands.Command) -> object:
         """Replicates a command."""
         return await self.log.propose(batch_builders.codec.encode(command), 1.0)
