Show the progress of make bench on standard error

Cause: a run said nothing for minutes. Change: each group is announced and its end reported on standard error; tables are flushed. The results were already written as each group ends, which a test now shows for a run that is cut.

--- a/tarragoncleat_bench/main.py
+++ b/tarragoncleat_bench/main.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import sys
+import time
 import types
 
 import defopt
@@ -39,17 +40,27 @@
     names = group or list(_GROUPS)
     unknown = [name for name in names if name not in _GROUPS]
     if unknown:
-        print(f"unknown group {unknown[0]}; known: {', '.join(_GROUPS)}")
+        _report(f"unknown group {unknown[0]}; known: {', '.join(_GROUPS)}")
         return 2
     folder.mkdir(parents=True, exist_ok=True)
-    for name in names:
+    for number, name in enumerate(names, 1):
+        _report(f"group {name} ({number} of {len(names)}) begins")
+        begun_s = time.monotonic()
         measured = _load(name).run(seed)
         _print_table(measured)
-        _write_json(folder / f"{name}.json", measured)
+        path = folder / f"{name}.json"
+        _write_json(path, measured)
         _plot(folder / f"{name}.png", measured)
+        took_s = time.monotonic() - begun_s
+        _report(f"group {name} ended after {took_s:.0f} s; see {path}")
     return 0
 
 
+def _report(text: str) -> None:
+    """Prints progress beside the tables, which may go into a file."""
+    print(text, file=sys.stderr, flush=True)
+
+
 def _load(name: str) -> types.ModuleType:
     return importlib.import_module(_GROUPS[name])
 
@@ -63,6 +74,7 @@
             f"{_cell(row.ratio):>7} {_cell(row.lower_bound):>12} "
             f"{row.unit:8} {row.group}: {row.name} ({row.seed})"
         )
+    sys.stdout.flush()
 
 
 def _cell(value: float | None) -> str:
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,63 @@
+"""Tests of the benchmarks' command line."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import types
+import unittest
+import unittest.mock
+
+from tarragoncleat_bench import main as bench_main
+from tarragoncleat_bench import rows
+
+
+class BenchTest(unittest.TestCase):
+    """Guards the results of a run that is cut before its end."""
+
+    def _run(self, folder: str, groups: list[str]) -> tuple[str, list[str]]:
+        """Runs groups of which `broken` ends with an error."""
+        seen: list[str] = []
+
+        def load(name: str) -> types.SimpleNamespace:
+            def run(seed: int) -> list[rows.Row]:
+                seen.append(errors_file.getvalue())
+                if name == "broken":
+                    raise RuntimeError("cut")
+                return [rows.Row(name, "row", "ms", 2.0, seed=seed)]
+
+            return types.SimpleNamespace(run=run)
+
+        errors_file = io.StringIO()
+        with (
+            unittest.mock.patch.object(bench_main, "_load", load),
+            unittest.mock.patch.dict(
+                bench_main._GROUPS, {"whole": "", "broken": ""}
+            ),
+            contextlib.redirect_stdout(io.StringIO()),
+            contextlib.redirect_stderr(errors_file),
+            contextlib.suppress(RuntimeError),
+        ):
+            bench_main.run(folder=pathlib.Path(folder), group=groups, seed=3)
+        return errors_file.getvalue(), seen
+
+    def test_each_group_is_announced_and_written_as_it_ends(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            printed, seen = self._run(folder, ["whole", "broken"])
+            written = pathlib.Path(folder, "whole.json").read_text("utf-8")
+        self.assertIn("group whole (1 of 2) begins", seen[0])
+        self.assertIn("group whole ended", seen[1])
+        self.assertIn("group broken (2 of 2) begins", printed)
+        (row,) = json.loads(written)
+        self.assertEqual((row["figure"], row["seed"]), (2.0, 3))
+
+    def test_unknown_group_is_refused_before_anything_is_measured(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            printed, seen = self._run(folder, ["whole", "nothing"])
+        self.assertIn("unknown group nothing", printed)
+        self.assertEqual(seen, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
