--- a/tarragoncleat_bench/batch.py
+++ b/tarragoncleat_bench/batch.py
@@ -24,6 +24,8 @@
 _WORKERS = (40, 180, 1_000)
 _TASKS_PER_JOB = 8
 _ROUNDS = 5
+# The queues ask for about this many times what their pools hold.
+_OVERLOAD = 3
 _US_PER_S = 1_000_000
 _MS_PER_S = 1_000
 
@@ -35,6 +37,7 @@
         self.state = state_module.BatchState()
         self._index = itertools.count(1)
         self._random = random.Random(seed)
+        self._views = worker_views.ViewCache()
         services = [f"service-{number}" for number in range(_QUEUES)]
         queues = tuple(
             model.QueuePolicy(
@@ -70,8 +73,8 @@
         payload = codec.encode(command)
         self.state.apply(next(self._index), 1_000, payload)
 
-    def submit(self, count: int) -> None:
-        for number in range(count):
+    def submit(self, count: int, first: int = 0) -> None:
+        for number in range(first, first + count):
             step = model.StepDefinition(
                 _TASKS_PER_JOB, self._random.randrange(300, 2_000), 512, 0, 900
             )
@@ -85,7 +88,7 @@
 
     def plan(self) -> list[commands.RunStart]:
         open_workers = dict.fromkeys(self.state.workers, 0.0)
-        views = worker_views.views_of(self.state, open_workers)
+        views = self._views.refresh(self.state, open_workers)
         return placement.plan(self.state, views, 1_000).starts
 
 
@@ -108,6 +111,7 @@
         lambda: fleet.apply(commands.StartRuns(tuple(starts)))
     )
     idle_plan_s = min(_processor_s(fleet.plan) for _ in range(_ROUNDS))
+    overload_plan_s = _overload_plan_s(workers, seed)
     snapshot_s = _processor_s(fleet.state.snapshot)
     ends = tuple(
         commands.RunEnd(
@@ -121,6 +125,12 @@
         _row(f"accept a job, {size}", "us", submit_s / jobs * _US_PER_S, seed),
         _row(f"plan a burst, {size}", "ms", plan_s * _MS_PER_S, seed),
         _row(f"plan a full fleet, {size}", "ms", idle_plan_s * _MS_PER_S, seed),
+        _row(
+            f"plan with {_OVERLOAD} times as many jobs as run, {size}",
+            "ms",
+            overload_plan_s * _MS_PER_S,
+            seed,
+        ),
         _row(
             f"store a start, {size}",
             "us",
@@ -134,6 +144,20 @@
     ]
 
 
+def _overload_plan_s(workers: int, seed: int) -> float:
+    """Returns the cost of a plan that finds all workers full."""
+    fleet = _Fleet(workers, seed)
+    running = 0
+    submitted = 0
+    while submitted < _OVERLOAD * max(running, workers):
+        fleet.submit(workers, first=submitted)
+        submitted += workers
+        starts = fleet.plan()
+        fleet.apply(commands.StartRuns(tuple(starts)))
+        running += len(starts) // _TASKS_PER_JOB
+    return min(_processor_s(fleet.plan) for _ in range(_ROUNDS))
+
+
 def _processor_s(call: Callable[[], object]) -> float:
     started_s = time.process_time()
     call()
