--- /dev/null
+++ b/tests/test_refusals_explained.py
@@ -0,0 +1,170 @@
+"""Each refusal of a running entry and control node has a cause in the logs."""
+
+from collections.abc import Awaitable, Callable
+import json
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+import loguru
+
+from fleet_adapter import caller_app
+from fleet_adapter import http_messages
+from tarragoncleat.administration import explain
+from tarragoncleat.batch import bounds
+from tarragoncleat.batch import messages
+from tarragoncleat.batch import nodes
+from tarragoncleat.cluster import log_node
+from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import ids
+from tarragoncleat.kernel import timer as timer_module
+from tests import batch_builders
+from tests import builders
+
+_ADDRESS = (f"{builders.LOOPBACK}.78.1", 9_482)
+_ZONE = ids.AvailabilityZone("fukuoka-a")
+_SECRET = "the-submitter's-own-payload"
+_JOB = {
+    "spec": _SECRET,
+    "steps": [{"count": 1, "cpu": 500, "mem-mb": 64, "estimated-ms": 900}],
+}
+_PATIENCE_S = 30.0
+_TIMES = {
+    "heartbeat_ms": 50,
+    "election_timeout_min_ms": 300,
+    "election_timeout_max_ms": 600,
+}
+
+
+class _System:
+    """One control node and one entry, in this process over real links."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        timer = timer_module.TimerService()
+        node_id = log_node.load_identity(folder, *_ADDRESS, True)
+        assert not isinstance(node_id, errors.Failure)
+        self.control = nodes.ControlNode(
+            builders.build_settings(
+                node_id, data_folder=folder, consensus=_TIMES
+            ),
+            [_ADDRESS],
+            0,
+            timer,
+            bounds.Bounds(),
+            batch_builders.FakeWorker,
+            batch_builders.FakeInstances(),
+            batch_builders.FakeAdvisor(),
+            "core-1",
+        )
+        failure = self.control.open((node_id,), folder)
+        assert failure is None
+        self.entry = nodes.EntryNode(
+            ids.EntryId("front-1"), _ZONE, [_ADDRESS], timer
+        )
+        self.app = caller_app.CallerApp(
+            self.entry.call, timer, self.entry.finder.confirmed_age_s
+        )
+        self.answers: dict[str, list[int]] = {}
+
+    async def send(
+        self,
+        method: str,
+        job_id: str,
+        body: object = None,
+        queue: str = batch_builders.QUEUE.path_prefix,
+    ) -> int:
+        """Sends a request and returns the status of its answer."""
+        content = json.dumps(body).encode() if body is not None else b""
+        request = http_messages.Request(
+            method,
+            batch_builders.QUEUE.host,
+            f"{queue}{job_id}",
+            {b"deadline-ms": b"1000"},
+            content,
+        )
+        response = await self.app.handle(request)
+        self.answers.setdefault(job_id, []).append(response.status)
+        return response.status
+
+    async def configure(self) -> None:
+        """Puts a configuration in force."""
+        request = messages.PutRequest(batch_builders.build_configuration())
+        while isinstance(await self.control.call(request, 1.0), errors.Failure):
+            await anyio.sleep(0.02)
+
+
+class RefusalsExplainedTest(unittest.TestCase):
+    """Guards against an answer that nobody can explain afterwards."""
+
+    def setUp(self) -> None:
+        self.lines: list[dict] = []
+        sink = event_log.EventSink("front-1", self._take)
+        loguru.logger.remove()
+        handler = loguru.logger.add(sink.take, format="{message}")
+        self.addCleanup(loguru.logger.remove, handler)
+
+    def _take(self, data: bytes) -> int:
+        self.lines.extend(json.loads(line) for line in data.splitlines())
+        return len(data)
+
+    def _play(self, scenario: Callable[[_System], Awaitable[None]]) -> _System:
+        async def main() -> _System:
+            with tempfile.TemporaryDirectory() as folder:
+                system = _System(pathlib.Path(folder))
+                with anyio.fail_after(_PATIENCE_S):
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(system.entry.run)
+                        await scenario(system)
+                        tasks.cancel_scope.cancel()
+                return system
+
+        return anyio.run(main)
+
+    async def _until(self, call: Callable[[], Awaitable[bool]]) -> None:
+        while not await call():
+            await anyio.sleep(0.02)
+
+    def test_each_refusal_has_a_cause_and_no_line_holds_a_body(self) -> None:
+        async def scenario(system: _System) -> None:
+            self.assertEqual(await system.send("POST", "unled", _JOB), 503)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.control.run)
+
+                async def is_unconfigured() -> bool:
+                    await system.send("POST", "early", _JOB)
+                    return "no configuration" in str(self.lines)
+
+                await self._until(is_unconfigured)
+                await system.configure()
+
+                async def is_accepted() -> bool:
+                    return await system.send("POST", "good", _JOB) == 200
+
+                await self._until(is_accepted)
+                refused = (
+                    ("POST", "elsewhere", _JOB, "/unknown/", 404),
+                    ("POST", "bad", {"spec": _SECRET, "steps": 7}, None, 400),
+                    ("PATCH", "odd", _JOB, None, 400),
+                    ("GET", "never-seen", None, None, 410),
+                    ("DELETE", "nor-this", None, None, 410),
+                )
+                for method, job_id, body, queue, status in refused:
+                    prefix = queue or batch_builders.QUEUE.path_prefix
+                    found = await system.send(method, job_id, body, prefix)
+                    self.assertEqual(found, status, job_id)
+                tasks.cancel_scope.cancel()
+
+        system = self._play(scenario)
+        for job_id, statuses in system.answers.items():
+            story = explain.explain(job_id, self.lines)
+            if any(status >= 400 for status in statuses):
+                self.assertIsNotNone(story.cause, (job_id, statuses))
+            else:
+                self.assertIsNone(story.cause, job_id)
+        self.assertNotIn(_SECRET, json.dumps(self.lines))
+
+
+if __name__ == "__main__":
+    unittest.main()
