State the load of pools without workers and of pools that fell idle

Cause: found by reading. A plan stated no load for a service without workers, so that a pool whose last worker was lost asked for no instance, and its jobs would have waited for ever; pools are small since vacant instances leave. Nor did it state the load of a service without jobs, so that such a pool kept all its instances.

Change: a service with jobs always has a load; without workers its instances count as the largest worker known. A service that had jobs in this term keeps a load without them. A pool keeps its size until its first job, because that may need all of it.

Before: the two tests of DemandTest fail. After: they pass.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -246,8 +246,13 @@
         passing = self._waves.due_instances()
         views = self._views.refresh(self._state, open_workers, passing)
         self._advisor.begin_round()
+        # A pool keeps its size until its first job, which may need all of it.
         return placement.plan(
-            self._state, views, self._timer.wall_time_ms(), self._advisor
+            self._state,
+            views,
+            self._timer.wall_time_ms(),
+            self._advisor,
+            idle_services=self._demands,
         )
 
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -48,38 +48,63 @@
     views: dict[str, list[worker_views.WorkerView]],
     now_ms: int,
     advisor: advice.Advisor | None = None,
+    idle_services: Iterable[str] = (),
 ) -> Plan:
     """Returns the runs to start now; takes their room from the views.
 
-    Steps of queues with advice run only on workers with a ticket; `advisor`
-    is told which ones are missing.
+    Args:
+        state: The state.
+        views: Workers by service.
+        now_ms: Time in milliseconds since the epoch.
+        advisor: Steps of queues with advice run only on workers with a
+            ticket; it is told which ones are missing.
+        idle_services: Services whose load is stated also without jobs.
     """
-    ready: dict[str, list[_Ready]] = {}
+    ready: dict[str, list[_Ready]] = {
+        service: [] for service in idle_services if service in views
+    }
     for job in state.active_jobs.values():
         policy = state.policy_of(job)
-        if policy is None or policy.service not in views:
+        if policy is None:
             continue
         steps = ready.setdefault(policy.service, [])
         steps.extend(_ready_steps(job, policy, now_ms))
     made = Plan()
+    usual_size = _usual_size(views)
     for service, steps in ready.items():
         steps.sort(key=lambda item: item.order)
         made.demands[service] = _plan_service(
-            steps, views[service], advisor, made.starts
+            steps, views.get(service, ()), usual_size, advisor, made.starts
         )
     return made
 
 
+def _usual_size(views: dict[str, list[worker_views.WorkerView]]) -> int:
+    """Returns the size of the largest worker, in 1/1000 core."""
+    return max(
+        (
+            view.record.cpu_millicores
+            for found in views.values()
+            for view in found
+        ),
+        default=1,
+    )
+
+
 def _plan_service(
     steps: Sequence[_Ready],
     views: Sequence[worker_views.WorkerView],
+    usual_size: int,
     advisor: advice.Advisor | None,
     starts: list[commands.RunStart],
 ) -> pool_sizing.Demand:
-    """Adds the starts of one service, and returns its load after them."""
-    demand = pool_sizing.Demand(
-        instance_millicores=views[0].record.cpu_millicores
-    )
+    """Adds the starts of one service, and returns its load after them.
+
+    Instances of a service without workers count as `usual_size`, in 1/1000
+    core.
+    """
+    size = views[0].record.cpu_millicores if views else usual_size
+    demand = pool_sizing.Demand(instance_millicores=size)
     workers = [view for view in views if view.is_open]
     # Under overload nearly all workers are full and hundreds of steps wait;
     # trying each step on each worker would take all of the leader's time.
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -10,6 +10,7 @@
 from tarragoncleat.batch import model
 from tarragoncleat.batch import pacing
 from tarragoncleat.batch import placement
+from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import urgency
 from tarragoncleat.batch import worker_views
 from tests import batch_builders
@@ -190,6 +191,39 @@
                 state.restore(1, snapshot)
 
 
+class DemandTest(unittest.TestCase):
+    """Guards what the sizes of the pools are decided by."""
+
+    def _demands(
+        self, local: batch_builders.LocalState
+    ) -> dict[str, pool_sizing.Demand]:
+        views = worker_views.views_of(
+            local.state, dict.fromkeys(local.state.workers, 0.0)
+        )
+        return placement.plan(
+            local.state, views, local.time_ms, idle_services=("bidding",)
+        ).demands
+
+    def test_pool_that_lost_its_last_worker_asks_for_instances(self) -> None:
+        """Guards against jobs that wait for ever for an empty pool."""
+        local = batch_builders.LocalState()
+        local.register("w-1", service="other")
+        local.submit("job-1", batch_builders.build_step(6))
+        demands = self._demands(local)
+        self.assertEqual(demands["bidding"].unplaced_millicores, 6_000)
+        self.assertEqual(demands["bidding"].instance_millicores, 4_000)
+        trend = pool_sizing.LoadTrend()
+        self.assertEqual(pool_sizing.neediest(demands, trend, {}), "bidding")
+
+    def test_pool_without_jobs_can_spare_its_instances(self) -> None:
+        """Guards against the price of pools that nobody uses."""
+        local = batch_builders.LocalState()
+        local.register("w-1", "w-2", "w-3")
+        demand = self._demands(local)["bidding"]
+        self.assertEqual(demand.free_millicores, 12_000)
+        self.assertTrue(pool_sizing.can_spare(demand, 0))
+
+
 class OverloadTest(unittest.TestCase):
     """Guards the leader's time while hundreds of jobs find no room."""
 
