Log operators' answers, decided versions, pool loads and loop delays

No line showed what an operator was answered, on which version a read of the configuration or of a queue's length was decided, the load of each pool, or how late a process runs its timers.

No decision changes.

--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -14,6 +14,7 @@
 from tarragoncleat.batch import events
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import log_node
+from tarragoncleat.kernel import loop_monitor
 
 __all__ = ["BatchMetrics"]
 
@@ -49,6 +50,10 @@
         self._configuration_version = meter.create_gauge(
             "configuration_version", "1"
         )
+        self._operator_requests = meter.create_counter("operator_requests", "1")
+        self._pool_workers = meter.create_gauge("pool_workers", "1")
+        self._pool_cores = meter.create_gauge("pool_cores", "1")
+        self._loop_delay_ms = meter.create_histogram("loop_delay", "ms")
         self._moves = meter.create_counter("instance_moves", "1")
         self._maintenance = meter.create_counter("maintenance_orders", "1")
         self._commit_ms = meter.create_histogram("commit_time", "ms")
@@ -122,6 +127,35 @@
     def _record_configuration(self, event: events.ConfigurationInForce) -> None:
         self._configuration_version.set(event.version)
 
+    @_record_event.register
+    def _record_operator_request(self, event: events.OperatorAnswered) -> None:
+        self._operator_requests.add(
+            1, {"method": event.method, "status": event.status}
+        )
+
+    @_record_event.register
+    def _record_pool_load(self, event: events.PoolLoad) -> None:
+        workers = {
+            "known": event.workers,
+            "schedulable": event.schedulable,
+            "arriving": event.arriving,
+        }
+        for state, count in workers.items():
+            attributes = {"service": event.service, "state": state}
+            self._pool_workers.set(count, attributes)
+        millicores = {
+            "used": event.used_millicores,
+            "free": event.free_millicores,
+            "unplaced": event.unplaced_millicores,
+        }
+        for use, amount in millicores.items():
+            attributes = {"service": event.service, "use": use}
+            self._pool_cores.set(amount / 1_000, attributes)
+
+    @_record_event.register
+    def _record_loop_delay(self, event: loop_monitor.LoopDelayed) -> None:
+        self._loop_delay_ms.record(event.max_ms)
+
     @_record_event.register
     def _record_move(self, event: events.InstanceMoved) -> None:
         outcome = "refused" if event.refused else "ordered"
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -35,6 +35,7 @@
 _CHECK_INTERVAL_S = 0.25
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
+_LOAD_LOG_INTERVAL_S = 1.0
 _MS_PER_S = 1000
 
 WorkerClientFactory = Callable[[model.WorkerRecord], clients.WorkerClient]
@@ -82,7 +83,8 @@
         state.pop_ended_jobs()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._approval_cache = advice.ApprovalCache(advisor_client, timer)
-        self._views = worker_views.ViewCache()
+        self._view_cache = worker_views.ViewCache()
+        self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._rebalancer = pool_rebalancer.PoolRebalancer(
             state, timer, bounds, instance_client, self, holder, self._fence
@@ -115,6 +117,7 @@
             tasks.start_soon(self._approval_cache.run)
             tasks.start_soon(self._run_wave_controller)
             tasks.start_soon(self._run_rebalancer)
+            tasks.start_soon(self._run_load_log)
 
     async def commit(self, command: commands.Command) -> Any:
         """Replicates a command.
@@ -246,7 +249,7 @@
             and not self._rebalancer.has_pending_move(session.record.instance)
         }
         due_for_maintenance = self._wave_controller.due_instances()
-        views = self._views.refresh(
+        self._views = self._view_cache.refresh(
             self._state, schedulable_workers, due_for_maintenance
         )
         self._approval_cache.clear_requests()
@@ -254,7 +257,7 @@
         # keeps its size until its first job, which may need all of it.
         return placement.plan(
             self._state,
-            views,
+            self._views,
             self._timer.wall_time_ms(),
             self._approval_cache,
             idle_services=self._demands,
@@ -415,6 +418,23 @@
                 self._sessions, self._demands, self._is_healthy
             )
 
+    async def _run_load_log(self) -> None:
+        async for _ in self._timer.subscribe(_LOAD_LOG_INTERVAL_S):
+            arriving = self._rebalancer.arriving_counts()
+            for service, demand in self._demands.items():
+                views = self._views.get(service, ())
+                event_log.emit(
+                    events.PoolLoad(
+                        service,
+                        len(views),
+                        sum(view.is_schedulable for view in views),
+                        arriving.get(service, 0),
+                        demand.used_millicores,
+                        demand.free_millicores,
+                        demand.unplaced_millicores,
+                    )
+                )
+
     def _is_healthy(self, worker_id: str) -> bool:
         now_s = self._timer.monotonic_s()
         is_ejected = self._health.is_ejected(worker_id, now_s)
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "AdviceMissing",
+    "ConfigurationAnswered",
     "ConfigurationInForce",
     "InstanceMoved",
     "JobAccepted",
@@ -17,6 +18,9 @@
     "JobEnded",
     "LeadershipChanged",
     "MaintenanceOrdered",
+    "OperatorAnswered",
+    "PoolLoad",
+    "QueueAnswered",
     "RequestAnswered",
     "RequestRefused",
     "RunsEnded",
@@ -176,6 +180,86 @@
     services: int
 
 
+@event_log.event("configuration_answered")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAnswered:
+    """The leader answered a request to put or to read the configuration.
+
+    Attributes:
+        method: Method of the request.
+        version: Version in the request, or None for a read.
+        held: Version in force at the time of the answer, or None.
+        term: Term of the leader.
+        failure: Reason of the failure, or None.
+    """
+
+    method: str
+    version: int | None
+    held: int | None
+    term: int
+    failure: str | None
+
+
+@event_log.event("queue_answered", _LOW)
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueAnswered:
+    """The leader read a queue's length, or found no queue at the path.
+
+    `version` is that of the configuration which decided; `queue` is None if it
+    has no queue there.
+    """
+
+    host: str
+    path: str
+    queue: str | None
+    version: int
+    term: int
+
+
+@event_log.event("operator_answered", _HIGH)
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorAnswered:
+    """A node answered an operator.
+
+    Attributes:
+        method: Method of the request.
+        path: Path of the request.
+        status: Status of the answer.
+        reason: Reason of the error, or None.
+        waited_ms: Time from the request's arrival to the answer.
+    """
+
+    method: str
+    path: str
+    status: int
+    reason: str | None
+    waited_ms: int
+
+
+@event_log.event("pool_load")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """Load of a service's pool, once per second.
+
+    Attributes:
+        service: Name of the service.
+        workers: Workers whose incarnations have not ended.
+        schedulable: Workers that may get tasks.
+        arriving: Instances that are moving to the pool.
+        used_millicores: Demand of the placed tasks.
+        free_millicores: Free capacity of the schedulable workers.
+        unplaced_millicores: Demand without a worker that can be in time.
+    """
+
+    service: str
+    workers: int
+    schedulable: int
+    arriving: int
+    used_millicores: int
+    free_millicores: int
+    unplaced_millicores: int
+
+
 @event_log.event("wave")
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaveAccepted:
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -93,6 +93,7 @@
             return located
         queue, job_id = located
         if not job_id:
+            self._log_queue(request.host, request.path, queue.name)
             return messages.QueueReply(self._state.waiting_count(queue.key))
         job = self._state.job(job_id)
         return messages.JobReply(job.state if job is not None else None)
@@ -114,7 +115,13 @@
 
     @_handle.register
     async def _put_configuration(self, request: messages.PutRequest) -> Any:
-        new = request.configuration
+        result = await self._store_configuration(request.configuration)
+        self._log_configuration("PUT", request.configuration.version, result)
+        return result
+
+    async def _store_configuration(
+        self, new: model.FleetConfiguration
+    ) -> messages.Done | errors.Failure:
         current = self._state.configuration
         if current is not None and new.version <= current.version:
             if not await self._node.read_barrier():
@@ -135,6 +142,13 @@
         self, request: messages.ReadConfigurationRequest
     ) -> Any:
         del request
+        result = await self._read_latest_configuration()
+        self._log_configuration("GET", None, result)
+        return result
+
+    async def _read_latest_configuration(
+        self,
+    ) -> messages.ConfigurationReply | errors.Failure:
         if not await self._node.read_barrier():
             return _no_leader()
         current = self._state.configuration
@@ -238,9 +252,35 @@
                 return _no_leader()
             queue = self._state.route(host, path)
         if queue is None:
+            self._log_queue(host, path, None)
             return _not_found(f"no queue at {host}{path}")
         return queue, path[len(queue.path_prefix) :]
 
+    def _held_version(self) -> int | None:
+        configuration = self._state.configuration
+        return configuration.version if configuration is not None else None
+
+    def _log_configuration(
+        self, method: str, version: int | None, result: object
+    ) -> None:
+        failure = result.reason if isinstance(result, errors.Failure) else None
+        event_log.emit(
+            events.ConfigurationAnswered(
+                method,
+                version,
+                self._held_version(),
+                self._node.term,
+                failure,
+            )
+        )
+
+    def _log_queue(self, host: str, path: str, queue: str | None) -> None:
+        event_log.emit(
+            events.QueueAnswered(
+                host, path, queue, self._held_version() or 0, self._node.term
+            )
+        )
+
     async def _commit(
         self, command: commands.Command
     ) -> applier_module.AppliedProposal | errors.Failure:
--- a/tarragoncleat/batch/pool_rebalancer.py
+++ b/tarragoncleat/batch/pool_rebalancer.py
@@ -96,6 +96,13 @@
         """Whether an instance gets no tasks because it is about to move."""
         return instance in self._pending_moves
 
+    def arriving_counts(self) -> dict[str, int]:
+        """Returns the number of instances that are moving to each service."""
+        arriving: dict[str, int] = {}
+        for service, _ in self._arriving.values():
+            arriving[service] = arriving.get(service, 0) + 1
+        return arriving
+
     async def step(
         self,
         sessions: worker_session.Sessions,
@@ -196,15 +203,14 @@
     def _service_to_grow(
         self, demands: Mapping[str, pool_sizing.Demand], instance: str
     ) -> str | None:
-        arriving: dict[str, int] = {}
-        for service, _ in self._arriving.values():
-            arriving[service] = arriving.get(service, 0) + 1
         eligible = {
             service: demand
             for service, demand in demands.items()
             if (instance, service) not in self._rejected_pools
         }
-        return pool_sizing.service_to_grow(eligible, self._trend, arriving)
+        return pool_sizing.service_to_grow(
+            eligible, self._trend, self.arriving_counts()
+        )
 
     def _is_due_for_maintenance(self, instance: str) -> bool:
         """Whether maintenance of an instance is requested and has not begun."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,6 +4,7 @@
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
 import anyio
 import hypothesis
@@ -14,10 +15,12 @@
 from fleet_adapter import http_messages
 from fleet_adapter import settings_file
 from fleet_adapter import wire
+from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
 from tests import batch_builders
 
 _SETTINGS = """\
@@ -199,7 +202,9 @@
         app = caller_app.CallerApp(
             call, batch_builders.ManualTimer(), lambda: None
         )
-        control = control_app.ControlApp(call, lambda: "http://10.0.0.1:80")
+        control = control_app.ControlApp(
+            call, batch_builders.ManualTimer(), lambda: "http://10.0.0.1:80"
+        )
         body = json.dumps({"steps": [{"count": 1}]}).encode()
         request = http_messages.Request(method, "h", path, {}, body)
         is_control = path.startswith(("/config", "/wave", "/instances"))
@@ -237,6 +242,20 @@
         response = self._call(messages.Done(), "PUT", "/config")
         self.assertEqual(response.status, 400)
 
+    def test_every_answer_to_an_operator_is_logged(self) -> None:
+        """Guards against an incident whose refusals no log line shows."""
+        emitted: list[object] = []
+        with unittest.mock.patch.object(event_log, "emit", emitted.append):
+            failure = errors.Failure(errors.ErrorKind.NO_LEADER, "no leader")
+            self._call(failure, "GET", "/config")
+            self._call(messages.Done(), "PUT", "/config")
+        rows = [
+            (row.method, row.status)
+            for row in emitted
+            if isinstance(row, events.OperatorAnswered)
+        ]
+        self.assertEqual(rows, [("GET", 503), ("PUT", 400)])
+
     def test_wave_is_completed_only_when_it_is_finished(self) -> None:
         """Guards against a running wave that is reported as completed."""
         for is_finished, state in ((True, "completed"), (False, "running")):
--- a/tests/test_batch_metrics.py
+++ b/tests/test_batch_metrics.py
@@ -4,6 +4,7 @@
 
 from tarragoncleat.batch import batch_metrics
 from tarragoncleat.batch import events
+from tarragoncleat.kernel import loop_monitor
 
 
 class MetricsTest(unittest.TestCase):
@@ -24,3 +25,19 @@
         self.assertRegex(text, r'ending="lapsed"[^}]*\} 1\.0')
         self.assertRegex(text, r"waiting_cores(\{[^}]*\})? 2\.5")
         self.assertNotIn('"j"', text)
+
+    def test_pool_load_and_operator_answers_are_exported(self) -> None:
+        """Guards against a shortage that no metric shows per service."""
+        metrics = batch_metrics.BatchMetrics()
+        metrics.record_event(
+            events.PoolLoad("bidding", 8, 6, 2, 4_000, 500, 9_500)
+        )
+        metrics.record_event(
+            events.OperatorAnswered("GET", "/config", 503, "no leader", 900)
+        )
+        metrics.record_event(loop_monitor.LoopDelayed(250, 400))
+        text = metrics.render().decode()
+        self.assertRegex(text, r'state="schedulable"[^}]*\} 6\.0')
+        self.assertRegex(text, r'use="unplaced"[^}]*\} 9\.5')
+        self.assertRegex(text, r'operator_requests_total\{[^}]*"503"[^}]*\} 1')
+        self.assertRegex(text, r"loop_delay[a-z_]*_sum(\{[^}]*\})? 250\.0")
