Add the replacement of a lost replica before its removal

Callers could see CONFIG, LOST and RECOVER: a confirmed configuration that can't be read back, and a log without a majority for good.

Cause: the leader removed silent replicas first, and computed the number of replicas from the nodes that are alive. With two of five replicas cut off it went down to three for a moment, and with half of the nodes cut off it stayed at three for the whole cut. Two lost disks, which the deployment must bear also beside a cut, then took the majority of the log. Class of fault: a repair that spends the redundancy that it is there to restore.

Change: a standby first gets the log as an observer that counts in no majority, then becomes a replica, and only then is the lost one removed. The number of replicas counts silent ones too, so the group has 2f + 1 or 2f + 2 replicas at every moment. The checks run ten times a second, not four.

The random histories with lost disks lost them only in a complete group without a cut, which is why they did not find it. Two tests of test_log_node took the record on the standby as the sign that the exchange was over; the standby now has it earlier, so they wait for the exact set of replicas instead.

--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -31,7 +31,9 @@
 _MS_PER_S = 1000
 _IDENTITY_FILE = "identity"
 _LOG_FOLDER = "log"
-_SELECTION_INTERVAL_S = 0.25
+_SELECTION_INTERVAL_S = 0.1
+# A standby becomes a replica when it lacks at most this many records.
+_MAX_MISSING_RECORDS = 128
 _ANNOUNCEMENT_VALID_S = 1.6
 _READ_TIMEOUT_S = 1.0
 
@@ -341,12 +343,18 @@
         replicas = replica_selection.next_replicas(
             self._replica_statuses(), self._standbys(), self._tolerated_losses
         )
-        if replicas is None:
+        joining = set(replicas or ()) - set(core.log.replicas)
+        self._replica.set_observers(joining)
+        if replicas is None or not all(map(self._has_caught_up, joining)):
             return
         result = self._replica.propose_replicas(replicas)
         rejected = result.reason if isinstance(result, errors.Failure) else None
         event_log.emit(MembersChanged(replicas, rejected))
 
+    def _has_caught_up(self, node_id: ids.EntryId) -> bool:
+        missing = self._core.commit_index - self._core.match_index(node_id)
+        return missing <= _MAX_MISSING_RECORDS
+
     def _replica_statuses(self) -> list[replica_selection.ReplicaStatus]:
         now = self._timer.monotonic_s()
         contacts = self._core.contact_times_s()
--- a/tarragoncleat/cluster/replica_selection.py
+++ b/tarragoncleat/cluster/replica_selection.py
@@ -56,37 +56,63 @@
 ) -> tuple[ids.EntryId, ...] | None:
     """Returns the replicas after the next change, or None for no change.
 
-    A lost replica is removed before its replacement is added. In the other
-    order the change would need the confirmation of one more node.
+    A replacement is added before the lost replica is removed. With fewer than
+    2f + 1 replicas, f lost disks could take the majority of the log.
     """
     replica_ids = [replica.node_id for replica in replicas]
     standbys = [item for item in standbys if item.node_id not in replica_ids]
-    live_count = sum(
-        replica.silent_s < _REPLACE_SILENT_S for replica in replicas
-    )
     target_count = target_replica_count(
-        tolerated_losses, live_count + len(standbys)
+        tolerated_losses, len(replicas) + len(standbys)
     )
-    lost = _replica_to_remove(replicas, standbys)
-    if lost is not None and 2 * live_count > len(replicas) - 1:
-        return tuple(name for name in replica_ids if name != lost)
-    if len(replicas) < target_count and standbys:
-        return (*replica_ids, _best_standby(replicas, standbys).node_id)
-    return None
+    lost = _lost_replicas(replicas, standbys)
+    if len(replicas) > target_count:
+        removed = _replica_to_remove(replicas, lost)
+        if not _has_majority(replicas, lost, removed):
+            return None
+        return tuple(name for name in replica_ids if name != removed)
+    if not standbys or (len(replicas) == target_count and not lost):
+        return None
+    if 2 * (len(replicas) - len(lost) + 1) <= len(replicas) + 1:
+        return None
+    kept = [replica for replica in replicas if replica.node_id not in lost]
+    return (*replica_ids, _best_standby(kept, standbys).node_id)
 
 
-def _replica_to_remove(
+def _lost_replicas(
     replicas: Sequence[ReplicaStatus], standbys: Sequence[StandbyNode]
-) -> ids.EntryId | None:
-    if not standbys or len(replicas) < 2:
-        return None
+) -> set[ids.EntryId]:
+    """Returns the replicas that are silent or have a new disk."""
     standby_addresses = {node_ids.address_of(item.node_id) for item in standbys}
-    by_silence = sorted(replicas, key=lambda replica: -replica.silent_s)
-    for replica in by_silence:
-        is_replaced = node_ids.address_of(replica.node_id) in standby_addresses
-        if replica.silent_s >= _REPLACE_SILENT_S or is_replaced:
-            return replica.node_id
-    return None
+    return {
+        replica.node_id
+        for replica in replicas
+        if replica.silent_s >= _REPLACE_SILENT_S
+        or node_ids.address_of(replica.node_id) in standby_addresses
+    }
+
+
+def _replica_to_remove(
+    replicas: Sequence[ReplicaStatus], lost: set[ids.EntryId]
+) -> ids.EntryId:
+    """Returns the lost replica, or else any, that is silent for longest."""
+    worst = max(
+        replicas,
+        key=lambda replica: (replica.node_id in lost, replica.silent_s),
+    )
+    return worst.node_id
+
+
+def _has_majority(
+    replicas: Sequence[ReplicaStatus],
+    lost: set[ids.EntryId],
+    removed: ids.EntryId,
+) -> bool:
+    """Whether the replicas without `removed` have a majority that is alive."""
+    remaining = [
+        replica.node_id for replica in replicas if replica.node_id != removed
+    ]
+    alive_count = sum(name not in lost for name in remaining)
+    return 2 * alive_count > len(remaining)
 
 
 def _best_standby(
--- a/tarragoncleat/log/consensus.py
+++ b/tarragoncleat/log/consensus.py
@@ -5,7 +5,7 @@
 that `consensus_output.Output` states, and reports completed syncs.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import dataclasses
 import enum
 import functools
@@ -233,6 +233,23 @@
         leadership.send_pending_records(self.commit_index, now)
         return index
 
+    def set_observers(
+        self, observers: Collection[ids.EntryId], now: consensus_output.Now
+    ) -> None:
+        """Sends the log also to these nodes, while this entry is the leader.
+
+        A node that has the log already can become a replica without holding up
+        the commits that then need its confirmation.
+        """
+        if self._leadership is not None:
+            self._leadership.set_observers(observers, now)
+
+    def match_index(self, entry_id: ids.EntryId) -> int:
+        """Returns the last index that a follower confirmed; 0 if unknown."""
+        if self._leadership is None:
+            return 0
+        return self._leadership.match_index(entry_id)
+
     def request_read(self, token: int, now: consensus_output.Now) -> bool:
         """Requests a read index; returns False when this is not the leader.
 
--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -1,6 +1,6 @@
 """Replication from the leader to its followers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 import dataclasses
 
 from tarragoncleat.kernel import ids
@@ -59,6 +59,7 @@
         self._timing = timing
         self._output = output
         self._progress: dict[ids.EntryId, _Progress] = {}
+        self._observers: frozenset[ids.EntryId] = frozenset()
         self._synced_index = 0
         self._sequence = 0
         self._reads: list[_Read] = []
@@ -75,9 +76,26 @@
         """Adds further messages to another output."""
         self._output = output
 
+    def set_observers(
+        self, observers: Collection[ids.EntryId], now: consensus_output.Now
+    ) -> None:
+        """Replicates the log to nodes that don't count in any majority."""
+        if self._observers != frozenset(observers):
+            self._observers = frozenset(observers)
+            self.update_members(now)
+
+    def match_index(self, member: ids.EntryId) -> int:
+        """Returns the last index that a follower has confirmed, or 0."""
+        progress = self._progress.get(member)
+        return progress.match_index if progress is not None else 0
+
     def update_members(self, now: consensus_output.Now) -> None:
-        """Tracks the replicas of the latest configuration in the log."""
-        members = set(self._log.replicas) - {self._entry_id}
+        """Tracks the replicas in the log's latest configuration, and observers.
+
+        Both get the log; only replicas count in majorities.
+        """
+        members = set(self._log.replicas) | self._observers
+        members.discard(self._entry_id)
         for member in sorted(members - self._progress.keys()):
             self._progress[member] = _Progress(
                 self._log.last_index + 1, now.monotonic_s
--- a/tarragoncleat/log/replica.py
+++ b/tarragoncleat/log/replica.py
@@ -1,6 +1,6 @@
 """A replica: the consensus core and its storage."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 import random
 
 import anyio
@@ -138,6 +138,10 @@
         self._process_output()
         return index
 
+    def set_observers(self, observers: Collection[ids.EntryId]) -> None:
+        """Sends the log also to nodes that are no replicas, as the leader."""
+        self._core.set_observers(observers, self._now())
+
     def request_read(self, token: int) -> bool:
         """Requests a read index; returns False when this is not the leader."""
         if self._write_failure is not None:
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -170,6 +170,14 @@
     def _members(self, node: _Node) -> set[str]:
         return set(node.node.dump()["replicas"])
 
+    async def _wait_until_members_are(self, expected: set[str]) -> None:
+        """Waits until the leader's log names exactly these replicas.
+
+        The scenario's timeout fails the test if that doesn't happen.
+        """
+        while self._members(await self._leader()) != expected:
+            await anyio.sleep(0.02)
+
     def test_snapshot_before_any_change_keeps_the_replicas(self) -> None:
         """Guards against a snapshot without replicas.
 
@@ -202,9 +210,9 @@
             await self._wait_until(
                 lambda: b"kept" in new.state_machine.payloads
             )
-            leader = await self._leader()
-            self.assertNotIn(old.node_id, self._members(leader))
-            self.assertIn(new.node_id, self._members(leader))
+            expected = {self.nodes[number].node_id for number in (1, 2, 3)}
+            self.assertNotIn(old.node_id, expected)
+            await self._wait_until_members_are(expected)
 
         self._run_scenario(scenario)
 
@@ -223,8 +231,9 @@
             await self._wait_until(
                 lambda: b"kept" in standby.state_machine.payloads
             )
-            leader = await self._leader()
-            self.assertNotIn(lost.node_id, self._members(leader))
+            expected = {self.nodes[number].node_id for number in (2, 3, 4)}
+            self.assertNotIn(lost.node_id, expected)
+            await self._wait_until_members_are(expected)
 
         self._run_scenario(scenario)
 
--- a/tests/test_replica_selection.py
+++ b/tests/test_replica_selection.py
@@ -1,6 +1,7 @@
 """Tests of the selection of replicas with lost disks and partitions."""
 
 from collections.abc import Callable
+import itertools
 import random
 import unittest
 
@@ -81,7 +82,12 @@
             replicas = replica_selection.next_replicas(
                 replica_statuses, standbys, self.losses
             )
-            if replicas is not None:
+            joining = set(replicas or ()) - set(core.log.replicas)
+            core.set_observers(joining, self._now(leader))
+            has_caught_up = all(
+                core.match_index(name) == core.commit_index for name in joining
+            )
+            if replicas is not None and has_caught_up:
                 core.propose_replicas(replicas, self._now(leader))
                 self._check_after_action(leader)
 
@@ -194,3 +200,101 @@
         self.assertNotIn(other, replicas)
         self.assertEqual(len(replicas), 3)
         simulation.check_progress_without_faults()
+
+
+class DisksLostBesideAPartitionTest(unittest.TestCase):
+    """Guards against a log that tolerates fewer disk losses during a cut.
+
+    While nodes were cut off, the leader removed the silent replicas one after
+    the other. With half of the nodes cut off three replicas were left, of which
+    two lost disks took the majority, and with it acknowledged records.
+    """
+
+    def _cut_off(self, silent_replicas: int, silent_standbys: int) -> None:
+        simulation = _SelectionSimulation(8, 3, 2)
+        simulation.run(_SETTLING_ROUNDS)
+        self.simulation = simulation
+        self.leader = simulation.leaders()[0]
+        replicas = simulation.cores[self.leader].log.replicas
+        followers = [name for name in replicas if name != self.leader]
+        standbys = [name for name in simulation.names if name not in replicas]
+        simulation.disconnected.update(followers[:silent_replicas])
+        simulation.disconnected.update(standbys[:silent_standbys])
+
+    def _connected_replicas(self) -> list[ids.EntryId]:
+        replicas = self.simulation.cores[self.leader].log.replicas
+        return [
+            name
+            for name in replicas
+            if name not in self.simulation.disconnected
+        ]
+
+    def _check_disk_losses(
+        self, silent: tuple[int, int], rounds: int, pair: int
+    ) -> bool:
+        """Loses a pair of disks after `rounds`; returns if there is a pair."""
+        self._cut_off(*silent)
+        self.simulation.run(rounds)
+        self.simulation.propose(self.leader)
+        self.simulation.run(2)
+        pairs = list(itertools.combinations(self._connected_replicas(), 2))
+        if pair >= len(pairs):
+            return False
+        for name in pairs[pair]:
+            self.simulation.replace_disk(name)
+        self.simulation.run(_SETTLING_ROUNDS)
+        self.simulation.check_progress_without_faults()
+        return True
+
+    def test_any_two_disks_may_be_lost_during_a_cut(self) -> None:
+        """Guards against a resting state with fewer than five replicas."""
+        for silent in ((2, 2), (2, 0), (1, 3)):
+            for pair in itertools.count():
+                with self.subTest(silent=silent, pair=pair):
+                    if not self._check_disk_losses(silent, 120, pair):
+                        break
+
+    def test_two_disks_may_be_lost_at_any_moment_of_a_cut(self) -> None:
+        """Guards against a time in which replacements make the log smaller."""
+        for rounds in range(36, 60, 2):
+            with self.subTest(rounds=rounds):
+                self._check_disk_losses((2, 0), rounds, 0)
+
+
+class SelectionOrderTest(unittest.TestCase):
+    """Guards against a group that shrinks while replicas are replaced."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        silent=strategies.integers(0, 2),
+        standby_count=strategies.integers(0, 4),
+    )
+    def test_group_has_five_replicas_or_six_and_ends_with_five(
+        self, silent: int, standby_count: int
+    ) -> None:
+        """Guards against a removal before the replacement is a replica."""
+        names = [f"10.0.0.{number}-70" for number in range(9)]
+        replicas, standbys = names[:5], names[5 : 5 + standby_count]
+        lost = set(replicas[:silent])
+        sizes = []
+        for _ in range(12):
+            statuses = [
+                replica_selection.ReplicaStatus(
+                    ids.EntryId(name), _ZONE, 9.0 if name in lost else 0.0
+                )
+                for name in replicas
+            ]
+            waiting = [
+                replica_selection.StandbyNode(ids.EntryId(name), _ZONE)
+                for name in standbys
+                if name not in replicas
+            ]
+            chosen = replica_selection.next_replicas(statuses, waiting, 2)
+            if chosen is None:
+                break
+            replicas = [str(name) for name in chosen]
+            sizes.append(len(replicas))
+        self.assertLessEqual(set(sizes), {5, 6})
+        self.assertEqual(len(replicas), 5)
+        replaced = min(silent, standby_count)
+        self.assertEqual(len(lost & set(replicas)), silent - replaced)
