Drop messages that are sent after the links have closed

Seen: RuntimeError, 'This task group is not active', from Links.send in 13 of 24 runs of tests.test_log_node beside a test set; it may also end a stopping process with an error.

Cause: when a node stops, the writer of its replica finishes its write after the task group of the links has closed, and Links kept the closed group.

Change: Links forgets the group when it closes; send returns False and a request is answered CUT_OFF, as for any address that can't be reached.

The timeout of test_waiting_node_takes_a_lost_replicas_place stays, it is not traced.

--- a/tarragoncleat/cluster/links.py
+++ b/tarragoncleat/cluster/links.py
@@ -171,9 +171,13 @@
         """Runs the connections until cancelled; accepts others if `listen`."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            if listen:
-                await self._listen()
-            await anyio.sleep_forever()
+            try:
+                if listen:
+                    await self._listen()
+                await anyio.sleep_forever()
+            finally:
+                # Others may still send while they stop; nothing is sent then.
+                self._tasks = None
 
     def send(self, entry_id: ids.EntryId, message: object) -> bool:
         """Queues a one-way message; returns False if it won't be sent."""
