Confirm the leadership before a known job or a leaving is acknowledged

Callers could see CONFIG: a job handed in again on a route that was removed, answered with success; and a worker whose leaving was acknowledged while the leader in office still counted on it.

Cause: both answers came from the node's own state without a read barrier. A leader that was frozen or cut off still has the old routes, jobs and workers until it hears of its successor. Class of fault: an answer from replicated state by a node that may no longer lead.

Change: both wait for the read barrier, as all reads do. New jobs and known workers are stored anyway, which a deposed leader can't do.

--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -71,6 +71,8 @@
             )
             if isinstance(result, errors.Failure):
                 return result
+        elif not await self._node.read_barrier():
+            return _no_leader()
         configuration = self._state.configuration
         event_log.emit(
             events.JobAccepted(
@@ -203,6 +205,9 @@
             )
             if isinstance(result, errors.Failure):
                 return result
+        elif not await self._node.read_barrier():
+            # Its successor may know the worker.
+            return _no_leader()
         return messages.Done()
 
     @_handle.register
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -247,6 +247,11 @@
             call()
         return applier.AppliedProposal(len(self.committed), result)
 
+    async def read_barrier(self) -> bool:
+        """Returns whether the log still accepts commands."""
+        await anyio.sleep(0)
+        return not self.is_rejecting
+
 
 @dataclasses.dataclass
 class FakeRun:
