Keep groups below 2f + 1 replicas whole, and tell lost replicas by address

Found by three older tests of ReplicaSelectionTest.

Two of these demanded the old order, removal first; they now demand the addition first and, in the next step, exactly the remaining replicas. Two tests are new: a replica that returns during its exchange, and a group without a majority.

--- a/tarragoncleat/cluster/replica_selection.py
+++ b/tarragoncleat/cluster/replica_selection.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.kernel import ids
@@ -65,14 +66,13 @@
         tolerated_losses, len(replicas) + len(standbys)
     )
     lost = _lost_replicas(replicas, standbys)
-    if len(replicas) > target_count:
+    if 2 * len(lost) >= len(replicas):
+        return None
+    may_remove_live = len(replicas) > 2 * tolerated_losses + 1
+    if may_remove_live or (len(replicas) > target_count and lost):
         removed = _replica_to_remove(replicas, lost)
-        if not _has_majority(replicas, lost, removed):
-            return None
         return tuple(name for name in replica_ids if name != removed)
-    if not standbys or (len(replicas) == target_count and not lost):
-        return None
-    if 2 * (len(replicas) - len(lost) + 1) <= len(replicas) + 1:
+    if not standbys or (len(replicas) >= target_count and not lost):
         return None
     kept = [replica for replica in replicas if replica.node_id not in lost]
     return (*replica_ids, _best_standby(kept, standbys).node_id)
@@ -82,12 +82,18 @@
     replicas: Sequence[ReplicaStatus], standbys: Sequence[StandbyNode]
 ) -> set[ids.EntryId]:
     """Returns the replicas that are silent or have a new disk."""
-    standby_addresses = {node_ids.address_of(item.node_id) for item in standbys}
+    heard_s: dict[object, float] = {
+        node_ids.address_of(item.node_id): -1.0 for item in standbys
+    }
+    for replica in replicas:
+        address = node_ids.address_of(replica.node_id)
+        heard_s[address] = min(replica.silent_s, heard_s.get(address, math.inf))
+    # Of two nodes at one address, the one that was heard last has the disk.
     return {
         replica.node_id
         for replica in replicas
         if replica.silent_s >= _REPLACE_SILENT_S
-        or node_ids.address_of(replica.node_id) in standby_addresses
+        or replica.silent_s > heard_s[node_ids.address_of(replica.node_id)]
     }
 
 
@@ -102,19 +108,6 @@
     return worst.node_id
 
 
-def _has_majority(
-    replicas: Sequence[ReplicaStatus],
-    lost: set[ids.EntryId],
-    removed: ids.EntryId,
-) -> bool:
-    """Whether the replicas without `removed` have a majority that is alive."""
-    remaining = [
-        replica.node_id for replica in replicas if replica.node_id != removed
-    ]
-    alive_count = sum(name not in lost for name in remaining)
-    return 2 * alive_count > len(remaining)
-
-
 def _best_standby(
     replicas: Sequence[ReplicaStatus], standbys: Sequence[StandbyNode]
 ) -> StandbyNode:
