Let starts reuse the lease instead of extending it

Callers saw late jobs after workers fell silent: their tasks waited for the end of a lease that was moved on until the silence was noticed.

Cause: each start order granted a new lease of 4.5 s, also the orders and retries to a worker that no longer answered. The silence shows after up to 2.8 s, so the lease ended up to 7.5 s after the worker's last answer, not 4.7 s.

Change: a start carries the lease of the last renewal while at least 1 s of it is left, which holds as long as renewals are answered.

--- a/tarragoncleat/batch/leases.py
+++ b/tarragoncleat/batch/leases.py
@@ -58,6 +58,22 @@
         self._granted_until_ms = max(self._granted_until_ms, until_ms)
         return self._granted_until_ms
 
+    def reuse_or_grant(
+        self, duration_ms: int, min_remaining_ms: int, now_s: float
+    ) -> int | None:
+        """Returns the expiry of the latest lease, or grants one if it is short.
+
+        An order that reuses the lease doesn't extend the time after which the
+        tasks of a silent worker may run elsewhere.
+        """
+        if self._clock_ms is None:
+            return None
+        elapsed_ms = (now_s - self._last_contact_s) * _MS_PER_S
+        remaining_ms = self._granted_until_ms - self._clock_ms - elapsed_ms
+        if remaining_ms >= min_remaining_ms:
+            return self._granted_until_ms
+        return self.grant(duration_ms, now_s)
+
     def latest_expiry_s(self) -> float:
         """Returns when all leases have certainly expired, on the own clock."""
         max_lease_s = self._max_lease_ms / _MS_PER_S / _MIN_CLOCK_RATE
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -23,6 +23,8 @@
 # The last quarter of the longest lease covers the time in which a deposed
 # leader may still renew leases before it notices.
 _LEASE_DURATION_SHARE = 0.75
+# A start extends the lease only if less than this is left of it.
+_MIN_START_LEASE_MS = 1_000
 _LONG_POLL_MS = 2_000
 _SHORT_POLL_MS = 500
 _MAX_PARALLEL_ORDERS = 3
@@ -242,7 +244,9 @@
         """Sends a start; returns None if no lease can be granted now."""
         if self._consecutive_failures or not self._leases.has_clock:
             return None
-        until_ms = self._leases.grant(self._lease_ms, self._timer.monotonic_s())
+        until_ms = self._leases.reuse_or_grant(
+            self._lease_ms, _MIN_START_LEASE_MS, self._timer.monotonic_s()
+        )
         if until_ms is None:
             return None
         return await self._client.start(
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -275,6 +275,8 @@
         self.stops: list[clients.StopOrder] = []
         self.paces: list[clients.PaceOrder] = []
         self.acknowledged = 0
+        self.renewed_until_ms = 0
+        self.max_poll_s = 0.02
         self.is_unresponsive = False
         self.has_ended = False
         self.start_outcome: clients.OrderOutcome | None = None
@@ -334,12 +336,13 @@
         if failure is not None:
             return failure
         self.acknowledged = max(self.acknowledged, order.acknowledged)
+        self.renewed_until_ms = order.lease_until_ms or self.renewed_until_ms
         self.ended = [
             row for row in self.ended if row.sequence > order.acknowledged
         ]
         if not self.ended:
             self._changed = anyio.Event()
-            with anyio.move_on_after(0.02 if order.wait_ms else 0):
+            with anyio.move_on_after(self.max_poll_s if order.wait_ms else 0):
                 await self._changed.wait()
         rows = tuple(
             clients.RunningTask(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -102,6 +102,21 @@
         self._run_scenario(scenario)
         self.assertEqual(late_worker.starts, [])
 
+    def test_start_carries_the_lease_of_the_last_renewal(self) -> None:
+        """Guards against starts that keep a silent worker's lease alive."""
+        self.worker.max_poll_s = 5.0
+
+        async def scenario() -> None:
+            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await anyio.sleep(0.1)
+            self.local.submit()
+            await self._wait_until(lambda: self.worker.starts)
+
+        self._run_scenario(scenario)
+        self.assertLessEqual(
+            self.worker.starts[0].lease_until_ms, self.worker.renewed_until_ms
+        )
+
     def test_report_of_new_incarnation_ends_the_previous_one(self) -> None:
         """A task must not wait for the lease of an ended incarnation."""
         self.local.submit()
