Decide that a job is not found only after a read barrier

Callers with a token for single services could get 404 when they cancelled a job that another entry had just acknowledged.

Cause: the check of the token's services read the job from the entry's own state, which may be behind.

Change: before 'not found' is answered, the entry waits for a read barrier and checks again.

Evidence: a test of test_admin_api gets 404 on the code before and 200 now.

--- a/tarragoncleat/administration/admin_api.py
+++ b/tarragoncleat/administration/admin_api.py
@@ -256,7 +256,7 @@
         failure = errors.first_failure(
             admin_commands.check_id(request.command_id, "Command-Id"),
             if_match if isinstance(if_match, errors.Failure) else None,
-            admin_commands.check_service_scope(command, scope, self._fleet),
+            await self._check_service_scope(command, scope),
         )
         if failure is not None:
             return failure
@@ -270,6 +270,23 @@
         )
         return await self._propose(envelope)
 
+    async def _check_service_scope(
+        self, command: commands.Command, scope: auth.Scope
+    ) -> errors.Failure | None:
+        """Checks a command against the token's services.
+
+        The state of this entry may lack a job that another one has just
+        acknowledged, so "not found" is decided only after a read barrier.
+        """
+        check = admin_commands.check_service_scope
+        failure = check(command, scope, self._fleet)
+        if failure is None or failure.kind is not errors.ErrorKind.NOT_FOUND:
+            return failure
+        index = await self._replication.read_barrier(self._timeout_s)
+        if isinstance(index, errors.Failure):
+            return index
+        return check(command, scope, self._fleet)
+
     async def _change_replica(
         self, context: _RequestContext
     ) -> admin_http.Answer | errors.Failure:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of settings, fleets and upstreams for tests."""
 
+from collections.abc import Callable
 import os
 import pathlib
 import types
@@ -158,6 +159,7 @@
     def __init__(self, driver: FleetDriver) -> None:
         self._driver = driver
         self.failure: errors.Failure | None = None
+        self.before_read: Callable[[], None] = lambda: None
 
     async def propose(self, payload: bytes, timeout_s: float) -> Any:
         if self.failure is not None:
@@ -168,6 +170,7 @@
         return types.SimpleNamespace(index=driver.index, result=result)
 
     async def read_barrier(self, timeout_s: float) -> int | errors.Failure:
+        self.before_read()
         return self._driver.index if self.failure is None else self.failure
 
     def applied_indexes(self) -> dict[str, Any]:
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -26,6 +26,7 @@
 from tarragoncleat.kernel import metrics
 from tarragoncleat.kernel import settings
 from tarragoncleat.state import commands
+from tarragoncleat.state import jobs
 from tarragoncleat.state import waves
 from tests import builders
 
@@ -211,14 +212,38 @@
             "job_id": "j",
         }
         for service, status in (("service", 200), ("service-b", 404)):
-            jobs = [{**job, "service_id": service}]
+            submitted = [{**job, "service_id": service}]
             reply = self.call(
-                "service-a", "POST", "/admin/v1/jobs", {"jobs": jobs}
+                "service-a", "POST", "/admin/v1/jobs", {"jobs": submitted}
             )
             self.assertEqual(reply.status, status, reply.text)
         reply = self.call("service-a", "DELETE", "/admin/v1/jobs/j")
         self.assertEqual(reply.body["value"]["cancelled"], ["j"])
 
+    def test_job_that_an_entry_has_not_applied_yet_can_be_cancelled(
+        self,
+    ) -> None:
+        """Guards against 404 for a job that another entry has acknowledged.
+
+        The check of the token's services read the entry's own state, which may
+        be behind, without a read barrier.
+        """
+        job = jobs.Job(
+            ids.JobId("j"),
+            ids.ServiceId("service"),
+            None,
+            jobs.Demand(1.0, 100),
+            10.0,
+        )
+
+        def apply_job() -> None:
+            self.driver.apply_ok(commands.SubmitJobs((job,)))
+
+        self.log.before_read = apply_job
+        reply = self.call("service-a", "DELETE", "/admin/v1/jobs/j")
+        self.assertEqual(reply.status, 200, reply.text)
+        self.assertEqual(reply.body["value"]["cancelled"], ["j"])
+
 
 class CommandTest(_ApiTest):
     """Guards against lost or repeated commands and unclear errors."""
