--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -87,6 +87,10 @@
             self.assertIsInstance(loaded, errors.Failure, new)
 
 
+def _is_refused(body: bytes) -> bool:
+    return isinstance(wire.decode_configuration(body), errors.Failure)
+
+
 class WireTest(unittest.TestCase):
     """Guards against bodies that are misread instead of rejected."""
 
@@ -142,6 +146,34 @@
         assert isinstance(decoded, model.FleetConfiguration)
         self.assertEqual(decoded.source, whole)
 
+    def test_bodies_that_are_no_json_are_refused(self) -> None:
+        """Guards against an acknowledged configuration that others can't read.
+
+        Python's decoder takes NaN, other encodings and unpaired surrogates.
+        """
+        fields = batch_builders.build_configuration_fields()
+        valid = json.dumps(fields)
+        self.assertFalse(_is_refused(valid.encode()))
+        for body in (
+            valid.replace("1.6", "NaN").encode(),
+            valid.replace("1.6", "-Infinity").encode(),
+            valid.replace("1.6", "1e999").encode(),
+            valid.replace("1.6", "-1").encode(),
+            valid.replace("r-1", "\\ud800").encode(),
+            valid.replace("r-1", "\ud800").encode("utf-8", "surrogatepass"),
+            valid.encode("utf-16"),
+            valid.encode()[:-1],
+        ):
+            with self.subTest(body=body[:400]):
+                self.assertTrue(_is_refused(body))
+
+    def test_duration_of_a_wave_must_be_a_number(self) -> None:
+        """Guards against an exception in place of an answer."""
+        for duration in ("NaN", "Infinity", "1e999"):
+            body = f'{{"wave":1,"machines":[],"duration-s":{duration}}}'
+            decoded = wire.decode_wave(body.encode())
+            self.assertIsInstance(decoded, errors.Failure)
+
     def test_malformed_heartbeats_are_refused(self) -> None:
         """Guards against a worker that is registered with wrong fields."""
         for fields in (
