--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -129,6 +129,34 @@
         simulation.run(10)
         self.assertGreater(simulation.confirmed_read_count, 0)
 
+    def test_observer_gets_the_log_but_counts_in_no_majority(self) -> None:
+        """Guards against records that only a node outside the group confirms.
+
+        Neither a commit nor a read may rest on an observer.
+        """
+        simulation = consensus_simulation.Simulation(
+            ("a", "b", "c", "d"), ("a", "b", "c")
+        )
+        simulation.run(60)
+        leader = simulation.leaders()[0]
+        core = simulation.cores[leader]
+        observer = simulation.names[3]
+        core.set_observers({observer}, simulation._now(leader))
+        simulation.run(10)
+        self.assertEqual(core.match_index(observer), core.commit_index)
+        simulation.disconnected.update(
+            name for name in simulation.names if name not in (leader, observer)
+        )
+        committed_index = core.commit_index
+        simulation.propose(leader)
+        simulation.read(leader)
+        simulation.run(6)
+        self.assertGreater(core.match_index(observer), committed_index)
+        self.assertEqual(core.commit_index, committed_index)
+        self.assertEqual(simulation.confirmed_read_count, 0)
+        core.set_observers((), simulation._now(leader))
+        self.assertEqual(core.match_index(observer), 0)
+
     def test_own_vote_counts_only_once_synced(self) -> None:
         """Guards against two votes in a term after a crash."""
         simulation = consensus_simulation.Simulation(("a",), ("a",))
