Reproduce the shortage after a peak in a failing test

Evidence so far: runs_started shows 430 to 510 starts a second of jobs that were late already, at 9 to 12 s, in a pool of 110 instances, while the next queue's pool lacked 457 to 1,221 cores from 12 to 15 s. The class that missed its floor has its peak at 21 to 32 s, beside the end of the one before it; its pool lacked 1,360 to 1,750 cores from 24 to 27 s, and the starts of late jobs are few there (7 to 19 a second), so late work explains a part of it only.

--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -265,6 +265,52 @@
         self.assertEqual(demand.free_millicores, 0)
 
 
+class PeakAfterPeakTest(unittest.TestCase):
+    """Tests placement at the end of one queue's peak and the start of another.
+
+    Load pattern: the peaks of the queues follow one another, and each needs
+    most of the instances, which move between the pools when they are idle.
+    """
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        first = batch_builders.build_configuration(2)
+        second = batch_builders.build_configuration(
+            2, name="alerts", path_prefix="/alerts/", service="alerting"
+        )
+        self.local.apply(
+            commands.PutConfiguration(
+                model.FleetConfiguration(
+                    2,
+                    b"{}",
+                    first.queues + second.queues,
+                    first.services + second.services,
+                )
+            )
+        )
+        self.alerts = second.queues[0].key
+
+    def test_late_work_leaves_instances_to_a_pool_that_lacks_them(self) -> None:
+        """Guards against late jobs that hold instances for in-time ones.
+
+        On the day hunt-916b-3 of kcc-grid-grown 400 to 500 tasks a second of
+        late jobs kept 110 instances in a pool while the next queue's peak had
+        460 to 1,200 cores of work without room, and a class missed its floor.
+        """
+        self.local.register("w-1")
+        self.local.submit("late-job")
+        self.local.time_ms += 60_000
+        definition = batch_builders.build_job(batch_builders.build_step(4))
+        self.local.apply(
+            commands.SubmitJob("in-time-job", self.alerts, definition)
+        )
+        state = self.local.state
+        views = worker_views.build_views(state, {"w-1": 0.0})
+        plan = placement.plan(state, views, self.local.time_ms)
+        self.assertGreater(plan.demands["alerting"].unplaced_millicores, 0)
+        self.assertEqual(plan.starts, [])
+
+
 class PacingTest(unittest.TestCase):
     """Tests the speed of best-effort tasks beside latency-sensitive ones."""
 
