Wait for a test's node to stop before its address is used again

Cause: the test waited 0.1 s after it had stopped a node and then started another one at its address. Beside load the old listener was still open.

Change: it waits until the node's tasks have ended. No check changes.

--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -56,6 +56,7 @@
         self.folder = folder
         self.state_machine = _PayloadList()
         self.cancel_scope = anyio.CancelScope()
+        self.has_stopped = anyio.Event()
 
     def open(self, seeds: list[tuple[str, int]], is_first: bool) -> None:
         self.seeds = seeds
@@ -101,11 +102,14 @@
         self.node.on_link_lost(address)
 
     async def run(self) -> None:
-        with self.cancel_scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.links.run, True)
-                tasks.start_soon(self.node.run)
-                tasks.start_soon(self.finder.run)
+        try:
+            with self.cancel_scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.links.run, True)
+                    tasks.start_soon(self.node.run)
+                    tasks.start_soon(self.finder.run)
+        finally:
+            self.has_stopped.set()
 
 
 class GroupTest(unittest.TestCase):
@@ -146,7 +150,8 @@
     async def _stop(self, number: int) -> _Node:
         node = self.nodes.pop(number)
         node.cancel_scope.cancel()
-        await anyio.sleep(0.1)
+        # Its listener keeps the address until then.
+        await node.has_stopped.wait()
         return node
 
     async def _leader(self) -> _Node:
