--- a/tarragoncleat/process/entry.py
+++ b/tarragoncleat/process/entry.py
@@ -234,7 +234,7 @@
     Returns:
         0 after a graceful shutdown, 2 for invalid settings, 3 if the data
         folder can't be used, 4 if requests were aborted because they exceeded
-        the time limit of the shutdown.
+        the timeout of the shutdown.
     """
     entry_settings = settings.load(path)
     if isinstance(entry_settings, errors.Failure):
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -295,7 +295,7 @@
 
         On the day hunt-916b-3 of kcc-grid-grown 400 to 500 tasks a second of
         late jobs kept 110 instances in a pool while the next queue's peak had
-        460 to 1,200 cores of work without room, and a class missed its floor.
+        460 to 1,200 cores of work without room.
         """
         self.local.register("w-1")
         self.local.submit("late-job")
