Log the configuration that routed a submission, and the wait for it

What was missing: job_accepted named the version at the acknowledgement, so a job that was routed by an older one couldn't be told from one that was not, and neither event said how long the request had waited at the leader.

--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -75,7 +75,18 @@
 @event_log.event("job_accepted", _HIGH)
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobAccepted:
-    """A job is stored; `version` is that of the current configuration."""
+    """A job is stored.
+
+    Attributes:
+        job: Id of the job.
+        queue: Name of its queue.
+        version: Configuration in force when the job was acknowledged.
+        term: Term of the leader.
+        tasks: Number of tasks.
+        is_new: Whether the job was not stored before.
+        routed_version: Configuration in force when the queue was chosen.
+        waited_ms: Time from the request's arrival at the leader.
+    """
 
     job: str
     queue: str
@@ -83,6 +94,8 @@
     term: int
     tasks: int
     is_new: bool
+    routed_version: int
+    waited_ms: int
 
 
 @event_log.event("job_cancelled", _HIGH)
@@ -205,8 +218,13 @@
 class QueueAnswered:
     """The leader read a queue's length, or found no queue at the path.
 
-    `version` is that of the configuration which decided; `queue` is None if it
-    has no queue there.
+    Attributes:
+        host: Host of the request.
+        path: Path of the request.
+        queue: Name of the queue, or None if there is none at the path.
+        version: The configuration that decided.
+        term: Term of the leader.
+        waited_ms: Time from the request's arrival at the leader.
     """
 
     host: str
@@ -214,6 +232,7 @@
     queue: str | None
     version: int
     term: int
+    waited_ms: int
 
 
 @event_log.event("operator_answered", _HIGH)
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -16,11 +16,13 @@
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
+from tarragoncleat.kernel import timer as timer_module
 from tarragoncleat.log import applier as applier_module
 
 __all__ = ["LeaderService"]
 
 _COMMIT_TIMEOUT_S = 2.5
+_MS_PER_S = 1000
 
 
 def _not_found(reason: str) -> errors.Failure:
@@ -34,6 +36,7 @@
         self,
         node: log_node.LogNode,
         state: state_module.BatchState,
+        timer: timer_module.TimerService,
         dispatcher: Callable[[], dispatcher_module.Dispatcher | None],
     ) -> None:
         """Creates the service.
@@ -41,10 +44,12 @@
         Args:
             node: The replicated log.
             state: The replicated state.
+            timer: Clock.
             dispatcher: Returns the dispatcher of the current term, if any.
         """
         self._node = node
         self._state = state
+        self._timer = timer
         self._dispatcher = dispatcher
 
     async def handle(self, request: Any) -> Any:
@@ -60,10 +65,12 @@
 
     @_handle.register
     async def _submit(self, request: messages.SubmitRequest) -> Any:
-        located = await self._locate(request.host, request.path)
+        arrived_s = self._timer.monotonic_s()
+        located = await self._locate(request.host, request.path, arrived_s)
         if isinstance(located, errors.Failure):
             return located
         queue, job_id = located
+        routed_version = self._held_version() or 0
         is_new = self._state.job(job_id) is None
         if is_new:
             result = await self._commit(
@@ -73,36 +80,39 @@
                 return result
         elif not await self._node.read_barrier():
             return _no_leader()
-        configuration = self._state.configuration
         event_log.emit(
             events.JobAccepted(
                 job_id,
                 queue.name,
-                configuration.version if configuration else 0,
+                self._held_version() or 0,
                 self._node.term,
                 sum(step.task_count for step in request.definition.steps),
                 is_new,
+                routed_version,
+                self._waited_ms(arrived_s),
             )
         )
         return messages.Done()
 
     @_handle.register
     async def _read(self, request: messages.ReadRequest) -> Any:
+        arrived_s = self._timer.monotonic_s()
         if not await self._node.read_barrier():
             return _no_leader()
-        located = await self._locate(request.host, request.path)
+        located = await self._locate(request.host, request.path, arrived_s)
         if isinstance(located, errors.Failure):
             return located
         queue, job_id = located
         if not job_id:
-            self._log_queue(request.host, request.path, queue.name)
+            self._log_queue(request.host, request.path, queue.name, arrived_s)
             return messages.QueueReply(self._state.waiting_count(queue.key))
         job = self._state.job(job_id)
         return messages.JobReply(job.state if job is not None else None)
 
     @_handle.register
     async def _cancel(self, request: messages.CancelRequest) -> Any:
-        located = await self._locate(request.host, request.path)
+        arrived_s = self._timer.monotonic_s()
+        located = await self._locate(request.host, request.path, arrived_s)
         if isinstance(located, errors.Failure):
             return located
         job_id = located[1]
@@ -243,7 +253,7 @@
         return messages.WaveReply(not wave.remaining)
 
     async def _locate(
-        self, host: str, path: str
+        self, host: str, path: str, arrived_s: float
     ) -> tuple[model.QueuePolicy, str] | errors.Failure:
         """Returns the queue of a path, and the job id after its prefix."""
         if self._state.configuration is None:
@@ -257,7 +267,7 @@
                 return _no_leader()
             queue = self._state.route(host, path)
         if queue is None:
-            self._log_queue(host, path, None)
+            self._log_queue(host, path, None, arrived_s)
             return _not_found(f"no queue at {host}{path}")
         return queue, path[len(queue.path_prefix) :]
 
@@ -279,13 +289,24 @@
             )
         )
 
-    def _log_queue(self, host: str, path: str, queue: str | None) -> None:
+    def _log_queue(
+        self, host: str, path: str, queue: str | None, arrived_s: float
+    ) -> None:
         event_log.emit(
             events.QueueAnswered(
-                host, path, queue, self._held_version() or 0, self._node.term
+                host,
+                path,
+                queue,
+                self._held_version() or 0,
+                self._node.term,
+                self._waited_ms(arrived_s),
             )
         )
 
+    def _waited_ms(self, arrived_s: float) -> int:
+        waited_s = self._timer.monotonic_s() - arrived_s
+        return int(waited_s * _MS_PER_S)
+
     async def _commit(
         self, command: commands.Command
     ) -> applier_module.AppliedProposal | errors.Failure:
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -158,7 +158,7 @@
         )
         self._dispatcher: dispatcher_module.Dispatcher | None = None
         self._service = leader_service.LeaderService(
-            self._node, self._state, lambda: self._dispatcher
+            self._node, self._state, timer, lambda: self._dispatcher
         )
 
     @property
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -23,6 +23,7 @@
         self.service = leader_service.LeaderService(
             self.log,  # type: ignore[arg-type]
             self.local.state,
+            batch_builders.ManualTimer(),
             lambda: None,
         )
 
