Reproduce answers by a configuration behind another one in the log

On this code a job and a cancellation on the dropped route get 200, and a job on the added route gets 404; the log of the leader shows routed_version=10 version=11 for the job.

--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,265 @@
+"""Runs the platform's daemons as real processes: control nodes and an entry."""
+
+from collections.abc import Iterator, Mapping
+import contextlib
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+
+from tests import batch_builders
+from tests import builders
+
+__all__ = [
+    "Answer",
+    "Group",
+    "PendingAnswer",
+    "build_configuration",
+    "run_group",
+]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_CONTROL_PORT = 8623
+_ENTRY_PORT = 8624
+_READY_PORT = 8622
+_CALL_TIMEOUT_S = 10.0
+_WAIT_S = 40.0
+_POLL_S = 0.05
+_LOG_LINES = 40
+_SETTINGS = """\
+node-name={name}
+ip-address={host}
+zone=zone-{number}
+region=kyushu
+internal-port-range=7060,7075
+seed-nodes={seeds}
+bootstrap=true
+fault-tolerance.machines=1
+{extra}
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """The answer to a request; `at_s` is the monotonic time of its arrival."""
+
+    status: int
+    body: Any
+    at_s: float
+
+
+class PendingAnswer:
+    """A request that runs in a thread."""
+
+    def __init__(self, call: Any) -> None:
+        self._answer: Answer | Exception | None = None
+        self._thread = threading.Thread(target=self._run, args=(call,))
+        self._thread.start()
+
+    def _run(self, call: Any) -> None:
+        try:
+            self._answer = call()
+        except (OSError, http.client.HTTPException) as error:
+            self._answer = error
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the answer has arrived, or the request has failed."""
+        return self._answer is not None
+
+    def wait(self) -> Answer:
+        """Returns the answer; raises the error of a failed request."""
+        self._thread.join(_CALL_TIMEOUT_S)
+        if isinstance(self._answer, Answer):
+            return self._answer
+        raise self._answer or TimeoutError("no answer")
+
+
+def build_configuration(version: int, *routes: str) -> dict[str, Any]:
+    """Returns the platform's JSON of a configuration.
+
+    Each route has its own name as its prefix.
+    """
+    fields = batch_builders.build_configuration_fields(version=version)
+    route = fields["routes"][0]
+    fields["routes"] = [
+        {**route, "name": name, "path-prefix": f"/{name}/"} for name in routes
+    ]
+    return fields
+
+
+class Group:
+    """Three control nodes and one entry on loopback addresses."""
+
+    def __init__(self, folder: pathlib.Path, subnet: int) -> None:
+        self._folder = folder
+        base = f"{builders.LOOPBACK}.{subnet}"
+        self._hosts = {f"core-{i}": f"{base}.{i}" for i in (1, 2, 3)}
+        self._hosts["front-1"] = f"{base}.11"
+        self._processes: dict[str, subprocess.Popen] = {}
+
+    @property
+    def control_names(self) -> list[str]:
+        """Names of the control nodes."""
+        return [name for name in self._hosts if name.startswith("core")]
+
+    def start(self) -> None:
+        """Starts all processes."""
+        seeds = ",".join(
+            f"{self._hosts[name]}:{_CONTROL_PORT}"
+            for name in self.control_names
+        )
+        for number, (name, host) in enumerate(self._hosts.items()):
+            extra = (
+                f"bind-addresses.front={host}:{_ENTRY_PORT}\n"
+                f"bind-addresses.ready={host}:{_READY_PORT}"
+            )
+            if name in self.control_names:
+                extra = (
+                    f"bind-addresses.control={host}:{_CONTROL_PORT}\n"
+                    f"data-dir={self._folder / name}"
+                )
+            path = self._folder / f"{name}.conf"
+            path.write_text(
+                _SETTINGS.format(
+                    name=name,
+                    host=host,
+                    number=number,
+                    seeds=seeds,
+                    extra=extra,
+                ),
+                encoding="utf-8",
+            )
+            self._start_process(name, path)
+
+    def _start_process(self, name: str, settings: pathlib.Path) -> None:
+        role = "control" if name in self.control_names else "entry"
+        environment = {**os.environ, "TARRAGONCLEAT_NODE_FILE": str(settings)}
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "platform/serve.py", role],
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals, *names: str) -> None:
+        """Sends a signal to processes."""
+        for name in names:
+            self._processes[name].send_signal(number)
+
+    def close(self) -> None:
+        """Kills all processes."""
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+
+    def events(self, name: str, event: str) -> list[dict[str, Any]]:
+        """Returns the logged events of one kind of a process."""
+        path = self._folder / f"{name}.log"
+        rows = []
+        for line in path.read_text(encoding="utf-8").splitlines():
+            with contextlib.suppress(ValueError):
+                row = json.loads(line)
+                if row["event"] == event:
+                    rows.append(row)
+        return rows
+
+    def leadership(self) -> tuple[str, int] | None:
+        """Returns the leader and its term, by the logs, or None."""
+        terms = [
+            (rows[-1]["term"], name)
+            for name in self.control_names
+            if (rows := self.events(name, "leadership")) and rows[-1]["leads"]
+        ]
+        if not terms:
+            return None
+        term, name = max(terms)
+        return name, term
+
+    def wait_leader(self) -> tuple[str, int]:
+        """Waits for a leader; returns its name and term."""
+        deadline_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline_s:
+            leadership = self.leadership()
+            if leadership is not None:
+                return leadership
+            time.sleep(_POLL_S)
+        raise AssertionError(f"no leader within {_WAIT_S} s")
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+    ) -> Answer:
+        """Sends a request on a new connection."""
+        is_control = name in self.control_names
+        port = _CONTROL_PORT if is_control else _ENTRY_PORT
+        connection = http.client.HTTPConnection(
+            self._hosts[name], port, timeout=_CALL_TIMEOUT_S
+        )
+        headers = {"Host": batch_builders.QUEUE.host}
+        content = None if body is None else json.dumps(body)
+        try:
+            connection.request(method, path, content, headers)
+            response = connection.getresponse()
+            text = response.read()
+        finally:
+            connection.close()
+        fields = json.loads(text) if text else None
+        return Answer(response.status, fields, time.monotonic())
+
+    def send(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+    ) -> PendingAnswer:
+        """Sends a request in the background."""
+        return PendingAnswer(lambda: self.call(name, method, path, body))
+
+    def put_routes(self, name: str, version: int, *routes: str) -> Answer:
+        """Puts a configuration with these routes, until it is acknowledged."""
+        body = build_configuration(version, *routes)
+        deadline_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(OSError):
+                answer = self.call(name, "PUT", "/config", body)
+                if answer.status == 200:
+                    return answer
+            time.sleep(_POLL_S)
+        raise AssertionError(f"version {version} was not acknowledged")
+
+    def print_logs(self) -> None:
+        """Prints the end of each log after a failed test."""
+        for name in self._hosts:
+            text = (self._folder / f"{name}.log").read_text(encoding="utf-8")
+            print(name, *text.splitlines()[-_LOG_LINES:], sep="\n  ")
+
+
+@contextlib.contextmanager
+def run_group(subnet: int) -> Iterator[Group]:
+    """Runs a group until a leader is elected; kills it at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        group = Group(pathlib.Path(folder), subnet)
+        try:
+            group.start()
+            group.wait_leader()
+            yield group
+        except BaseException:
+            group.print_logs()
+            raise
+        finally:
+            group.close()
