Decide the queue of a job when its command is applied

What callers saw: a job and a cancellation on a route were answered 200 after a configuration that drops the route was confirmed, by a leader that had stored that configuration first.

Cause: the leader chose the queue by its state before the commit, and applying SubmitJob and CancelJob didn't look again. While a commit stalls, the log holds a configuration that the state doesn't have yet. A submission that an entry repeats after its queue was removed was refused as never run although it was stored.

Change: applying SubmitJob and CancelJob checks that the path still leads to the queue, and returns a JobDecision. The leader then looks for the path's queue again, or refuses. A stored job whose queue is gone gets 504, neither a success nor a refusal. The handlers of callers' requests are in job_service.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -17,6 +17,7 @@
     "MaintenancePhase",
     "MarkWorkersLost",
     "OpenOccurrence",
+    "JobDecision",
     "PutConfiguration",
     "RecordMaintenance",
     "RegisterWorker",
@@ -44,6 +45,19 @@
     REJECTED = "rejected"
 
 
+class JobDecision(enum.Enum):
+    """Result of a command that names a job.
+
+    It is decided when the command is applied: records before it may have
+    changed the queues since it was proposed.
+    """
+
+    STORED = "stored"
+    ALREADY_STORED = "already_stored"
+    UNKNOWN_JOB = "unknown_job"
+    NO_QUEUE = "no_queue"
+
+
 class RunStart(NamedTuple):
     """The assignment of a run to a worker."""
 
@@ -73,7 +87,10 @@
 @codec.message("batch_submit_job", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Accepts a job; idempotent."""
+    """Accepts a job if its path still leads to its queue; idempotent.
+
+    The result is the value of a `JobDecision`.
+    """
 
     job_id: str
     queue: model.QueueKey
@@ -83,7 +100,10 @@
 @codec.message("batch_cancel_job", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelJob:
-    """Cancels a job that has not ended."""
+    """Cancels a job that has not ended, if its path leads to its queue.
+
+    The result is the value of a `JobDecision`.
+    """
 
     job_id: str
 
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -4,11 +4,10 @@
 import functools
 from typing import Any
 
-import msgpack
-
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
+from tarragoncleat.batch import job_service
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
@@ -22,7 +21,6 @@
 __all__ = ["LeaderService"]
 
 _COMMIT_TIMEOUT_S = 2.5
-_MS_PER_S = 1000
 
 
 def _not_found(reason: str) -> errors.Failure:
@@ -49,7 +47,7 @@
         """
         self._node = node
         self._state = state
-        self._timer = timer
+        self._jobs = job_service.JobService(node, state, timer)
         self._dispatcher = dispatcher
 
     async def handle(self, request: Any) -> Any:
@@ -65,65 +63,15 @@
 
     @_handle.register
     async def _submit(self, request: messages.SubmitRequest) -> Any:
-        arrived_s = self._timer.monotonic_s()
-        located = await self._locate(request.host, request.path, arrived_s)
-        if isinstance(located, errors.Failure):
-            return located
-        queue, job_id = located
-        routed_version = self._held_version() or 0
-        is_new = self._state.job(job_id) is None
-        if is_new:
-            result = await self._commit(
-                commands.SubmitJob(job_id, queue.key, request.definition)
-            )
-            if isinstance(result, errors.Failure):
-                return result
-        elif not await self._node.read_barrier():
-            return _no_leader()
-        event_log.emit(
-            events.JobAccepted(
-                job_id,
-                queue.name,
-                self._held_version() or 0,
-                self._node.term,
-                sum(step.task_count for step in request.definition.steps),
-                is_new,
-                routed_version,
-                self._waited_ms(arrived_s),
-            )
-        )
-        return messages.Done()
+        return await self._jobs.submit(request)
 
     @_handle.register
     async def _read(self, request: messages.ReadRequest) -> Any:
-        arrived_s = self._timer.monotonic_s()
-        if not await self._node.read_barrier():
-            return _no_leader()
-        located = await self._locate(request.host, request.path, arrived_s)
-        if isinstance(located, errors.Failure):
-            return located
-        queue, job_id = located
-        if not job_id:
-            self._log_queue(request.host, request.path, queue.name, arrived_s)
-            return messages.QueueReply(self._state.waiting_count(queue.key))
-        job = self._state.job(job_id)
-        return messages.JobReply(job.state if job is not None else None)
+        return await self._jobs.read(request)
 
     @_handle.register
     async def _cancel(self, request: messages.CancelRequest) -> Any:
-        arrived_s = self._timer.monotonic_s()
-        located = await self._locate(request.host, request.path, arrived_s)
-        if isinstance(located, errors.Failure):
-            return located
-        job_id = located[1]
-        result = await self._commit(commands.CancelJob(job_id))
-        if isinstance(result, errors.Failure):
-            return result
-        was_known = bool(msgpack.unpackb(result.result))
-        event_log.emit(events.JobCancelled(job_id, was_known))
-        if not was_known:
-            return messages.JobReply(None)
-        return messages.Done()
+        return await self._jobs.cancel(request)
 
     @_handle.register
     async def _put_configuration(self, request: messages.PutRequest) -> Any:
@@ -161,9 +109,9 @@
     async def _read_latest_configuration(
         self,
     ) -> messages.ConfigurationReply | errors.Failure:
-        if not await self._node.read_barrier():
-            return _no_leader()
-        current = self._state.configuration
+        current = await self._node.read(lambda: self._state.configuration)
+        if isinstance(current, errors.Failure):
+            return current
         if current is None:
             return errors.Failure(
                 errors.ErrorKind.NO_UPSTREAM, "there is no configuration yet"
@@ -245,32 +193,15 @@
 
     @_handle.register
     async def _read_wave(self, request: messages.WaveStateRequest) -> Any:
-        if not await self._node.read_barrier():
-            return _no_leader()
-        wave = self._state.waves.get(request.wave)
+        wave = await self._node.read(
+            lambda: self._state.waves.get(request.wave)
+        )
+        if isinstance(wave, errors.Failure):
+            return wave
         if wave is None:
             return _not_found(f"wave {request.wave} is not known")
         return messages.WaveReply(not wave.remaining)
 
-    async def _locate(
-        self, host: str, path: str, arrived_s: float
-    ) -> tuple[model.QueuePolicy, str] | errors.Failure:
-        """Returns the queue of a path, and the job id after its prefix."""
-        if self._state.configuration is None:
-            return errors.Failure(
-                errors.ErrorKind.NO_UPSTREAM, "there is no configuration yet"
-            )
-        queue = self._state.route(host, path)
-        if queue is None:
-            # A deposed leader may not have the latest configuration yet.
-            if not await self._node.read_barrier():
-                return _no_leader()
-            queue = self._state.route(host, path)
-        if queue is None:
-            self._log_queue(host, path, None, arrived_s)
-            return _not_found(f"no queue at {host}{path}")
-        return queue, path[len(queue.path_prefix) :]
-
     def _held_version(self) -> int | None:
         configuration = self._state.configuration
         return configuration.version if configuration is not None else None
@@ -289,24 +220,6 @@
             )
         )
 
-    def _log_queue(
-        self, host: str, path: str, queue: str | None, arrived_s: float
-    ) -> None:
-        event_log.emit(
-            events.QueueAnswered(
-                host,
-                path,
-                queue,
-                self._held_version() or 0,
-                self._node.term,
-                self._waited_ms(arrived_s),
-            )
-        )
-
-    def _waited_ms(self, arrived_s: float) -> int:
-        waited_s = self._timer.monotonic_s() - arrived_s
-        return int(waited_s * _MS_PER_S)
-
     async def _commit(
         self, command: commands.Command
     ) -> applier_module.AppliedProposal | errors.Failure:
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -188,6 +188,16 @@
                 best = queue
         return best
 
+    def job_at(self, host: str, path: str) -> jobs_module.Job | None:
+        """Returns the job at a path, also if its queue was removed, or None."""
+        for key in {**self._previous_queues, **self._queues}:
+            if key.host != host or not path.startswith(key.path_prefix):
+                continue
+            job = self._jobs.get(path[len(key.path_prefix) :])
+            if job is not None and job.queue == key:
+                return job
+        return None
+
     def task(
         self, key: model.TaskKey
     ) -> tuple[jobs_module.Job, jobs_module.Step, jobs_module.Task] | None:
@@ -256,23 +266,31 @@
 
     @_apply.register
     def _submit_job(self, command: commands.SubmitJob) -> object:
+        if not self._leads_to_queue(command.queue, command.job_id):
+            return commands.JobDecision.NO_QUEUE.value
         if command.job_id in self._jobs:
-            return False
+            return commands.JobDecision.ALREADY_STORED.value
         job = jobs_module.Job(
             command.job_id, command.queue, command.definition, self._time_ms
         )
         self._jobs[job.job_id] = job
         self._active[job.job_id] = job
-        return True
+        return commands.JobDecision.STORED.value
 
     @_apply.register
     def _cancel_job(self, command: commands.CancelJob) -> object:
         job = self._jobs.get(command.job_id)
         if job is None:
-            return False
+            return commands.JobDecision.UNKNOWN_JOB.value
+        if not self._leads_to_queue(job.queue, job.job_id):
+            return commands.JobDecision.NO_QUEUE.value
         job.cancel(self._time_ms)
         self._deactivate_if_ended(job)
-        return True
+        return commands.JobDecision.STORED.value
+
+    def _leads_to_queue(self, key: model.QueueKey, job_id: str) -> bool:
+        queue = self.route(key.host, key.path_prefix + job_id)
+        return queue is not None and queue.key == key
 
     @_apply.register
     def _open_occurrence(self, command: commands.OpenOccurrence) -> object:
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 import dataclasses
 import pathlib
-from typing import Any
+from typing import Any, TypeVar
 
 import anyio
 import anyio.lowlevel
@@ -37,6 +37,8 @@
 _ANNOUNCEMENT_VALID_S = 1.6
 _READ_TIMEOUT_S = 1.0
 
+_Value = TypeVar("_Value")
+
 
 def load_identity(
     folder: pathlib.Path, host: str, port: int, is_bootstrap: bool
@@ -296,6 +298,20 @@
             await read_batch.done.wait()
         return read_batch.is_confirmed
 
+    async def read(
+        self, evaluate: Callable[[], _Value]
+    ) -> _Value | errors.Failure:
+        """Evaluates the state after a read barrier.
+
+        Returns:
+            The value, or a `Failure` of kind NO_LEADER.
+        """
+        if await self.read_barrier():
+            return evaluate()
+        return errors.Failure(
+            errors.ErrorKind.NO_LEADER, "this node may no longer be the leader"
+        )
+
     async def _confirm_leadership(self) -> bool:
         self._read_token += 1
         token = self._read_token
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -231,6 +231,8 @@
         self.committed: list[Any] = []
         self.is_rejecting = False
         self.on_commit: list[Any] = []
+        # Records of others that are applied before the next proposal.
+        self.ahead: list[commands.Command] = []
 
     async def propose(
         self, payload: bytes, timeout_s: float
@@ -240,18 +242,29 @@
         await anyio.sleep(0)
         if self.is_rejecting:
             return errors.Failure(errors.ErrorKind.NO_LEADER, "refused")
-        command = codec.decode(payload)
-        self.committed.append(command)
-        result = self.state.apply(len(self.committed), 1_000_000, payload)
+        while self.ahead:
+            self._apply(codec.encode(self.ahead.pop(0)))
+        result = self._apply(payload)
         for call in self.on_commit:
             call()
         return applier.AppliedProposal(len(self.committed), result)
 
+    def _apply(self, payload: bytes) -> bytes:
+        self.committed.append(codec.decode(payload))
+        return self.state.apply(len(self.committed), 1_000_000, payload)
+
     async def read_barrier(self) -> bool:
         """Returns whether the log still accepts commands."""
         await anyio.sleep(0)
         return not self.is_rejecting
 
+    async def read(self, evaluate: Any) -> Any:
+        """Evaluates the state unless the log rejects commands."""
+        value = evaluate()
+        if await self.read_barrier():
+            return value
+        return errors.Failure(errors.ErrorKind.NO_LEADER, "refused")
+
 
 @dataclasses.dataclass
 class FakeRun:
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -4,6 +4,8 @@
 import unittest
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import leader_service
@@ -14,8 +16,8 @@
 _PATH = f"{batch_builders.QUEUE.path_prefix}job-1"
 
 
-class DeposedLeaderTest(unittest.TestCase):
-    """Guards against answers from the old state of a deposed leader."""
+class _LeaderServiceTest(unittest.TestCase):
+    """Sends requests to a leader over a log without a network."""
 
     def setUp(self) -> None:
         self.local = batch_builders.LocalState()
@@ -36,6 +38,10 @@
             messages.SubmitRequest(batch_builders.QUEUE.host, _PATH, definition)
         )
 
+
+class DeposedLeaderTest(_LeaderServiceTest):
+    """Guards against answers from the old state of a deposed leader."""
+
     def _depose(self) -> None:
         self.log.is_rejecting = True
 
@@ -70,5 +76,88 @@
         self.assertEqual(len(stored), 1)
 
 
+class RecordAheadTest(_LeaderServiceTest):
+    """Guards against decisions that a record ahead in the log has overtaken.
+
+    The leader decides by its state, and a configuration that it doesn't have
+    yet is committed before its proposal.
+    """
+
+    def _configure_next(self, version: int, path_prefix: str) -> None:
+        self.log.ahead.append(
+            commands.PutConfiguration(
+                batch_builders.build_configuration(
+                    version, path_prefix=path_prefix
+                )
+            )
+        )
+
+    def _cancel(self) -> Any:
+        return self._handle(
+            messages.CancelRequest(batch_builders.QUEUE.host, _PATH)
+        )
+
+    def test_job_is_not_stored_in_a_queue_that_was_removed(self) -> None:
+        """Guards against a job that is accepted on a route just dropped."""
+        self._configure_next(2, "/other/")
+        self.assertEqual(self._submit().kind, errors.ErrorKind.NOT_FOUND)
+        self.assertIsNone(self.local.state.job("job-1"))
+
+    def test_job_is_stored_in_the_queue_that_replaced_its_own(self) -> None:
+        """Guards against a refusal although the path has a queue."""
+        self._configure_next(2, "/bi")
+        self.assertIsInstance(self._submit(), messages.Done)
+        job = self.local.state.job("ds/job-1")
+        assert job is not None
+        self.assertEqual(job.queue.path_prefix, "/bi")
+
+    def test_job_is_not_cancelled_in_a_queue_that_was_removed(self) -> None:
+        """Guards against a cancellation that succeeds on a dropped route."""
+        self._submit()
+        self._configure_next(2, "/other/")
+        self.assertEqual(self._cancel().kind, errors.ErrorKind.NOT_FOUND)
+        job = self.local.state.job("job-1")
+        assert job is not None
+        self.assertFalse(job.has_ended)
+
+    def test_unknown_job_of_a_removed_queue_has_no_queue(self) -> None:
+        """Guards against "no such job" as the answer on a dropped route."""
+        self._configure_next(2, "/other/")
+        self.assertEqual(self._cancel().kind, errors.ErrorKind.NOT_FOUND)
+
+    def test_stored_job_of_a_removed_queue_is_not_refused(self) -> None:
+        """Guards against a refusal of a job that runs.
+
+        An entry repeats a submission whose answer it didn't get.
+        """
+        self._submit()
+        self._handle(
+            messages.PutRequest(
+                batch_builders.build_configuration(2, path_prefix="/other/")
+            )
+        )
+        self.assertEqual(self._submit().kind, errors.ErrorKind.UNDECIDED)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(["/bids/", "/bi", "/other/"]), max_size=4
+        )
+    )
+    def test_a_stored_job_is_in_a_queue_of_its_configuration(
+        self, prefixes: list[str]
+    ) -> None:
+        """Guards against any order of configurations ahead of a submission."""
+        self.setUp()
+        for version, prefix in enumerate(prefixes, 2):
+            self._configure_next(version, prefix)
+        answer = self._submit()
+        queue = self.local.state.route(batch_builders.QUEUE.host, _PATH)
+        jobs = list(self.local.state.active_jobs.values())
+        self.assertEqual(
+            [job.queue for job in jobs], [queue.key] if queue else []
+        )
+        self.assertEqual(isinstance(answer, messages.Done), bool(jobs))
+
+
 if __name__ == "__main__":
     unittest.main()
