Answer reads in the order of their arrival at the leader

What callers saw: a job on a route that an earlier request in the leader's log had added got 404, and reads showed the state at the end of a stall. With a stalled commit the answers of one leader contradict the order of the requests.

Cause: a read passed a barrier for the records committed before it, and was then evaluated by whatever was applied by that time.

Change: LogNode.read evaluates the state at the end of the leader's log as it is when the request arrives: after the records that were proposed before, and before later ones. The leadership is confirmed as before. Queues, jobs, waves and the configuration are read that way.

--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -85,6 +85,12 @@
     took_ms: float
 
 
+def _not_confirmed() -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.NO_LEADER, "this node may no longer be the leader"
+    )
+
+
 class _ReadBatch:
     """Reads that share one confirmation of the leadership."""
 
@@ -301,16 +307,32 @@
     async def read(
         self, evaluate: Callable[[], _Value]
     ) -> _Value | errors.Failure:
-        """Evaluates the state after a read barrier.
+        """Evaluates the state at the end of this leader's log.
+
+        The value reflects every record that was proposed before the call and
+        none that is proposed later, so that a leader's answers are in the order
+        in which the requests arrived.
 
         Returns:
             The value, or a `Failure` of kind NO_LEADER.
         """
-        if await self.read_barrier():
-            return evaluate()
-        return errors.Failure(
-            errors.ErrorKind.NO_LEADER, "this node may no longer be the leader"
-        )
+        if not self.is_leader:
+            return _not_confirmed()
+        future = applier_module.EvaluationFuture(evaluate)
+        index = self._core.log.last_index
+        if index == self._applier.applied_index:
+            future.set_outcome(applier_module.AppliedProposal(index, b""))
+        else:
+            self._applier.add_future(index, self.term, future)
+        try:
+            if not await self.read_barrier():
+                return _not_confirmed()
+            await future.wait(_READ_TIMEOUT_S)
+        finally:
+            self._applier.remove_future(index, future)
+        if isinstance(future.outcome, applier_module.AppliedProposal):
+            return future.value
+        return _not_confirmed()
 
     async def _confirm_leadership(self) -> bool:
         self._read_token += 1
--- a/tarragoncleat/log/applier.py
+++ b/tarragoncleat/log/applier.py
@@ -1,7 +1,8 @@
 """Applies committed records to the state machine."""
 
+from collections.abc import Callable
 import dataclasses
-from typing import Protocol
+from typing import Any, Generic, Protocol, TypeVar
 
 import anyio
 
@@ -10,7 +11,15 @@
 from tarragoncleat.log import consensus_log
 from tarragoncleat.log import consensus_messages
 
-__all__ = ["AppliedProposal", "Applier", "ProposalFuture", "StateMachine"]
+__all__ = [
+    "AppliedProposal",
+    "Applier",
+    "EvaluationFuture",
+    "ProposalFuture",
+    "StateMachine",
+]
+
+_Value = TypeVar("_Value")
 
 
 class StateMachine(Protocol):
@@ -64,6 +73,27 @@
             await self._event.wait()
 
 
+class EvaluationFuture(ProposalFuture, Generic[_Value]):
+    """Evaluates the state right after a record, before any later one."""
+
+    def __init__(self, evaluate: Callable[[], _Value]) -> None:
+        """Creates a future; `evaluate` must not block."""
+        super().__init__()
+        self._evaluate = evaluate
+        self._value: _Value | None = None
+
+    @property
+    def value(self) -> Any:
+        """The evaluated value, or None without an `AppliedProposal`."""
+        return self._value
+
+    def set_outcome(self, outcome: AppliedProposal | errors.Failure) -> None:
+        """Evaluates the state if the record was applied."""
+        if isinstance(outcome, AppliedProposal) and not self.is_done:
+            self._value = self._evaluate()
+        super().set_outcome(outcome)
+
+
 class Applier:
     """Applies each committed record exactly once, in order.
 
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -183,6 +183,42 @@
         while self._members(await self._leader()) != expected:
             await anyio.sleep(0.02)
 
+    def test_reads_and_proposals_are_decided_in_the_order_of_arrival(
+        self,
+    ) -> None:
+        """Guards against a read that shows another state than at its arrival.
+
+        One read arrives before a proposal and one after it, while the proposal
+        waits for its commit.
+        """
+
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            for number in range(20):
+                await self._write(b"%d" % number)
+                leader = await self._leader()
+                values: dict[str, object] = {}
+                await self._read_around_a_proposal(leader, values)
+                if leader.node.is_leader:
+                    self.assertEqual(values, {"before": False, "after": True})
+
+        self._run_scenario(scenario)
+
+    async def _read_around_a_proposal(
+        self, leader: _Node, values: dict[str, object]
+    ) -> None:
+        payloads = leader.state_machine.payloads
+        payload = b"new-%d" % len(payloads)
+
+        async def read(name: str) -> None:
+            values[name] = await leader.node.read(lambda: payload in payloads)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read, "before")
+            tasks.start_soon(leader.node.propose, payload, 1.0)
+            tasks.start_soon(read, "after")
+
     def test_snapshot_before_any_change_keeps_the_replicas(self) -> None:
         """Guards against a snapshot without replicas.
 
