Record a worker's leaving also if its registration is not applied yet

What callers saw: none reported; found by looking for the class of the incident. A worker that left could stay in the fleet and get tasks, which then wait until its call fails.

Cause: whether the worker is known was decided by the state, while its registration waited in the log; an unknown worker that left was not remembered, so that a late heartbeat registered it.

Change: every leaving is committed, and ends also an unknown incarnation.

Evidence: two tests of test_leader_service fail before and pass now.

--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -157,15 +157,12 @@
 
     @_handle.register
     async def _end_worker(self, request: messages.WorkerLeft) -> Any:
-        if request.worker_id in self._state.workers:
-            result = await self._commit(
-                commands.MarkWorkersLost((request.worker_id,), is_final=True)
-            )
-            if isinstance(result, errors.Failure):
-                return result
-        elif not await self._node.read_barrier():
-            # Its successor may know the worker.
-            return _no_leader()
+        # Its registration may be in the log and not in the state yet.
+        result = await self._commit(
+            commands.MarkWorkersLost((request.worker_id,), is_final=True)
+        )
+        if isinstance(result, errors.Failure):
+            return result
         return messages.Done()
 
     @_handle.register
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -323,11 +323,9 @@
     def _mark_workers_lost(self, command: commands.MarkWorkersLost) -> object:
         for worker_id in command.worker_ids:
             worker = self._workers.get(worker_id)
-            if worker is None:
-                continue
             if command.is_final:
-                self._remove_worker(worker)
-            else:
+                self._end_worker(worker_id)
+            elif worker is not None:
                 worker.state = WorkerState.LEASE_EXPIRED
                 self._requeue_tasks(worker)
         return None
@@ -393,9 +391,7 @@
             wave.begun.add(command.instance)
         if command.phase is commands.MaintenancePhase.BEGUN:
             for worker_id in wave.chosen[command.instance]:
-                worker = self._workers.get(worker_id)
-                if worker is not None:
-                    self._remove_worker(worker)
+                self._end_worker(worker_id)
         return None
 
     def _deactivate_if_ended(self, job: jobs_module.Job) -> None:
@@ -409,6 +405,15 @@
         names = self._workers_by_instance.setdefault(record.instance, [])
         names.append(record.worker_id)
 
+    def _end_worker(self, worker_id: str) -> None:
+        """Ends an incarnation, also one that has not registered yet."""
+        worker = self._workers.get(worker_id)
+        if worker is not None:
+            self._remove_worker(worker)
+        self._ended_workers[worker_id] = None
+        if len(self._ended_workers) > _MAX_ENDED_WORKERS:
+            del self._ended_workers[next(iter(self._ended_workers))]
+
     def _remove_worker(self, worker: Worker) -> None:
         self._requeue_tasks(worker)
         record = worker.record
@@ -416,9 +421,6 @@
         self._workers_by_instance[record.instance].remove(record.worker_id)
         if not self._workers_by_instance[record.instance]:
             del self._workers_by_instance[record.instance]
-        self._ended_workers[record.worker_id] = None
-        if len(self._ended_workers) > _MAX_ENDED_WORKERS:
-            del self._ended_workers[next(iter(self._ended_workers))]
 
     def _requeue_tasks(self, worker: Worker) -> None:
         for key in sorted(worker.tasks):
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -138,6 +138,26 @@
         )
         self.assertEqual(self._submit().kind, errors.ErrorKind.UNDECIDED)
 
+    def _register(self, worker_id: str) -> None:
+        record = batch_builders.build_record(worker_id)
+        self._handle(messages.Heartbeat(record, False, sequence=1))
+
+    def test_worker_that_left_behind_its_registration_is_removed(self) -> None:
+        """Guards against starts on a worker whose leaving was acknowledged."""
+        record = batch_builders.build_record("w-1")
+        self.log.ahead.append(commands.RegisterWorker(record))
+        self._handle(messages.WorkerLeft("w-1"))
+        self._submit()
+        self.assertNotIn("w-1", self.local.state.workers)
+
+    def test_worker_that_left_is_not_registered_by_a_late_heartbeat(
+        self,
+    ) -> None:
+        """Guards against an ended worker that the leader had not known."""
+        self._handle(messages.WorkerLeft("w-1"))
+        self._register("w-1")
+        self.assertNotIn("w-1", self.local.state.workers)
+
     @hypothesis.given(
         strategies.lists(
             strategies.sampled_from(["/bids/", "/bi", "/other/"]), max_size=4
