Keep a draining worker draining when its lease expires

What callers saw: none reported; found by looking for the class of the incident. A worker whose draining was acknowledged, and which was cut off until its lease expired, got new tasks when it was back.

Cause: MarkWorkersLost is decided by the silence of the worker, and applying it replaced the state DRAINING that an earlier record had set.

Change: applying it keeps DRAINING. A draining worker with an expired lease ends when the next incarnation on its instance reports.

Evidence: a test of test_batch_state (UP instead of DRAINING) and one of test_dispatcher (ran over its time) fail before and pass now.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -189,6 +189,7 @@
                 continue
             has_lease_expired = (
                 worker.state is state_module.WorkerState.LEASE_EXPIRED
+                or (other.has_lease_expired and not other.is_responsive)
             )
             if has_lease_expired or session.supersedes(other):
                 self._log_worker_change(worker_id, "followed")
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -326,7 +326,9 @@
             if command.is_final:
                 self._end_worker(worker_id)
             elif worker is not None:
-                worker.state = WorkerState.LEASE_EXPIRED
+                # A draining worker gets no tasks when it is back either.
+                if worker.state is WorkerState.UP:
+                    worker.state = WorkerState.LEASE_EXPIRED
                 self._requeue_tasks(worker)
         return None
 
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -162,6 +162,23 @@
         )
         self.assertFalse(self.state.workers["w-1"].tasks)
 
+    def test_draining_worker_stays_draining_after_its_lease_expired(
+        self,
+    ) -> None:
+        """Guards against new tasks on a worker that was cut off and returns.
+
+        Its draining was acknowledged before its lease expired.
+        """
+        self.local.register("w-1")
+        self.local.submit()
+        self.local.start(batch_builders.task_key())
+        self.local.apply(commands.DrainWorker("w-1"))
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=False))
+        self.local.register("w-1")
+        worker = self.state.workers["w-1"]
+        self.assertIs(worker.state, state_module.WorkerState.DRAINING)
+        self.assertFalse(worker.tasks)
+
 
 class ConfigurationTest(unittest.TestCase):
     """Tests versions and routes of the configuration."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -137,6 +137,30 @@
         # After a mere lease expiry the worker would not count as ended.
         self.assertTrue(self.local.state.has_worker_ended("w-1"))
 
+    def test_report_of_new_incarnation_ends_a_draining_one(self) -> None:
+        """Guards against a draining worker that is never forgotten.
+
+        It was cut off before this leader got a report of it.
+        """
+        instance = self.worker.record.instance
+        successor = batch_builders.FakeWorker(
+            batch_builders.build_record("w-2", instance=instance)
+        )
+        self.other_workers = [successor]
+        self.worker.is_unresponsive = True
+        self.local.apply(commands.DrainWorker("w-1"))
+        timer = batch_builders.ManualTimer()
+
+        async def scenario() -> None:
+            await anyio.sleep(0.05)
+            timer.advance(60.0)
+            self.local.register("w-2", instance=instance)
+            await self._wait_until(
+                lambda: self.local.state.has_worker_ended("w-1")
+            )
+
+        self._run_scenario(scenario, timer)
+
     def test_run_is_stored_before_it_is_started(self) -> None:
         """A new leader would start another run if it didn't know this one."""
         self.local.submit()
