Check planned starts again when they are applied

What callers saw: none reported; found by looking for the class of the incident. While a commit stalls, a start that was planned before a configuration ran on the service that the queue had left, and the members of a gang whose last worker had begun to drain started without it, to wait for it in vain.

Cause: StartRuns is planned by the state before the commit; applying it checked the task and the worker, but not the service nor the rest of the gang.

Change: applying it refuses a start on a service that the queue doesn't use, and all members of a gang that are in the command if one is refused. The tasks stay in the queue and are planned again.

Evidence: two tests of test_batch_state fail before and pass now.

--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -210,14 +210,20 @@
                     if task.state is TaskState.RUNNING:
                         yield task
 
+    def can_start(self, run_start: commands.RunStart) -> bool:
+        """Whether a run may start now."""
+        located = self.find_task(run_start.task)
+        if located is None or self.has_ended:
+            return False
+        task = located[1]
+        return task.state is TaskState.WAITING and run_start.run > task.run
+
     def start(self, run_start: commands.RunStart) -> bool:
         """Records the start of a run; returns False if it is not allowed."""
         located = self.find_task(run_start.task)
-        if located is None or self.has_ended:
+        if located is None or not self.can_start(run_start):
             return False
         step, task = located
-        if task.state is not TaskState.WAITING or run_start.run <= task.run:
-            return False
         step.waiting.discard(run_start.task.position)
         task.state = TaskState.RUNNING
         task.run = run_start.run
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -334,21 +334,39 @@
 
     @_apply.register
     def _start_runs(self, command: commands.StartRuns) -> object:
+        refused = {run for run in command.runs if not self._can_start(run)}
+        # The other members of a gang would wait in vain for a refused one.
+        broken_gangs = {
+            run.task[:3] for run in refused if self._is_gang(run.task)
+        }
         started = []
         for run_start in command.runs:
             job = self._jobs.get(run_start.task.job_id)
-            worker = self._workers.get(run_start.worker_id)
             is_started = (
                 job is not None
-                and worker is not None
-                and worker.state is WorkerState.UP
+                and run_start not in refused
+                and run_start.task[:3] not in broken_gangs
                 and job.start(run_start)
             )
             started.append(is_started)
-            if is_started and worker is not None:
-                worker.add_task(run_start.task)
+            if is_started:
+                self._workers[run_start.worker_id].add_task(run_start.task)
         return started
 
+    def _can_start(self, run_start: commands.RunStart) -> bool:
+        """Whether a run may start, given all records before its own."""
+        job = self._jobs.get(run_start.task.job_id)
+        worker = self._workers.get(run_start.worker_id)
+        if job is None or worker is None or worker.state is not WorkerState.UP:
+            return False
+        policy = self.policy_of(job)
+        is_served = policy is None or policy.service == worker.record.service
+        return is_served and job.can_start(run_start)
+
+    def _is_gang(self, key: model.TaskKey) -> bool:
+        located = self.task(key)
+        return located is not None and located[1].definition.gang
+
     @_apply.register
     def _end_runs(self, command: commands.EndRuns) -> object:
         for run_end in command.runs:
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -95,6 +95,52 @@
         self.assertIs(self._state_of(), jobs.JobState.COMPLETED)
         self.assertFalse(self.state.workers["w-1"].tasks)
 
+    def _start_gang(self, worker_ids: tuple[str, ...]) -> None:
+        self.local.apply(
+            commands.StartRuns(
+                tuple(
+                    commands.RunStart(
+                        batch_builders.task_key(position=position), 1, worker_id
+                    )
+                    for position, worker_id in enumerate(worker_ids)
+                )
+            )
+        )
+
+    def test_gang_that_lost_a_worker_before_its_start_does_not_start(
+        self,
+    ) -> None:
+        """Guards against members that wait alone for one that can't start.
+
+        The worker began to drain after the start was planned.
+        """
+        self.local.submit("job-1", batch_builders.build_step(3, gang=True))
+        self.local.apply(commands.DrainWorker("w-2"))
+        self._start_gang(("w-1", "w-2", "w-1"))
+        self.assertFalse(self.state.workers["w-1"].tasks)
+        self.assertIs(self._state_of(), jobs.JobState.QUEUED)
+        self._start_gang(("w-1", "w-1", "w-1"))
+        self.assertEqual(len(self.state.workers["w-1"].tasks), 3)
+
+    def test_run_is_not_started_on_a_service_that_the_queue_has_left(
+        self,
+    ) -> None:
+        """Guards against a start on a service by an older configuration.
+
+        The configuration was stored after the start was planned.
+        """
+        self.local.submit()
+        self.local.apply(
+            commands.PutConfiguration(
+                batch_builders.build_configuration(2, service="other")
+            )
+        )
+        self.local.start(batch_builders.task_key())
+        self.assertFalse(self.state.workers["w-1"].tasks)
+        self.local.register("w-3", service="other")
+        self.local.start(batch_builders.task_key(), worker_id="w-3")
+        self.assertEqual(len(self.state.workers["w-3"].tasks), 1)
+
     def test_cancelled_job_starts_nothing_and_frees_its_worker(self) -> None:
         """A task of a cancelled job uses its worker until its end is known."""
         key = batch_builders.task_key()
