Wait for the fate of a decision before the next one of its kind

What callers saw: none reported now.

Cause: the leader gave up waiting for a commit after 3 s and decided again, on a state that lacked the first decision. Both were applied when the stall ended: a worker got starts beyond its capacity, and a wave took down two instances with a cap of one.

Change: starts and choices of instances wait until their record is applied or replaced. The end of the term ends the wait. Commands that may be repeated, such as ends of runs, keep their limit.

Evidence: a test of test_dispatcher (2 runs instead of 1) and one of test_wave_controller (2 chosen instead of 1) fail before and pass now.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -222,5 +222,8 @@
     async def commit(self, command: Command) -> object:
         """Replicates a command; returns `AppliedProposal` or a `Failure`."""
 
+    async def commit_decision(self, command: Command) -> object:
+        """Replicates a command, and waits as long as its fate is not known."""
+
     async def confirm_leadership(self) -> bool:
         """Returns whether this node was the leader at the time of the call."""
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -1,6 +1,7 @@
 """Runs the leader's loops: placement, worker sessions, waves and moves."""
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 import anyio
@@ -129,6 +130,18 @@
             codec.encode(command), _COMMIT_TIMEOUT_S
         )
 
+    async def commit_decision(self, command: commands.Command) -> Any:
+        """Replicates a decision, and waits as long as its fate is not known.
+
+        The next decision of its kind would otherwise be made on a state that
+        lacks it, and both might be applied.
+
+        Returns:
+            `AppliedProposal`, or a `Failure` if it will never be applied or a
+            snapshot has replaced its record.
+        """
+        return await self._node.propose(codec.encode(command), math.inf)
+
     async def confirm_leadership(self) -> bool:
         """Returns whether this node was the leader at the time of the call."""
         return await self._node.read_barrier()
@@ -228,7 +241,9 @@
             starts = plan.starts
             self._demands = plan.demands
             if starts:
-                result = await self.commit(commands.StartRuns(tuple(starts)))
+                result = await self.commit_decision(
+                    commands.StartRuns(tuple(starts))
+                )
                 if isinstance(result, applier_module.AppliedProposal):
                     self._send_starts(starts)
                     self._log_starts(plan)
--- a/tarragoncleat/batch/wave_controller.py
+++ b/tarragoncleat/batch/wave_controller.py
@@ -370,7 +370,7 @@
         chosen = commands.RecordMaintenance(
             wave.number, instance, commands.MaintenancePhase.CHOSEN
         )
-        result = await self._committer.commit(chosen)
+        result = await self._committer.commit_decision(chosen)
         if isinstance(result, applier_module.AppliedProposal):
             await self._order_maintenance(wave, instance)
 
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -255,7 +255,7 @@
     async def propose(
         self, payload: bytes, timeout_s: float
     ) -> applier_module.AppliedProposal | errors.Failure:
-        """Replicates a command.
+        """Replicates a command; `timeout_s` may be infinite.
 
         Returns:
             The result, or a `Failure`: NO_LEADER or DISK_FULL if the command
@@ -267,9 +267,11 @@
             return index
         future = applier_module.ProposalFuture()
         self._applier.add_future(index, self.term, future)
-        await future.wait(timeout_s)
-        if future.outcome is None:
+        try:
+            await future.wait(timeout_s)
+        finally:
             self._applier.remove_future(index, future)
+        if future.outcome is None:
             return errors.Failure(
                 errors.ErrorKind.UNDECIDED,
                 f"record {index} was not committed within {timeout_s} s",
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -233,13 +233,21 @@
         self.on_commit: list[Any] = []
         # Records of others that are applied before the next proposal.
         self.ahead: list[commands.Command] = []
+        # Proposals wait for their commit while this is set.
+        self.stall: anyio.Event | None = None
 
     async def propose(
         self, payload: bytes, timeout_s: float
     ) -> applier.AppliedProposal | errors.Failure:
-        """Applies a command."""
-        del timeout_s
+        """Applies a command, after a stall even if its time is over."""
         await anyio.sleep(0)
+        stall = self.stall
+        if stall is not None:
+            with anyio.move_on_after(timeout_s):
+                await stall.wait()
+            if not stall.is_set():
+                self.ahead.append(codec.decode(payload))
+                return errors.Failure(errors.ErrorKind.UNDECIDED, "stalled")
         if self.is_rejecting:
             return errors.Failure(errors.ErrorKind.NO_LEADER, "refused")
         while self.ahead:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of the dispatcher with fake workers."""
 
 from collections.abc import Callable
+import time
 import unittest
 
 import anyio
@@ -12,6 +13,8 @@
 from tests import batch_builders
 
 _TIMEOUT_S = 20.0
+# Longer than a commit may take.
+_STALL_S = 3.4
 
 
 class DispatcherTest(unittest.TestCase):
@@ -161,6 +164,34 @@
 
         self._run_scenario(scenario, timer)
 
+    def test_stalled_starts_are_not_planned_again_into_the_same_room(
+        self,
+    ) -> None:
+        """Guards against a worker that runs more than its capacity.
+
+        The commit of a start stalls, and meanwhile a newer job arrives.
+        """
+        step = batch_builders.build_step(
+            cpu_millicores=4_000, estimated_ms=10_000
+        )
+
+        async def scenario() -> None:
+            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            self.log.stall = anyio.Event()
+            self.local.time_ms = int(time.time() * 1_000)
+            self.local.submit("job-1", step)
+            await anyio.sleep(0.5)
+            self.local.time_ms += 400
+            self.local.submit("job-2", step)
+            await anyio.sleep(_STALL_S)
+            self.log.stall.set()
+            self.log.stall = None
+            await self._wait_until(lambda: self.worker.running)
+            await anyio.sleep(0.5)
+            self.assertEqual(len(self.worker.running), 1)
+
+        self._run_scenario(scenario)
+
     def test_run_is_stored_before_it_is_started(self) -> None:
         """A new leader would start another run if it didn't know this one."""
         self.local.submit()
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -150,6 +150,10 @@
         """Replicates a command."""
         return await self.log.propose(batch_builders.codec.encode(command), 1.0)
 
+    async def commit_decision(self, command: commands.Command) -> object:
+        """Replicates a command."""
+        return await self.commit(command)
+
     def _step(self, unplaced_cores: int = 0, free_cores: int = 6) -> None:
         sessions = {
             worker_id: _FakeSession(worker.record)
--- a/tests/test_wave_controller.py
+++ b/tests/test_wave_controller.py
@@ -1,5 +1,6 @@
 """Tests of maintenance waves."""
 
+import math
 import unittest
 
 import anyio
@@ -53,7 +54,13 @@
 
     async def commit(self, command: commands.Command) -> object:
         """Replicates a command."""
-        return await self.log.propose(batch_builders.codec.encode(command), 1.0)
+        return await self.log.propose(batch_builders.codec.encode(command), 0.2)
+
+    async def commit_decision(self, command: commands.Command) -> object:
+        """Replicates a command without a limit of time."""
+        return await self.log.propose(
+            batch_builders.codec.encode(command), math.inf
+        )
 
     def _add_workers(self, *worker_ids: str) -> None:
         self.local.register(*worker_ids)
@@ -222,6 +229,34 @@
             self._step()
         self.assertEqual(len(self.client.maintained), 2)
 
+    def test_stalled_choice_of_an_instance_counts_against_the_cap(self) -> None:
+        """Guards against a second instance that is taken down beside one.
+
+        The commit of the first choice stalls for longer than a commit may take.
+        """
+        names = [f"w-{number}" for number in range(8)]
+        self._add_workers(*names)
+        self.local.submit("job-1", batch_builders.build_step(8))
+        for position, name in enumerate(names):
+            key = batch_builders.task_key(position=position)
+            self.local.start(key, worker_id=name)
+        self._start_wave(*names, cap=1)
+        anyio.run(self.controller.step, self.sessions)
+        self.timer.advance(30.0)
+
+        async def step_through_a_stall() -> None:
+            self.log.stall = anyio.Event()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.controller.step, self.sessions)
+                await anyio.sleep(0.5)
+                self.log.stall.set()
+            self.log.stall = None
+
+        anyio.run(step_through_a_stall)
+        self._step()
+        self.assertEqual(len(self.local.state.waves[1].chosen), 1)
+        self.assertEqual(len(self.client.maintained), 1)
+
     def test_worker_that_registers_early_does_not_end_maintenance(self) -> None:
         """The worker may have started before the maintenance began.
 
