Send waiting requests to the next leader at once and in their order

What callers saw: while the leader is lost, requests of an entry waited up to 1.2 s for the reply of a leader that others had replaced, and then reached the next one in any order. A configuration may be stored between two of them, so that an earlier request shows a newer version than a later one.

Cause: each request held its attempt to the end, and polled for a leader every 50 ms by itself.

Change: a request waits for the change of the leader, as one in a line; it leaves an attempt when another leader is known. While requests wait, the nodes are asked for the leader every 50 ms, as before.

--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -56,6 +56,8 @@
         self._is_ready = False
         self._confirmed_s: float | None = None
         self._wake = anyio.Event()
+        self._leader_changed = anyio.Event()
+        self._waiting_count = 0
 
     @property
     def leader_id(self) -> ids.EntryId | None:
@@ -82,7 +84,9 @@
         """Announces this node to the leader until cancelled."""
         while True:
             await self._announce()
-            with anyio.move_on_after(_ANNOUNCE_INTERVAL_S):
+            is_awaited = self._waiting_count > 0
+            interval_s = _RETRY_DELAY_S if is_awaited else _ANNOUNCE_INTERVAL_S
+            with anyio.move_on_after(interval_s):
                 await self._wake.wait()
             self._wake = anyio.Event()
 
@@ -103,10 +107,9 @@
                 return failure
             leader = self._leader
             if leader is None:
-                self._wake.set()
-                await self._timer.sleep_s(min(_RETRY_DELAY_S, remaining_s))
+                await self._wait_for_leader(remaining_s)
                 continue
-            reply = await self._links.request(
+            reply = await self._request_leader(
                 leader, message, min(remaining_s, _ATTEMPT_TIMEOUT_S)
             )
             if isinstance(reply, messages.NotLeader):
@@ -121,6 +124,39 @@
             else:
                 return reply
 
+    async def _wait_for_leader(self, timeout_s: float) -> None:
+        """Waits for a leader; the nodes are asked more often meanwhile."""
+        self._waiting_count += 1
+        self._wake.set()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await self._leader_changed.wait()
+        finally:
+            self._waiting_count -= 1
+
+    async def _request_leader(
+        self, leader: tuple[str, int], message: object, timeout_s: float
+    ) -> Any:
+        """Sends a request to a leader until another one is known.
+
+        Requests that wait are woken in the order of their arrival and sent over
+        one connection, so that the next leader decides them in that order.
+        """
+        reply: Any = errors.Failure(
+            errors.ErrorKind.UNDECIDED, "the leader changed before its reply"
+        )
+        async with anyio.create_task_group() as tasks:
+
+            async def cancel_after_change() -> None:
+                while self._leader in (None, leader):
+                    await self._leader_changed.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(cancel_after_change)
+            reply = await self._links.request(leader, message, timeout_s)
+            tasks.cancel_scope.cancel()
+        return reply
+
     def _follow_leader_hint(
         self, asked_address: tuple[str, int], leader_hint: ids.EntryId | None
     ) -> None:
@@ -147,8 +183,11 @@
             age_s = self.confirmed_age_s()
             age_ms = None if age_s is None else int(age_s * 1000)
             event_log.emit(LeaderContact(leader_id, self._leader_id, age_ms))
-        self._leader = address
         self._leader_id = leader_id
+        if address != self._leader:
+            self._leader = address
+            self._leader_changed.set()
+            self._leader_changed = anyio.Event()
 
     async def _announce(self) -> None:
         if self._leader is not None and await self._query_node(self._leader):
