Check a token's services when its command is applied

What callers saw: none reported; found by looking for the class of the incident in the product's own entries. All other commands there are checked when they are applied.

Cause: the entry compared a job's service with those of the token before the commit. The id of a removed job may be used again by another service of the firm until the command is applied.

Change: the envelope names the services, and the handlers of jobs check them.

Evidence: a test of test_admin_api gets 200 instead of 404 before, and passes now.

--- a/tarragoncleat/administration/admin_api.py
+++ b/tarragoncleat/administration/admin_api.py
@@ -267,6 +267,7 @@
             scope.role.value,
             if_match if isinstance(if_match, int) else None,
             command,
+            None if scope.services is None else tuple(sorted(scope.services)),
         )
         return await self._propose(envelope)
 
--- a/tarragoncleat/state/command_context.py
+++ b/tarragoncleat/state/command_context.py
@@ -107,6 +107,11 @@
         """Returns whether the actor may read and change a firm's objects."""
         return self.firm in (commands.ANY_FIRM, firm)
 
+    def covers_service(self, service_id: ids.ServiceId) -> bool:
+        """Returns whether the actor may change the jobs of a service."""
+        services = self._envelope.services
+        return services is None or service_id in services
+
     def check_owner(self, firm: ids.FirmId) -> errors.Failure | None:
         """Checks that the actor may create objects of a firm."""
         if self.may_access(firm):
--- a/tarragoncleat/state/commands.py
+++ b/tarragoncleat/state/commands.py
@@ -422,6 +422,9 @@
         if_match: Revision that the object must have; 0 means that it must not
             exist. None skips the check.
         command: The command.
+        services: Services whose jobs the sender may change; None for all of
+            its firm. A job's service may change until the command is applied,
+            because the id of a removed job may be used again.
     """
 
     command_id: ids.CommandId
@@ -430,6 +433,7 @@
     role: str
     if_match: int | None
     command: Annotated[Command, pydantic.Field(discriminator="kind")]
+    services: tuple[ids.ServiceId, ...] | None = None
 
 
 @codec.message("result")
--- a/tarragoncleat/state/job_handlers.py
+++ b/tarragoncleat/state/job_handlers.py
@@ -176,7 +176,7 @@
     context: command_context.CommandContext, job_id: ids.JobId
 ) -> jobs.Job | None:
     job = context.state.jobs.get(job_id)
-    if job is None:
+    if job is None or not context.covers_service(job.service_id):
         return None
     firm = context.state.firm_of_job(job)
     return job if context.may_access(firm) else None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -160,10 +160,12 @@
         self._driver = driver
         self.failure: errors.Failure | None = None
         self.before_read: Callable[[], None] = lambda: None
+        self.before_apply: Callable[[], None] = lambda: None
 
     async def propose(self, payload: bytes, timeout_s: float) -> Any:
         if self.failure is not None:
             return self.failure
+        self.before_apply()
         driver = self._driver
         driver.index += 1
         result = driver.fleet.apply(driver.index, driver.time_ms, payload)
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import hashlib
 import io
 import json
@@ -244,6 +245,39 @@
         self.assertEqual(reply.status, 200, reply.text)
         self.assertEqual(reply.body["value"]["cancelled"], ["j"])
 
+    def test_job_id_that_another_service_uses_by_now_is_not_cancelled(
+        self,
+    ) -> None:
+        """Guards against a cancellation beyond the services of a token.
+
+        The id belonged to a job of the token's service when the entry checked
+        it, and to one of another service when the command was applied.
+        """
+        job = jobs.Job(
+            ids.JobId("j"),
+            ids.ServiceId("service"),
+            None,
+            jobs.Demand(1.0, 100),
+            10.0,
+        )
+        self.driver.apply_ok(commands.SubmitJobs((job,)))
+
+        def reuse_id() -> None:
+            state = self.driver.fleet._state
+            other_id = ids.ServiceId("other-service")
+            service = state.services[job.service_id]
+            state.services[other_id] = dataclasses.replace(
+                service, service_id=other_id
+            )
+            state.put_job(
+                dataclasses.replace(state.jobs[job.job_id], service_id=other_id)
+            )
+
+        self.log.before_apply = reuse_id
+        reply = self.call("service-a", "DELETE", "/admin/v1/jobs/j")
+        self.assertEqual(reply.status, 404, reply.text)
+        self.assertFalse(self.driver.fleet.jobs[job.job_id].state.is_final)
+
 
 class CommandTest(_ApiTest):
     """Guards against lost or repeated commands and unclear errors."""
