Log a configuration as in force only if it was applied

The leader logged a version that a higher one in the log had overtaken as in force, so that the log contradicted the answers. A test of test_leader_service fails before and passes now.

--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -4,6 +4,8 @@
 import functools
 from typing import Any
 
+import msgpack
+
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
@@ -90,11 +92,12 @@
         result = await self._commit(commands.PutConfiguration(new))
         if isinstance(result, errors.Failure):
             return result
-        event_log.emit(
-            events.ConfigurationInForce(
-                new.version, len(new.queues), len(new.services)
+        if msgpack.unpackb(result.result):
+            event_log.emit(
+                events.ConfigurationInForce(
+                    new.version, len(new.queues), len(new.services)
+                )
             )
-        )
         return messages.Done()
 
     @_handle.register
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import events
 from tarragoncleat.batch import leader_service
 from tarragoncleat.batch import messages
 from tarragoncleat.kernel import errors
+from tarragoncleat.kernel import event_log
 from tests import batch_builders
 
 _PATH = f"{batch_builders.QUEUE.path_prefix}job-1"
@@ -138,6 +140,24 @@
         )
         self.assertEqual(self._submit().kind, errors.ErrorKind.UNDECIDED)
 
+    def test_overtaken_configuration_is_not_logged_as_in_force(self) -> None:
+        """Guards against a log that names a version which never applied.
+
+        A higher version is ahead of it in the log.
+        """
+        logged: list[Any] = []
+        event_log.subscribe(logged.append)
+        self._configure_next(3, "/bids/")
+        change = batch_builders.build_configuration(2)
+        answer = self._handle(messages.PutRequest(change))
+        self.assertIsInstance(answer, messages.Done)
+        in_force = [
+            event
+            for event in logged
+            if isinstance(event, events.ConfigurationInForce)
+        ]
+        self.assertEqual(in_force, [])
+
     def _register(self, worker_id: str) -> None:
         record = batch_builders.build_record(worker_id)
         self._handle(messages.Heartbeat(record, False, sequence=1))
