Move waves out of the batch state, and packing to the types

The module of the replicated state had grown to 550 lines. The leader's service uses LogNode.read where it repeated a barrier and a failure. No change of behaviour.

--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -25,10 +25,6 @@
 _COMMIT_TIMEOUT_S = 2.5
 
 
-def _not_found(reason: str) -> errors.Failure:
-    return errors.Failure(errors.ErrorKind.NOT_FOUND, reason)
-
-
 class LeaderService:
     """Handles the requests that reach the leader."""
 
@@ -86,9 +82,7 @@
     ) -> messages.Done | errors.Failure:
         current = self._state.configuration
         if current is not None and new.version <= current.version:
-            if not await self._node.read_barrier():
-                return _no_leader()
-            return messages.Done()
+            return await self._node.read(messages.Done)
         result = await self._commit(commands.PutConfiguration(new))
         if isinstance(result, errors.Failure):
             return result
@@ -199,7 +193,10 @@
         if isinstance(wave, errors.Failure):
             return wave
         if wave is None:
-            return _not_found(f"wave {request.wave} is not known")
+            return errors.Failure(
+                errors.ErrorKind.NOT_FOUND,
+                f"wave {request.wave} is not known",
+            )
         return messages.WaveReply(not wave.remaining)
 
     def _held_version(self) -> int | None:
@@ -226,9 +223,3 @@
         return await self._node.propose(
             codec.encode(command), _COMMIT_TIMEOUT_S
         )
-
-
-def _no_leader() -> errors.Failure:
-    return errors.Failure(
-        errors.ErrorKind.NO_LEADER, "this node may no longer be the leader"
-    )
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -174,6 +174,19 @@
         """Key of the queue."""
         return QueueKey(self.host, self.path_prefix)
 
+    def pack(self) -> list:
+        """Returns the policy for a snapshot."""
+        return list(dataclasses.astuple(self))
+
+    @classmethod
+    def unpack(cls, fields: list) -> "QueuePolicy":
+        """Restores a policy from the result of `pack`."""
+        names = [field.name for field in dataclasses.fields(cls)]
+        values = dict(zip(names, fields, strict=True))
+        if values["advice"] is not None:
+            values["advice"] = Advice(*values["advice"])
+        return cls(**values)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePolicy:
@@ -221,3 +234,15 @@
     def capacity(self) -> Resources:
         """Resources for tasks."""
         return Resources(self.cpu_millicores, self.memory_mb, self.accelerators)
+
+    def pack(self) -> list:
+        """Returns the record for a snapshot."""
+        return list(dataclasses.astuple(self))
+
+    @classmethod
+    def unpack(cls, fields: list) -> "WorkerRecord":
+        """Restores a record from the result of `pack`."""
+        names = [field.name for field in dataclasses.fields(cls)]
+        values = dict(zip(names, fields, strict=True))
+        values["labels"] = tuple(values["labels"])
+        return cls(**values)
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -3,7 +3,6 @@
 import collections
 import collections.abc
 from collections.abc import Iterator
-import dataclasses
 import enum
 import functools
 from typing import Any
@@ -13,10 +12,11 @@
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
+from tarragoncleat.batch import waves
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 
-__all__ = ["BatchState", "Wave", "Worker", "WorkerState"]
+__all__ = ["BatchState", "Worker", "WorkerState"]
 
 # Ended jobs stay readable for callers that poll for the result.
 _ENDED_JOB_RETENTION_MS = 180_000
@@ -70,29 +70,6 @@
         self.revision += 1
 
 
-@dataclasses.dataclass(slots=True)
-class Wave:
-    """Maintenance of a set of instances.
-
-    `chosen` maps each instance whose maintenance was or is about to be ordered
-    to the workers that were on it then. `begun` holds the instances whose
-    maintenance has certainly begun, or which have left the fleet.
-    """
-
-    number: int
-    instances: tuple[str, ...]
-    duration_ms: int
-    cap: int
-    requested_ms: int
-    chosen: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
-    begun: set[str] = dataclasses.field(default_factory=set)
-
-    @property
-    def remaining(self) -> list[str]:
-        """Instances whose maintenance has not begun."""
-        return [name for name in self.instances if name not in self.begun]
-
-
 class BatchState:
     """Replicated state; every replica applies the same commands in order."""
 
@@ -109,7 +86,7 @@
         # A delayed heartbeat must not register an ended incarnation again. A
         # dict serves as an ordered set.
         self._ended_workers: dict[str, None] = {}
-        self._waves: dict[int, Wave] = {}
+        self._waves: dict[int, waves.Wave] = {}
         self._time_ms = 0
         self._applied_count = 0
         self._ended_jobs: collections.deque[jobs_module.Job] = (
@@ -132,7 +109,7 @@
         return self._workers
 
     @property
-    def waves(self) -> dict[int, Wave]:
+    def waves(self) -> dict[int, waves.Wave]:
         """Maintenance waves by number."""
         return self._waves
 
@@ -386,7 +363,7 @@
     def _start_wave(self, command: commands.StartWave) -> object:
         if command.wave in self._waves:
             return False
-        self._waves[command.wave] = Wave(
+        self._waves[command.wave] = waves.Wave(
             command.wave,
             command.instances,
             command.duration_ms,
@@ -467,7 +444,7 @@
                 self._applied_count,
                 [codec.encode(item) for item in configurations],
                 [
-                    [list(key), _pack_queue(queue)]
+                    [list(key), queue.pack()]
                     for key, queue in self._previous_queues.items()
                 ],
                 [
@@ -475,10 +452,10 @@
                     for job in self._jobs.values()
                 ],
                 [
-                    [dataclasses.astuple(worker.record), worker.state.value]
+                    [worker.record.pack(), worker.state.value]
                     for worker in self._workers.values()
                 ],
-                [list(_pack_wave(wave)) for wave in self._waves.values()],
+                [wave.pack() for wave in self._waves.values()],
                 list(self._ended_workers),
             ]
         )
@@ -493,9 +470,10 @@
         for encoded in values[2]:
             self._set_configuration(codec.decode(encoded))
         for key, packed in values[3]:
-            self._previous_queues[model.QueueKey(*key)] = _unpack_queue(packed)
+            queue = model.QueuePolicy.unpack(packed)
+            self._previous_queues[model.QueueKey(*key)] = queue
         for record, state in values[5]:
-            worker = Worker(_unpack_worker(record))
+            worker = Worker(model.WorkerRecord.unpack(record))
             worker.state = WorkerState(state)
             self._add_worker(worker)
         for definition, packed in values[4]:
@@ -503,11 +481,8 @@
                 jobs_module.Job.unpack(packed, codec.decode(definition))
             )
         for packed in values[6]:
-            wave = Wave(packed[0], tuple(packed[1]), *packed[2:5])
-            wave.chosen = {name: tuple(ids) for name, ids in packed[5]}
-            wave.begun = set(packed[6])
+            wave = waves.Wave.unpack(packed)
             self._waves[wave.number] = wave
-
         self._ended_workers = dict.fromkeys(values[7])
 
     def _restore_job(self, job: jobs_module.Job) -> None:
@@ -525,32 +500,3 @@
             located = self.task(key)
             if located is not None:
                 yield located[2]
-
-
-def _pack_queue(queue: model.QueuePolicy) -> list:
-    return list(dataclasses.astuple(queue))
-
-
-def _unpack_queue(packed: list) -> model.QueuePolicy:
-    names = [field.name for field in dataclasses.fields(model.QueuePolicy)]
-    values = dict(zip(names, packed, strict=True))
-    if values["advice"] is not None:
-        values["advice"] = model.Advice(*values["advice"])
-    return model.QueuePolicy(**values)
-
-
-def _unpack_worker(packed: list) -> model.WorkerRecord:
-    names = [field.name for field in dataclasses.fields(model.WorkerRecord)]
-    values = dict(zip(names, packed, strict=True))
-    values["labels"] = tuple(values["labels"])
-    return model.WorkerRecord(**values)
-
-
-def _pack_wave(wave: Wave) -> Iterator[Any]:
-    yield wave.number
-    yield list(wave.instances)
-    yield wave.duration_ms
-    yield wave.cap
-    yield wave.requested_ms
-    yield sorted(wave.chosen.items())
-    yield sorted(wave.begun)
--- a/tarragoncleat/batch/wave_controller.py
+++ b/tarragoncleat/batch/wave_controller.py
@@ -10,6 +10,7 @@
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import waves
 from tarragoncleat.batch import worker_session
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
@@ -139,7 +140,7 @@
             del self._draining_since_s[instance]
 
     async def _step_wave(
-        self, wave: state_module.Wave, by_instance: worker_session.Sessions
+        self, wave: waves.Wave, by_instance: worker_session.Sessions
     ) -> None:
         self._start_draining(wave, by_instance)
         for instance in wave.remaining:
@@ -152,7 +153,7 @@
                     await self._record_and_order(wave, instance)
 
     def _start_draining(
-        self, wave: state_module.Wave, by_instance: worker_session.Sessions
+        self, wave: waves.Wave, by_instance: worker_session.Sessions
     ) -> None:
         """Starts to drain instances, those with the fewest tasks first."""
         is_urgent = self._is_urgent(wave)
@@ -209,7 +210,7 @@
         waited_s = self._work_waited_s.get(session.record.service, -math.inf)
         return self._timer.monotonic_s() - waited_s < _PEAK_HOLD_S
 
-    def _is_urgent(self, wave: state_module.Wave) -> bool:
+    def _is_urgent(self, wave: waves.Wave) -> bool:
         """Whether the wave would be late if it waited longer."""
         rounds = math.ceil(len(wave.remaining) / wave.cap)
         round_s = self._bounds.maintenance_ms / _MS_PER_S + _ROUND_OVERHEAD_S
@@ -220,7 +221,7 @@
         return left_ms / _MS_PER_S <= needed_s
 
     def _idle_limit(
-        self, wave: state_module.Wave, by_instance: worker_session.Sessions
+        self, wave: waves.Wave, by_instance: worker_session.Sessions
     ) -> int:
         """Returns how many more idle instances may start to drain."""
         idle_draining_count = sum(
@@ -275,7 +276,7 @@
         worker = self._state.workers.get(session.record.worker_id)
         return len(worker.tasks) if worker is not None else 0
 
-    def _down_count(self, wave: state_module.Wave) -> int:
+    def _down_count(self, wave: waves.Wave) -> int:
         """Returns the number of instances that are down for a wave."""
         registered = {
             worker.record.instance for worker in self._state.workers.values()
@@ -364,7 +365,7 @@
 
     async def _record_and_order(
         self,
-        wave: state_module.Wave,
+        wave: waves.Wave,
         instance: str,
     ) -> None:
         chosen = commands.RecordMaintenance(
@@ -376,7 +377,7 @@
 
     async def _order_maintenance(
         self,
-        wave: state_module.Wave,
+        wave: waves.Wave,
         instance: str,
     ) -> None:
         failure = await self._client.maintain(
@@ -396,7 +397,7 @@
         self._log_order(wave, instance, None)
 
     def _log_order(
-        self, wave: state_module.Wave, instance: str, refused: str | None
+        self, wave: waves.Wave, instance: str, refused: str | None
     ) -> None:
         event_log.emit(
             events.MaintenanceOrdered(
