Prove the order of arrival in the tests of stalled commits by the log

Once the entry didn't listen yet. Once a job was accepted on the dropped route, because it had reached the leader before the configuration, 0.1 s after it was sent; that answer is right.

Change: configuration_answered and job_cancelled say how long the request waited at the leader, as job_accepted does, so that the log shows the order of arrival. The tests count a round only if the log shows the requests behind the configuration, and wait until the entry knows the leader. They try up to 40 rounds for three.

--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -101,10 +101,14 @@
 @event_log.event("job_cancelled", _HIGH)
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobCancelled:
-    """A job's cancellation is stored."""
+    """A job's cancellation is stored.
+
+    `waited_ms` is the time from the request's arrival at the leader.
+    """
 
     job: str
     was_known: bool
+    waited_ms: int
 
 
 @event_log.event("job_ended", _HIGH)
@@ -204,6 +208,7 @@
         held: Version in force at the time of the answer, or None.
         term: Term of the leader.
         failure: Reason of the failure, or None.
+        waited_ms: Time from the request's arrival at the leader.
     """
 
     method: str
@@ -211,6 +216,7 @@
     held: int | None
     term: int
     failure: str | None
+    waited_ms: int
 
 
 @event_log.event("queue_answered", _LOW)
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -121,12 +121,12 @@
             if isinstance(decision, errors.Failure):
                 return decision
             if decision is commands.JobDecision.STORED:
-                event_log.emit(events.JobCancelled(job_id, was_known=True))
+                self._log_cancelled(job_id, True, arrived_s)
                 return messages.Done()
             # A job that is not known has no queue that the state could check.
             found = self._find_target(request.host, request.path)
             if _is_same_queue(found.queue, target.queue):
-                event_log.emit(events.JobCancelled(job_id, was_known=False))
+                self._log_cancelled(job_id, False, arrived_s)
                 return messages.JobReply(None)
         return _unstable_route()
 
@@ -230,6 +230,12 @@
             )
         )
 
+    def _log_cancelled(
+        self, job_id: str, was_known: bool, arrived_s: float
+    ) -> None:
+        waited_ms = self._waited_ms(arrived_s)
+        event_log.emit(events.JobCancelled(job_id, was_known, waited_ms))
+
     def _log_queue(
         self, host: str, path: str, target: _Target, arrived_s: float
     ) -> None:
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -23,6 +23,7 @@
 __all__ = ["LeaderService"]
 
 _COMMIT_TIMEOUT_S = 2.5
+_MS_PER_S = 1000
 
 
 class LeaderService:
@@ -45,6 +46,7 @@
         """
         self._node = node
         self._state = state
+        self._timer = timer
         self._jobs = job_service.JobService(node, state, timer)
         self._dispatcher = dispatcher
 
@@ -73,8 +75,10 @@
 
     @_handle.register
     async def _put_configuration(self, request: messages.PutRequest) -> Any:
-        result = await self._store_configuration(request.configuration)
-        self._log_configuration("PUT", request.configuration.version, result)
+        arrived_s = self._timer.monotonic_s()
+        new = request.configuration
+        result = await self._store_configuration(new)
+        self._log_configuration("PUT", new.version, result, arrived_s)
         return result
 
     async def _store_configuration(
@@ -99,8 +103,9 @@
         self, request: messages.ReadConfigurationRequest
     ) -> Any:
         del request
+        arrived_s = self._timer.monotonic_s()
         result = await self._read_latest_configuration()
-        self._log_configuration("GET", None, result)
+        self._log_configuration("GET", None, result, arrived_s)
         return result
 
     async def _read_latest_configuration(
@@ -204,7 +209,11 @@
         return configuration.version if configuration is not None else None
 
     def _log_configuration(
-        self, method: str, version: int | None, result: object
+        self,
+        method: str,
+        version: int | None,
+        result: object,
+        arrived_s: float,
     ) -> None:
         failure = result.reason if isinstance(result, errors.Failure) else None
         event_log.emit(
@@ -214,6 +223,7 @@
                 self._held_version(),
                 self._node.term,
                 failure,
+                int((self._timer.monotonic_s() - arrived_s) * _MS_PER_S),
             )
         )
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -34,6 +34,8 @@
 _WAIT_S = 40.0
 _POLL_S = 0.05
 _LOG_LINES = 40
+_OK = 200
+_NO_LEADER = 503
 _SETTINGS = """\
 node-name={name}
 ip-address={host}
@@ -230,17 +232,33 @@
         """Sends a request in the background."""
         return PendingAnswer(lambda: self.call(name, method, path, body))
 
-    def put_routes(self, name: str, version: int, *routes: str) -> Answer:
+    def put_routes(self, name: str, version: int, *routes: str) -> None:
         """Puts a configuration with these routes, until it is acknowledged."""
         body = build_configuration(version, *routes)
+        self.call_until_ok(name, "PUT", "/config", body)
+
+    def call_until_ok(
+        self, name: str, method: str, path: str, body: Mapping[str, Any]
+    ) -> None:
+        """Repeats a request until it succeeds."""
+        deadline_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(OSError):
+                if self.call(name, method, path, body).status == _OK:
+                    return
+            time.sleep(_POLL_S)
+        raise AssertionError(f"{method} {path} did not succeed")
+
+    def wait_ready(self) -> None:
+        """Waits until the entry knows the leader."""
         deadline_s = time.monotonic() + _WAIT_S
         while time.monotonic() < deadline_s:
             with contextlib.suppress(OSError):
-                answer = self.call(name, "PUT", "/config", body)
-                if answer.status == 200:
-                    return answer
+                path = "/no-queue/"
+                if self.call("front-1", "GET", path).status != _NO_LEADER:
+                    return
             time.sleep(_POLL_S)
-        raise AssertionError(f"version {version} was not acknowledged")
+        raise AssertionError("the entry found no leader")
 
     def print_logs(self) -> None:
         """Prints the end of each log after a failed test."""
@@ -256,7 +274,9 @@
         group = Group(pathlib.Path(folder), subnet)
         try:
             group.start()
-            group.wait_leader()
+            leader, _ = group.wait_leader()
+            group.put_routes(leader, 1, "first")
+            group.wait_ready()
             yield group
         except BaseException:
             group.print_logs()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -10,9 +10,30 @@
 # A follower that is paused for longer than this elects a new leader.
 _STALL_S = 0.45
 _AHEAD_S = 0.1
-_ROUNDS = 6
+_ROUNDS = 3
+_MAX_ATTEMPTS = 40
+# The commit was not decided in time, and nothing was done.
+_UNDECIDED = (503, 504)
 _JOB = {"spec": "x", "steps": [{"count": 1, "cpu": 500, "mem-mb": 64}]}
-_JOB_ID = "5c0e7a21d94b36f8"
+
+
+def _answers(group: platform_rig.Group, leader: str) -> list[dict[str, Any]]:
+    """Returns the leader's answers to callers, as it logged them."""
+    return [
+        row
+        for event in ("job_accepted", "job_cancelled", "queue_answered")
+        for row in group.events(leader, event)
+    ]
+
+
+def _arrival_ms(rows: list[dict[str, Any]], **fields: Any) -> int:
+    """Returns when the latest answer with one of these fields was requested."""
+    arrivals = [
+        row["time_ms"] - row["waited_ms"]
+        for row in rows
+        if any(row.get(name) == value for name, value in fields.items())
+    ]
+    return max(arrivals)
 
 
 class StalledCommitTest(unittest.TestCase):
@@ -28,48 +49,57 @@
 
         Returns:
             The answers on the dropped and on the added route; None if the
-            leader changed or an answer didn't wait for the commit, so that the
-            requests may not have been behind the configuration.
+            leader changed, a request was not decided, or the leader's log
+            doesn't show that both were behind the configuration.
         """
         old, new = f"old-{version}", f"new-{version}"
+        job_id = f"{version:016x}"
         leader, term = group.wait_leader()
         group.put_routes(leader, version, old)
-        path = f"/{old}/{_JOB_ID}"
+        path = f"/{old}/{job_id}"
         if method == "DELETE":
-            stored = group.call("front-1", "POST", path, _JOB)
-            self.assertEqual(stored.status, 200)
+            group.call_until_ok("front-1", "POST", path, _JOB)
         followers = [name for name in group.control_names if name != leader]
         group.signal(signal.SIGSTOP, *followers)
         fields = platform_rig.build_configuration(version + 1, new)
         change = group.send(leader, "PUT", "/config", fields)
         time.sleep(_AHEAD_S)
-        on_added = group.send("front-1", "POST", f"/{new}/{_JOB_ID}a", _JOB)
+        added_path = f"/{new}/{job_id}a"
+        on_added = group.send("front-1", "POST", added_path, _JOB)
         on_dropped = group.send("front-1", method, path, body)
         time.sleep(_STALL_S - _AHEAD_S)
-        early = [change.is_answered, on_added.is_answered]
-        resumed_s = time.monotonic()
         group.signal(signal.SIGCONT, *followers)
         answers = on_dropped.wait(), on_added.wait()
-        was_stalled = not any(early) and answers[0].at_s > resumed_s
-        is_confirmed = change.wait().status == 200
-        if (
-            was_stalled
-            and is_confirmed
-            and group.leadership() == (leader, term)
-        ):
-            return answers
-        return None
+        is_decided = change.wait().status == 200 and not any(
+            answer.status in _UNDECIDED for answer in answers
+        )
+        if not is_decided or group.leadership() != (leader, term):
+            return None
+        put_ms = _arrival_ms(
+            group.events(leader, "configuration_answered"), version=version + 1
+        )
+        arrivals_ms = [
+            _arrival_ms(_answers(group, leader), path=path, job=job_id),
+            _arrival_ms(
+                _answers(group, leader), path=added_path, job=f"{job_id}a"
+            ),
+        ]
+        return answers if put_ms < min(arrivals_ms) else None
 
     def _stalled_answers(
         self, subnet: int, method: str, body: Any
     ) -> list[tuple[platform_rig.Answer, platform_rig.Answer]]:
-        """Returns the answers of each round in which the commit stalled."""
+        """Returns the answers of rounds in which the commit stalled."""
+        answers = []
         with platform_rig.run_group(subnet) as group:
-            rounds = [
-                self._answers_in_stall(group, 10 * number, method, body)
-                for number in range(1, _ROUNDS + 1)
-            ]
-        answers = [round_ for round_ in rounds if round_ is not None]
+            for number in range(1, _MAX_ATTEMPTS + 1):
+                in_stall = self._answers_in_stall(
+                    group, 10 * number, method, body
+                )
+                if in_stall is not None:
+                    answers.append(in_stall)
+                if len(answers) == _ROUNDS:
+                    break
         self.assertTrue(answers, "no round stalled the commit")
         return answers
 
