Let late work give way to a pool that lacks instances

Cause: late jobs got all the room of their pool, so that none of its workers became idle and could move, though late jobs have lost nearly all of their value and those of the other pool had not.

Change: the steps in time of all services are placed first. While another service lacks instances for tasks that fit on some worker, late work gets only workers with tasks that last, which can't move. A pool with late work that waits returns no instance to the spare pool. Without a spare pool nothing changes, because no instance moves there.

--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -31,6 +31,11 @@
     step: jobs_module.Step
     placed_count: int = 0
 
+    @property
+    def unplaced_count(self) -> int:
+        """Number of tasks without a worker."""
+        return len(self.step.waiting) - self.placed_count
+
 
 @dataclasses.dataclass(slots=True)
 class Plan:
@@ -73,15 +78,84 @@
     for service, steps in ready.items():
         steps.sort(key=lambda ready_step: ready_step.order)
         result.demands[service] = _plan_service(
-            steps,
+            [step for step in steps if step.can_meet_objective],
             views.get(service, ()),
             default_instance_millicores,
             approval_cache,
             result.starts,
         )
+    late = {
+        service: [step for step in steps if not step.can_meet_objective]
+        for service, steps in ready.items()
+    }
+    if any(late.values()):
+        _record_placeable(ready, views, result.demands)
+        lacking = _lacking_services(state, result.demands)
+        for service, steps in late.items():
+            _place_late_steps(
+                steps,
+                views.get(service, ()),
+                bool(lacking - {service}),
+                approval_cache,
+                result.starts,
+                result.demands[service],
+            )
     return result
 
 
+def _place_late_steps(
+    steps: Sequence[_ReadyStep],
+    views: Sequence[worker_views.WorkerView],
+    gives_way: bool,
+    approval_cache: advice.ApprovalCache | None,
+    starts: list[commands.RunStart],
+    demand: pool_sizing.Demand,
+) -> None:
+    """Starts steps of late jobs, and updates the service's load.
+
+    With `gives_way` they get only workers with long-running tasks: the others
+    can move, once they are idle, to a pool that lacks instances.
+    """
+    workers = views
+    if gives_way:
+        workers = [view for view in views if view.long_running_tasks]
+    _place_steps(steps, workers, approval_cache, starts)
+    demand.late_millicores = _unplaced_millicores(steps)
+    _update_used(demand, views)
+
+
+def _record_placeable(
+    ready: dict[str, list[_ReadyStep]],
+    views: dict[str, list[worker_views.WorkerView]],
+    demands: dict[str, pool_sizing.Demand],
+) -> None:
+    """Sets the part of each service's unplaced demand that fits somewhere."""
+    records = [view.record for workers in views.values() for view in workers]
+    for service, steps in ready.items():
+        demands[service].placeable_millicores = _unplaced_millicores(
+            step for step in steps if _is_placeable(step, records)
+        )
+
+
+def _lacking_services(
+    state: state_module.BatchState, demands: dict[str, pool_sizing.Demand]
+) -> set[str]:
+    """Returns the services that need instances of other pools for their work.
+
+    Without a spare pool no instance moves.
+    """
+    configuration = state.configuration
+    if configuration is None or not any(
+        service.is_spare for service in configuration.services
+    ):
+        return set()
+    return {
+        service
+        for service, demand in demands.items()
+        if pool_sizing.lacks_instances(demand)
+    }
+
+
 def _largest_worker_millicores(
     views: dict[str, list[worker_views.WorkerView]],
 ) -> int:
@@ -103,7 +177,7 @@
     approval_cache: advice.ApprovalCache | None,
     starts: list[commands.RunStart],
 ) -> pool_sizing.Demand:
-    """Adds one service's starts to `starts` and returns its remaining load.
+    """Starts the steps in time of a service and returns its remaining load.
 
     If the service has no workers, `default_instance_millicores` is the assumed
     size of its instances.
@@ -112,6 +186,59 @@
         views[0].record.cpu_millicores if views else default_instance_millicores
     )
     demand = pool_sizing.Demand(instance_millicores=instance_millicores)
+    _place_steps(steps, views, approval_cache, starts)
+    demand.unplaced_millicores = _unplaced_millicores(steps)
+    demand.unplaced_long_running = sum(
+        ready_step.unplaced_count
+        for ready_step in steps
+        if ready_step.step.definition.long_running
+    )
+    _update_used(demand, views)
+    return demand
+
+
+def _is_placeable(
+    ready_step: _ReadyStep, records: Sequence[model.WorkerRecord]
+) -> bool:
+    """Whether a step in time has unplaced tasks that fit on some worker."""
+    if not (ready_step.can_meet_objective and ready_step.unplaced_count):
+        return False
+    definition = ready_step.step.definition
+    label = definition.required_label
+    return any(
+        definition.demand.fits_into(record.capacity)
+        and (not label or label in record.labels)
+        for record in records
+    )
+
+
+def _unplaced_millicores(steps: Iterable[_ReadyStep]) -> int:
+    return sum(
+        ready_step.unplaced_count
+        * ready_step.step.definition.demand.cpu_millicores
+        for ready_step in steps
+    )
+
+
+def _update_used(
+    demand: pool_sizing.Demand, views: Sequence[worker_views.WorkerView]
+) -> None:
+    """Sets the used and the free capacity of a service's workers."""
+    demand.free_millicores = sum(
+        view.free.cpu_millicores for view in views if view.is_schedulable
+    )
+    demand.used_millicores = sum(
+        view.record.cpu_millicores - view.free.cpu_millicores for view in views
+    )
+
+
+def _place_steps(
+    steps: Sequence[_ReadyStep],
+    views: Sequence[worker_views.WorkerView],
+    approval_cache: advice.ApprovalCache | None,
+    starts: list[commands.RunStart],
+) -> None:
+    """Adds the starts of steps, which are in the order of their ranks."""
     workers = [view for view in views if view.is_schedulable]
     # Under overload nearly all workers are full and hundreds of steps wait, so
     # full workers are skipped; checking them for each step would take all of
@@ -131,19 +258,6 @@
             starts.extend(placed)
             ready_step.placed_count = len(placed)
             candidates = _with_free_capacity(candidates, min_demand)
-    for ready_step in steps:
-        if ready_step.can_meet_objective:
-            definition = ready_step.step.definition
-            unplaced = len(ready_step.step.waiting) - ready_step.placed_count
-            cpu = definition.demand.cpu_millicores
-            demand.unplaced_millicores += unplaced * cpu
-            if definition.long_running:
-                demand.unplaced_long_running += unplaced
-    demand.free_millicores = sum(view.free.cpu_millicores for view in workers)
-    demand.used_millicores = sum(
-        view.record.cpu_millicores - view.free.cpu_millicores for view in views
-    )
-    return demand
 
 
 def _min_demand(steps: Sequence[_ReadyStep]) -> model.Resources:
--- a/tarragoncleat/batch/pool_rebalancer.py
+++ b/tarragoncleat/batch/pool_rebalancer.py
@@ -283,7 +283,12 @@
             self._service_to_grow(demands, instance) if is_healthy else None
         )
         idle_s = now_s - self._idle_since_s[instance]
-        if target_pool is None and idle_s >= _IDLE_BEFORE_RETURN_S:
+        may_return = (
+            idle_s >= _IDLE_BEFORE_RETURN_S
+            # Late work that gives way to other pools needs the instance soon.
+            and not demand.late_millicores
+        )
+        if target_pool is None and may_return:
             target_pool = spare_pool
         if target_pool is None or target_pool == service:
             self._pending_moves.pop(instance, None)
--- a/tarragoncleat/batch/pool_sizing.py
+++ b/tarragoncleat/batch/pool_sizing.py
@@ -13,6 +13,7 @@
     "can_release_instance",
     "Demand",
     "instance_shortage",
+    "lacks_instances",
     "LoadTrend",
     "service_to_grow",
 ]
@@ -34,6 +35,10 @@
         unplaced_millicores: Demand of ready tasks without a worker, whose jobs
             can still meet their objectives.
         unplaced_long_running: Number of long-running tasks among them.
+        placeable_millicores: The part of the unplaced demand whose tasks fit
+            on some worker.
+        late_millicores: Demand of ready tasks without a worker, whose jobs are
+            late. No instance is moved to the service for them.
         used_millicores: Demand of the placed tasks.
         free_millicores: Free capacity of the schedulable workers.
         instance_millicores: Size of one of the service's instances.
@@ -41,6 +46,8 @@
 
     unplaced_millicores: int = 0
     unplaced_long_running: int = 0
+    placeable_millicores: int = 0
+    late_millicores: int = 0
     used_millicores: int = 0
     free_millicores: int = 0
     instance_millicores: int = 1
@@ -95,6 +102,13 @@
     return max(instances, demand.unplaced_long_running) - arriving
 
 
+def lacks_instances(demand: Demand) -> bool:
+    """Whether work of a service has no room, beyond what its workers have."""
+    missing_millicores = demand.placeable_millicores - demand.free_millicores
+    instances = missing_millicores / max(1, demand.instance_millicores)
+    return instances > _MIN_SHORTAGE_INSTANCES
+
+
 def can_release_instance(demand: Demand, growth_millicores: int) -> bool:
     """Whether a service can release one of its idle instances."""
     instance_millicores = demand.instance_millicores
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -273,6 +273,10 @@
     """
 
     def setUp(self) -> None:
+        self._configure(model.ServicePolicy("spare", True, True))
+
+    def _configure(self, *services: model.ServicePolicy) -> None:
+        """Sets up two queues with their services, and further services."""
         self.local = batch_builders.LocalState()
         first = batch_builders.build_configuration(2)
         second = batch_builders.build_configuration(
@@ -284,12 +288,27 @@
                     2,
                     b"{}",
                     first.queues + second.queues,
-                    first.services + second.services,
+                    first.services + second.services + services,
                 )
             )
         )
         self.alerts = second.queues[0].key
 
+    def _plan_with_late_and_in_time_work(self) -> placement.Plan:
+        self.local.submit("late-job")
+        self.local.time_ms += 60_000
+        definition = batch_builders.build_job(batch_builders.build_step(4))
+        self.local.apply(
+            commands.SubmitJob("in-time-job", self.alerts, definition)
+        )
+        state = self.local.state
+        views = worker_views.build_views(
+            state, dict.fromkeys(state.workers, 0.0)
+        )
+        plan = placement.plan(state, views, self.local.time_ms)
+        self.assertGreater(plan.demands["alerting"].unplaced_millicores, 0)
+        return plan
+
     def test_late_work_leaves_instances_to_a_pool_that_lacks_them(self) -> None:
         """Guards against late jobs that hold instances for in-time ones.
 
@@ -298,17 +317,38 @@
         460 to 1,200 cores of work without room.
         """
         self.local.register("w-1")
+        plan = self._plan_with_late_and_in_time_work()
+        self.assertEqual(plan.starts, [])
+
+    def test_late_work_runs_beside_tasks_that_last(self) -> None:
+        """Guards against idle capacity of workers that can't move anyway."""
+        self.local.register("w-1", "w-2")
+        step = batch_builders.build_step(1, long_running=True)
+        self.local.submit("service", step)
+        self.local.start(batch_builders.task_key("service"))
+        plan = self._plan_with_late_and_in_time_work()
+        self.assertEqual([start.worker_id for start in plan.starts], ["w-1"])
+
+    def test_late_work_runs_beside_work_that_fits_on_no_worker(self) -> None:
+        """Guards against late jobs that wait for a job that can never run."""
+        self.local.register("w-1")
         self.local.submit("late-job")
         self.local.time_ms += 60_000
-        definition = batch_builders.build_job(batch_builders.build_step(4))
+        step = batch_builders.build_step(4, cpu_millicores=900_000)
+        definition = batch_builders.build_job(step)
         self.local.apply(
             commands.SubmitJob("in-time-job", self.alerts, definition)
         )
-        state = self.local.state
-        views = worker_views.build_views(state, {"w-1": 0.0})
-        plan = placement.plan(state, views, self.local.time_ms)
-        self.assertGreater(plan.demands["alerting"].unplaced_millicores, 0)
-        self.assertEqual(plan.starts, [])
+        views = worker_views.build_views(self.local.state, {"w-1": 0.0})
+        plan = placement.plan(self.local.state, views, self.local.time_ms)
+        self.assertEqual(len(plan.starts), 1)
+
+    def test_late_work_runs_where_no_instance_can_move(self) -> None:
+        """Guards against idle capacity without a spare pool."""
+        self._configure()
+        self.local.register("w-1")
+        plan = self._plan_with_late_and_in_time_work()
+        self.assertEqual(len(plan.starts), 1)
 
 
 class PacingTest(unittest.TestCase):
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -154,7 +154,12 @@
         """Replicates a command."""
         return await self.commit(command)
 
-    def _step(self, unplaced_cores: int = 0, free_cores: int = 6) -> None:
+    def _step(
+        self,
+        unplaced_cores: int = 0,
+        free_cores: int = 6,
+        late_cores: int = 0,
+    ) -> None:
         sessions = {
             worker_id: _FakeSession(worker.record)
             for worker_id, worker in self.local.state.workers.items()
@@ -163,6 +168,7 @@
             "bidding": _demand(
                 unplaced_millicores=unplaced_cores * _CORES,
                 free_millicores=free_cores * _CORES,
+                late_millicores=late_cores * _CORES,
             ),
             "other": _demand(free_millicores=99 * _CORES),
         }
@@ -191,6 +197,20 @@
         self.assertEqual(self.client.moved[1:], [("spare-1", "spares")])
         self.assertNotIn("w-9", self.local.state.workers)
 
+    def test_idle_instance_stays_while_late_work_of_its_pool_waits(
+        self,
+    ) -> None:
+        """Guards against late work that finds its instances switched off.
+
+        It gives way only as long as another pool lacks instances.
+        """
+        self.client.instances = ()
+        self.local.register("w-9", instance="spare-1")
+        for _ in range(15):
+            self.timer.advance(0.2)
+            self._step(0, free_cores=99, late_cores=8)
+        self.assertEqual(self.client.moved, [])
+
     def test_idle_instance_moves_where_work_waits(self) -> None:
         """Guards against idle pools beside an overloaded one."""
         self.client.instances = ()
