Expect the growth of a pool's load over the time of a move

What callers saw: the first seconds of each peak are served worst.

Cause: the reserve for growth covers the growth of one second, but an instance works only 1.8 s after it was chosen: a move of 1.5 s, the round before it, and its registration and first report.

Change: the growth is expected at the rate of the last second for that time.

A test of test_pool_rebalancer has a new parameter and fails before for that alone.

--- a/tarragoncleat/batch/pool_rebalancer.py
+++ b/tarragoncleat/batch/pool_rebalancer.py
@@ -27,6 +27,9 @@
 _IDLE_BEFORE_RETURN_S = 0.6
 # Maximum time from the end of a move to the registration of the worker.
 _REGISTRATION_TIMEOUT_S = 1.5
+# Time before and after a move until its instance works: the round that plans
+# it, and its worker's registration and first report.
+_START_DELAY_S = 0.3
 # A move whose request was not answered may still take effect within this time.
 _UNANSWERED_MOVE_S = 4.0
 # Share of the platform's call limit for moves; the rest is for maintenance.
@@ -86,7 +89,9 @@
         self._calls_per_s = bounds.instance_calls_per_s * _CALLS_SHARE
         self._call_tokens = self._calls_per_s
         self._tokens_refilled_s = timer.monotonic_s()
-        self._trend = pool_sizing.LoadTrend()
+        self._trend = pool_sizing.LoadTrend(
+            bounds.move_ms / _MS_PER_S + _START_DELAY_S
+        )
         self._spare: set[str] = set()
         self._listed_s = -math.inf
         self._has_shortage = False
--- a/tarragoncleat/batch/pool_sizing.py
+++ b/tarragoncleat/batch/pool_sizing.py
@@ -18,7 +18,7 @@
     "service_to_grow",
 ]
 
-# The load is expected to grow as much as in the last window of this length.
+# The load is expected to grow as fast as in the last window of this length.
 _TREND_WINDOW_S = 1.0
 # Minimum shortage, in instances, for which an instance is moved.
 _MIN_SHORTAGE_INSTANCES = 0.5
@@ -61,8 +61,13 @@
 class LoadTrend:
     """Recent growth of the load of each service."""
 
-    def __init__(self) -> None:
-        """Creates a trend without samples."""
+    def __init__(self, lead_s: float = _TREND_WINDOW_S) -> None:
+        """Creates a trend without samples.
+
+        Args:
+            lead_s: Time from the decision to move an instance until it works.
+        """
+        self._lead_s = lead_s
         self._samples: dict[str, collections.deque[tuple[float, int]]] = {}
 
     def record_demands(
@@ -76,11 +81,12 @@
                 samples.popleft()
 
     def growth_millicores(self, service: str) -> int:
-        """Returns the growth of the load in the window; 0 if it fell."""
+        """Returns the growth expected in the lead time; 0 if the load fell."""
         samples = self._samples.get(service)
         if not samples:
             return 0
-        return max(0, samples[-1][1] - samples[0][1])
+        growth = max(0, samples[-1][1] - samples[0][1])
+        return int(growth * self._lead_s / _TREND_WINDOW_S)
 
 
 def instance_shortage(
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -53,6 +53,17 @@
             best = pool_sizing.service_to_grow(demands, self.trend, arriving)
             self.assertEqual(best, chosen)
 
+    def test_growth_covers_the_time_until_an_instance_works(self) -> None:
+        """Guards against a pool that lags behind its peak by one move.
+
+        Load pattern: the load grows steadily for longer than a move takes.
+        """
+        trend = pool_sizing.LoadTrend(lead_s=1.8)
+        for second, used in enumerate((10, 20, 30)):
+            demand = _demand(used_millicores=used * _CORES)
+            trend.record_demands({"a": demand}, second * 0.5)
+        self.assertEqual(trend.growth_millicores("a"), 36 * _CORES)
+
     def test_growing_service_gets_instances_before_work_waits(self) -> None:
         """An instance would arrive too late for work that already waits."""
         for second, used in enumerate((4, 12, 28)):
