Pause between attempts to reach a leader that only others reach

Cause: the other nodes of the zone still name the leader. Each failed query cleared it and woke the next round of queries at once. Since requests wait for the change of the leader instead of polling, they were sent again at that rate, too.

Change: a request waits 50 ms after a failed attempt, as it did before, and a round of queries follows the last one after 20 ms at the least.

Evidence: a test of test_leader_finder with a leader that only others reach, over 1 s and three requests: 978 requests before, 66 allowed; with the first part alone 1,582 rounds of queries, 132 allowed; both pass now.

--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -20,6 +20,7 @@
 _QUERY_TIMEOUT_S = 0.5
 _ATTEMPT_TIMEOUT_S = 1.2
 _RETRY_DELAY_S = 0.05
+_MIN_ANNOUNCE_INTERVAL_S = 0.02
 _MAX_KNOWN_ADDRESSES = 64
 
 
@@ -88,6 +89,9 @@
             interval_s = _RETRY_DELAY_S if is_awaited else _ANNOUNCE_INTERVAL_S
             with anyio.move_on_after(interval_s):
                 await self._wake.wait()
+            # Also when it is woken: a leader that others name but that can't be
+            # reached is lost again in each round.
+            await self._timer.sleep_s(_MIN_ANNOUNCE_INTERVAL_S)
             self._wake = anyio.Event()
 
     async def call(self, message: object, timeout_s: float) -> Any:
@@ -118,7 +122,11 @@
             elif isinstance(reply, errors.Failure):
                 if reply.kind is errors.ErrorKind.UNDECIDED:
                     failure = reply
-                self._clear_leader(leader)
+                if self._leader in (None, leader):
+                    self._clear_leader(leader)
+                    # Other nodes may still name a leader that this one can't
+                    # reach.
+                    await self._timer.sleep_s(min(_RETRY_DELAY_S, remaining_s))
             elif isinstance(reply, messages.Refusal):
                 return errors.Failure(reply.kind, reply.reason)
             else:
--- a/tests/test_leader_finder.py
+++ b/tests/test_leader_finder.py
@@ -27,6 +27,8 @@
 
     def __init__(self) -> None:
         self.leader: tuple[str, int] | None = None
+        self.named: tuple[str, int] | None = None
+        self.announcements = 0
         self.lost: set[tuple[str, int]] = set()
         self.received: list[tuple[tuple[str, int], object]] = []
         self.expired: list[object] = []
@@ -37,8 +39,11 @@
         """Replies to an announcement or to a request."""
         await anyio.sleep(0)
         if isinstance(message, messages.Announcement):
+            self.announcements += 1
             return self._announce(address)
         self.received.append((address, message))
+        if address == self.named:
+            return errors.Failure(errors.ErrorKind.CUT_OFF, "not reached")
         if address in self.lost:
             await anyio.sleep(timeout_s)
             self.expired.append(message)
@@ -46,12 +51,13 @@
         return "done"
 
     def _announce(self, address: tuple[str, int]) -> Any:
-        if address in self.lost:
+        if address in self.lost or address == self.named:
             return errors.Failure(errors.ErrorKind.CUT_OFF, "not reached")
-        if address != self.leader:
+        leader = address if address == self.leader else self.named
+        if leader is None:
             return messages.Directory(None, False, ())
-        leader_id = ids.EntryId(node_ids.bootstrap_id(*address))
-        return messages.Directory(leader_id, True, (leader_id,))
+        leader_id = ids.EntryId(node_ids.bootstrap_id(*leader))
+        return messages.Directory(leader_id, leader == address, (leader_id,))
 
     def requests_at(self, address: tuple[str, int]) -> list[object]:
         """Returns the requests that a node got, in their order."""
@@ -123,6 +129,31 @@
 
         self._run(scenario)
 
+    def test_leader_that_only_others_reach_is_not_tried_without_a_pause(
+        self,
+    ) -> None:
+        """Guards against a busy loop while a zone is cut off from the leader.
+
+        The other nodes of the zone still name the leader. Seen on hunt-916b-3
+        of kcc-grid-grown: two nodes changed their leader 200 times a second.
+        """
+        calls, seconds, retry_s = 3, 1.0, 0.05
+
+        async def call() -> None:
+            reply = await self.finder.call("request", seconds)
+            self.assertIsInstance(reply, errors.Failure)
+
+        async def scenario() -> None:
+            self.links.named = _OLD
+            async with anyio.create_task_group() as tasks:
+                for _ in range(calls):
+                    tasks.start_soon(call)
+
+        self._run(scenario)
+        most = calls * (seconds / retry_s + 2)
+        self.assertLessEqual(len(self.links.received), most)
+        self.assertLessEqual(self.links.announcements, 2 * most)
+
 
 if __name__ == "__main__":
     unittest.main()
