--- a/tests/system_rig.py
+++ b/tests/system_rig.py
@@ -18,7 +18,16 @@
 from tests import fault_proxy
 from tests import request_path_rig
 
-__all__ = ["System", "run_system", "wait_until"]
+__all__ = ["PROFILE", "System", "ZONES", "run_system", "wait_until"]
+
+# Number of entries in each availability zone.
+ZONES = {"fukuoka-a": 2, "kumamoto": 1, "kagoshima": 1}
+# Body of a profile that allows one instance out.
+PROFILE = {
+    "firm": "hakata-kobo",
+    "owed": {"instances": 1},
+    "tolerance": {"max_out": 1},
+}
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _WAIT_S = 30.0
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -15,7 +15,6 @@
 from tests import system_rig
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_ZONES = {"fukuoka-a": 2, "kumamoto": 1, "kagoshima": 1}
 _FIRM = "hakata-kobo"
 _LEAVE_BOUND_S = 2.0
 _MAX_OUT = 2
@@ -53,7 +52,7 @@
 
         The entry is killed right after it acknowledged the leave.
         """
-        async with system_rig.run_system(8, _ZONES) as system:
+        async with system_rig.run_system(8, system_rig.ZONES) as system:
             notified_entry = system.names[0]
             _add_service(system, notified_entry, owed=1)
             # A leaving upstream doesn't renew its lease. The lease is long, so
@@ -92,7 +91,7 @@
 
     async def test_resumed_leader_serves_no_stale_state(self) -> None:
         """Guards against stale reads and writes of a deposed leader."""
-        async with system_rig.run_system(9, _ZONES) as system:
+        async with system_rig.run_system(9, system_rig.ZONES) as system:
             frozen = await system_rig.wait_until(system.leader, "leader")
             others = [name for name in system.names if name != frozen]
             _add_service(system, others[0], owed=1)
@@ -137,7 +136,7 @@
 
     async def test_accepted_change_survives_a_lost_disk(self) -> None:
         """Guards against a majority that lacks an acknowledged change."""
-        async with system_rig.run_system(11, _ZONES) as system:
+        async with system_rig.run_system(11, system_rig.ZONES) as system:
             leader = await system_rig.wait_until(system.leader, "leader")
             replicas = [n for n in system.names if n.endswith("-1")]
             wiped, lagging = (name for name in replicas if name != leader)
@@ -190,7 +189,7 @@
 
     async def test_change_commits_without_the_removed_replica(self) -> None:
         """Guards against a removal that doesn't change the majority."""
-        async with system_rig.run_system(12, _ZONES) as system:
+        async with system_rig.run_system(12, system_rig.ZONES) as system:
             leader = await system_rig.wait_until(system.leader, "leader")
             replicas = [n for n in system.names if n.endswith("-1")]
             removed, other = (name for name in replicas if name != leader)
@@ -236,7 +235,7 @@
 
     async def test_rack_lost_during_a_wave(self) -> None:
         """Guards against drains that don't count lost instances."""
-        async with system_rig.run_system(10, _ZONES) as system:
+        async with system_rig.run_system(10, system_rig.ZONES) as system:
             entry = system.names[0]
             _add_service(system, entry, owed=_OWED)
             workers = _Workers(system, entry)
