Keep the logs of failed system tests

The runner of the tests discards standard output, where the rigs of real processes print the logs after a failure; so the double run of test_resend_after_entry_was_killed_runs_once left no trace. They print to standard error now, and that test shows the runs.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -264,7 +264,9 @@
         """Prints the end of each log after a failed test."""
         for name in self._hosts:
             text = (self._folder / f"{name}.log").read_text(encoding="utf-8")
-            print(name, *text.splitlines()[-_LOG_LINES:], sep="\n  ")
+            lines = text.splitlines()[-_LOG_LINES:]
+            # The runner of the tests keeps only this stream.
+            print(name, *lines, sep="\n  ", file=sys.stderr)
 
 
 @contextlib.contextmanager
--- a/tests/system_rig.py
+++ b/tests/system_rig.py
@@ -175,7 +175,9 @@
         """Prints the end of each entry's log after a failed test."""
         for name in self.names:
             text = (self.folder / f"{name}.log").read_text(encoding="utf-8")
-            print(name, *text.splitlines()[-_LOG_LINES:], sep="\n  ")
+            lines = text.splitlines()[-_LOG_LINES:]
+            # The runner of the tests keeps only this stream.
+            print(name, *lines, sep="\n  ", file=sys.stderr)
 
     def start_proxy(self) -> None:
         routes = [
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -91,7 +91,7 @@
             for key in keys:
                 replies.append(await send(second, key))
             runs = _runs_by_key(system)
-            self.assertLessEqual(max(runs.values()), 1)
+            self.assertLessEqual(max(runs.values()), 1, system.runs())
             for key, reply in zip(keys, replies, strict=True):
                 if reply.status != 200 and reply.outcome == "not-run":
                     self.assertEqual(runs[key], 0)
