Test the controller in virtual time

Four tests of test_controller failed once each beside load: their workers were processes with leases of 0.9 s, and a busy machine silenced them for longer. Cause: the tests took it for granted that a process answers within a lease.

The stand-in workers now run in the tests' process, on an event loop whose time passes only while every task waits. The controller gets the calls to workers as an argument; the HTTP client keeps its own tests (test_worker_client). No check, lease or bound has changed.

Before: failures beside a load of 10 to 17 on 8 cores. Conclusion: the lease of these tests no longer depends on the machine.

--- a/tarragoncleat/decisions/control_term.py
+++ b/tarragoncleat/decisions/control_term.py
@@ -53,7 +53,7 @@
         fleet: fleet_view.FleetReader,
         replication: command_proposals.Replication,
         clock: timer.TimerService,
-        client: worker_client.WorkerClient,
+        client: worker_client.WorkerCalls,
         leader_since_s: float,
         on_report_change: Callable[[], None],
     ) -> None:
--- a/tarragoncleat/decisions/controller.py
+++ b/tarragoncleat/decisions/controller.py
@@ -35,14 +35,24 @@
         fleet: fleet_view.FleetReader,
         replication: command_proposals.Replication,
         clock: timer.TimerService,
+        client: worker_client.WorkerCalls | None = None,
     ) -> None:
-        """Creates the controller; `run` starts it."""
+        """Creates the controller; `run` starts it.
+
+        Args:
+            configuration: The settings of the entry.
+            fleet: The committed state.
+            replication: The replicated log.
+            clock: Clock.
+            client: Calls the workers; closed at the end of `run`. By default
+                they are called over HTTP.
+        """
         self._settings = configuration
         self._limits = configuration.controller
         self._fleet = fleet
         self._replication = replication
         self._clock = clock
-        self._client = worker_client.WorkerClient(
+        self._client = client or worker_client.WorkerClient(
             self._limits.call_timeout_ms / _MS_PER_S
         )
         self._term: control_term.Term | None = None
--- a/tarragoncleat/decisions/worker_client.py
+++ b/tarragoncleat/decisions/worker_client.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import json
-from typing import Any, NoReturn
+from typing import Any, NoReturn, Protocol
 import urllib.parse
 
 import anyio
@@ -22,7 +22,7 @@
 from tarragoncleat.state import jobs
 from tarragoncleat.state import profiles
 
-__all__ = ["WorkerClient"]
+__all__ = ["WorkerCalls", "WorkerClient"]
 
 _MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 _IDLE_TIMEOUT_S = 10.0
@@ -33,6 +33,52 @@
 _REBOOT = pydantic.TypeAdapter(worker_messages.RebootStatus)
 
 
+class WorkerCalls(Protocol):
+    """The calls of the worker interface, each safe to repeat."""
+
+    async def close(self) -> None:
+        """Releases the connections."""
+
+    async def read_report(
+        self, address: str
+    ) -> worker_messages.Report | errors.Failure:
+        """Reads the report of a worker."""
+
+    async def renew_lease(
+        self, address: str, fence: int, lease_until_ms: int
+    ) -> errors.Failure | None:
+        """Acquires or renews the lease; the end is in the worker's clock."""
+
+    async def start_task(
+        self,
+        address: str,
+        task_id: str,
+        fence: int,
+        demand: jobs.Demand,
+        command: str,
+    ) -> errors.Failure | None:
+        """Starts a task; starting a known task again has no effect."""
+
+    async def interrupt_task(
+        self,
+        address: str,
+        task_id: str,
+        action: profiles.Interruption,
+        action_id: str,
+    ) -> errors.Failure | None:
+        """Checkpoints, throttles or stops a task."""
+
+    async def set_draining(
+        self, address: str, action_id: str, draining: bool
+    ) -> errors.Failure | None:
+        """Starts or ends the drain of a worker."""
+
+    async def reboot(
+        self, address: str, action_id: str
+    ) -> worker_messages.RebootStatus | errors.Failure:
+        """Reboots a worker once for each action id."""
+
+
 class WorkerClient:
     """Calls workers with a timeout and keeps one idle connection to each.
 
--- a/tarragoncleat/decisions/worker_reconciler.py
+++ b/tarragoncleat/decisions/worker_reconciler.py
@@ -85,7 +85,7 @@
     def __init__(
         self,
         limits: settings.ControllerSettings,
-        client: worker_client.WorkerClient,
+        client: worker_client.WorkerCalls,
         clock: timer.TimerService,
         leases: worker_leases.WorkerLeases,
         is_leader: Callable[[], bool],
@@ -294,7 +294,7 @@
 @functools.singledispatch
 async def _perform(
     call: worker_actions.Call,
-    client: worker_client.WorkerClient,
+    client: worker_client.WorkerCalls,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -304,7 +304,7 @@
 @_perform.register
 async def _start_task(
     call: worker_actions.StartTask,
-    client: worker_client.WorkerClient,
+    client: worker_client.WorkerCalls,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -320,7 +320,7 @@
 @_perform.register
 async def _interrupt_task(
     call: worker_actions.InterruptTask,
-    client: worker_client.WorkerClient,
+    client: worker_client.WorkerCalls,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -332,7 +332,7 @@
 @_perform.register
 async def _set_draining(
     call: worker_actions.SetDraining,
-    client: worker_client.WorkerClient,
+    client: worker_client.WorkerCalls,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
@@ -344,7 +344,7 @@
 @_perform.register
 async def _reboot(
     call: worker_actions.Reboot,
-    client: worker_client.WorkerClient,
+    client: worker_client.WorkerCalls,
     instance: pools.Instance,
     status: WorkerStatus,
 ) -> errors.Failure | None:
--- a/tests/standin_worker.py
+++ b/tests/standin_worker.py
@@ -10,6 +10,7 @@
 """
 
 import argparse
+from collections.abc import Sequence
 import dataclasses
 import json
 import time
@@ -19,7 +20,7 @@
 import anyio
 import uvicorn
 
-__all__ = ["Worker", "main"]
+__all__ = ["Worker", "handle", "main", "parse_arguments"]
 
 _MS_PER_S = 1000
 _THROTTLED_SPEED = 0.5
@@ -39,10 +40,14 @@
 
 
 class Worker:
-    """The worker's state, with a method for each call of the interface."""
+    """The worker's state, with a method for each call of the interface.
 
-    def __init__(self, options: argparse.Namespace) -> None:
+    `clock` has the interface of module `time`.
+    """
+
+    def __init__(self, options: argparse.Namespace, clock: Any = time) -> None:
         self._options = options
+        self._clock = clock
         self._clock_offset_ms = options.clock_offset_ms
         self._boot_id = uuid.uuid4().hex
         self._fence = 0
@@ -57,14 +62,14 @@
         self.log: list[dict] = []
 
     def is_down(self) -> bool:
-        return self.silent or time.monotonic() < self._down_until_s
+        return self.silent or self._clock.monotonic() < self._down_until_s
 
     def clock_ms(self) -> int:
-        return int(time.monotonic() * _MS_PER_S) + self._clock_offset_ms
+        return int(self._clock.monotonic() * _MS_PER_S) + self._clock_offset_ms
 
     def advance(self) -> None:
         """Ends tasks whose run time is over, and all after lease expiry."""
-        now_s = time.monotonic()
+        now_s = self._clock.monotonic()
         for task in self._tasks.values():
             if task.state in ("running", "throttled") and now_s >= task.ends_s:
                 task.state, task.exit = "exited", task.exit_status
@@ -73,7 +78,7 @@
             for task_id in list(self._tasks):
                 if self._tasks.pop(task_id).state in ("running", "throttled"):
                     self._ended_task_ids.add(task_id)
-                    until_ms = time.time() * _MS_PER_S - (
+                    until_ms = self._clock.time() * _MS_PER_S - (
                         self.clock_ms() - self._lease_until_ms
                     )
                     self._log_event(
@@ -114,7 +119,7 @@
             return None
         overrides = json.loads(content["command"] or "{}")
         fails = self.fail_tasks
-        now_s = time.monotonic()
+        now_s = self._clock.monotonic()
         task = _Task(
             task_id,
             overrides.get("cores", content["cores"]),
@@ -134,7 +139,7 @@
             self._ended_task_ids.add(task_id)
             return {"state": "stopped"}
         if action == "throttle" and task.state == "running":
-            remaining_s = task.ends_s - time.monotonic()
+            remaining_s = task.ends_s - self._clock.monotonic()
             task.ends_s += remaining_s / _THROTTLED_SPEED - remaining_s
             task.cores *= _THROTTLED_SPEED
             task.state = "throttled"
@@ -153,17 +158,19 @@
     def reboot(self, action_id: str) -> dict:
         if action_id not in self._reboot_ends_s:
             self._log_event("reboot", action_id=action_id)
-            self._down_until_s = time.monotonic() + self._options.reboot_s
+            self._down_until_s = (
+                self._clock.monotonic() + self._options.reboot_s
+            )
             self._reboot_ends_s[action_id] = self._down_until_s
             self._boot_id = uuid.uuid4().hex
             self._lease_until_ms = 0
             self._ended_task_ids.update(self._tasks)
             self._tasks.clear()
-        done = time.monotonic() >= self._reboot_ends_s[action_id]
+        done = self._clock.monotonic() >= self._reboot_ends_s[action_id]
         return {"action_id": action_id, "done": done}
 
     def _describe(self, task: _Task, lag_s: float) -> dict:
-        is_reported = time.monotonic() - task.started_s >= lag_s
+        is_reported = self._clock.monotonic() - task.started_s >= lag_s
         return {
             "task_id": task.task_id,
             "state": task.state,
@@ -174,7 +181,11 @@
         }
 
     def _log_event(self, event: str, **fields: Any) -> None:
-        entry = {"event": event, "at_ms": time.time() * _MS_PER_S, **fields}
+        entry = {
+            "event": event,
+            "at_ms": self._clock.time() * _MS_PER_S,
+            **fields,
+        }
         self.log.append(entry)
 
 
@@ -198,8 +209,7 @@
         if parts[0] == "platform" and self._worker.is_down():
             # Leaves the request unanswered, as a machine without network does.
             await anyio.sleep(3600)
-        self._worker.advance()
-        answer = self._handle(parts, content)
+        answer = handle(self._worker, parts, content)
         status = 409 if answer is None else 200
         await send(
             {"type": "http.response.start", "status": status, "headers": []}
@@ -207,31 +217,36 @@
         data = json.dumps(answer).encode()
         await send({"type": "http.response.body", "body": data})
 
-    def _handle(self, parts: list[str], content: dict) -> Any:
-        worker = self._worker
-        match parts:
-            case ["platform", "v1", "report"]:
-                return worker.report()
-            case ["platform", "v1", "lease"]:
-                return worker.renew(content["fence"], content["lease_until_ms"])
-            case ["platform", "v1", "tasks", task_id]:
-                return worker.start(task_id, content)
-            case ["platform", "v1", "tasks", task_id, action]:
-                return worker.interrupt(task_id, action)
-            case ["platform", "v1", "drain"]:
-                return worker.drain(content["draining"])
-            case ["platform", "v1", "reboot"]:
-                return worker.reboot(content["action_id"])
-            case ["standin", "v1", "log"]:
-                return worker.log
-            case ["standin", "v1", "faults"]:
-                worker.fail_tasks = content.get("fail_tasks", worker.fail_tasks)
-                worker.silent = content.get("silent", worker.silent)
-                return {}
-        return None
-
-
-def _parse_arguments() -> argparse.Namespace:
+
+def handle(worker: Worker, parts: Sequence[str], content: dict) -> Any:
+    """Returns the answer to a call by the parts of its path; None refuses."""
+    worker.advance()
+    match parts:
+        case ["platform", "v1", "report"]:
+            return worker.report()
+        case ["platform", "v1", "lease"]:
+            return worker.renew(content["fence"], content["lease_until_ms"])
+        case ["platform", "v1", "tasks", task_id]:
+            return worker.start(task_id, content)
+        case ["platform", "v1", "tasks", task_id, action]:
+            return worker.interrupt(task_id, action)
+        case ["platform", "v1", "drain"]:
+            return worker.drain(content["draining"])
+        case ["platform", "v1", "reboot"]:
+            return worker.reboot(content["action_id"])
+        case ["standin", "v1", "log"]:
+            return worker.log
+        case ["standin", "v1", "faults"]:
+            worker.fail_tasks = content.get("fail_tasks", worker.fail_tasks)
+            worker.silent = content.get("silent", worker.silent)
+            return {}
+    return None
+
+
+def parse_arguments(
+    arguments: Sequence[str] | None = None,
+) -> argparse.Namespace:
+    """Parses the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
     parser.add_argument("--instance-id", required=True)
@@ -239,12 +254,12 @@
     parser.add_argument("--reboot-s", type=float, default=0.5)
     parser.add_argument("--clock-offset-ms", type=int, default=0)
     parser.add_argument("--fail-tasks", action="store_true")
-    return parser.parse_args()
+    return parser.parse_args(arguments)
 
 
 def main() -> None:
     """Serves until it is terminated."""
-    options = _parse_arguments()
+    options = parse_arguments()
     host, _, port = options.address.rpartition(":")
     uvicorn.run(
         _App(Worker(options)),
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,29 +1,30 @@
-"""Tests of the controller with simulated worker processes."""
+"""Tests of the controller with stand-in workers, in virtual time."""
 
-import asyncio
 import dataclasses
 import json
-import subprocess
-import sys
-import time
+from typing import Any
 import unittest
-import urllib.request
 
 import anyio
+import pydantic
 
 from tarragoncleat.decisions import controller
+from tarragoncleat.decisions import worker_messages
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import ids
-from tarragoncleat.kernel import timer
 from tarragoncleat.state import commands
 from tarragoncleat.state import jobs
 from tarragoncleat.state import pools
 from tarragoncleat.state import profiles
 from tarragoncleat.state import waves
 from tests import builders
+from tests import standin_worker
+from tests import virtual_time
 
 _STATE = pools.InstanceState
 _DEADLINE_S = 25.0
+# Time of a call or of its answer on the network.
+_DELAY_S = 0.002
 _LIMITS = {
     "interval_ms": 50,
     "lease_ms": 900,
@@ -47,10 +48,13 @@
 class _Replication:
     """Commits every proposal immediately to one fleet."""
 
-    def __init__(self, driver: builders.FleetDriver) -> None:
+    def __init__(
+        self, driver: builders.FleetDriver, clock: virtual_time.Clock
+    ) -> None:
         self._driver = driver
+        self._clock = clock
         self.is_leader = True
-        self.leader_since_s: float | None = time.monotonic()
+        self.leader_since_s: float | None = clock.monotonic()
 
     async def propose(
         self, payload: bytes, timeout_s: float
@@ -60,66 +64,124 @@
             return errors.Failure(errors.ErrorKind.NO_LEADER, "not the leader")
         driver = self._driver
         driver.index += 1
-        driver.time_ms = max(driver.time_ms, int(time.time() * 1000))
+        driver.time_ms = max(driver.time_ms, int(self._clock.time() * 1000))
         result = driver.fleet.apply(driver.index, driver.time_ms, payload)
         return _Applied(driver.index, result)
 
 
+class _WorkerCalls:
+    """Calls stand-in workers of this process; a silent one doesn't answer."""
+
+    def __init__(self, workers: dict[str, standin_worker.Worker]) -> None:
+        self._workers = workers
+
+    async def close(self) -> None:
+        pass
+
+    async def read_report(self, address: str) -> Any:
+        answer = await self._call(address, "report", {})
+        return _parse(worker_messages.Report, answer)
+
+    async def renew_lease(
+        self, address: str, fence: int, lease_until_ms: int
+    ) -> Any:
+        content = {"fence": fence, "lease_until_ms": lease_until_ms}
+        return _failure_of(await self._call(address, "lease", content))
+
+    async def start_task(
+        self, address: str, task_id: str, fence: int, demand: Any, command: str
+    ) -> Any:
+        content = {
+            "fence": fence,
+            "cores": demand.cores,
+            "memory_mb": demand.memory_mb,
+            "command": command,
+        }
+        answer = await self._call(address, f"tasks/{task_id}", content)
+        return _failure_of(answer)
+
+    async def interrupt_task(
+        self, address: str, task_id: str, action: Any, action_id: str
+    ) -> Any:
+        path = f"tasks/{task_id}/{action.value}"
+        return _failure_of(
+            await self._call(address, path, {"action_id": action_id})
+        )
+
+    async def set_draining(
+        self, address: str, action_id: str, draining: bool
+    ) -> Any:
+        content = {"action_id": action_id, "draining": draining}
+        return _failure_of(await self._call(address, "drain", content))
+
+    async def reboot(self, address: str, action_id: str) -> Any:
+        answer = await self._call(address, "reboot", {"action_id": action_id})
+        return _parse(worker_messages.RebootStatus, answer)
+
+    async def _call(self, address: str, path: str, content: dict) -> Any:
+        worker = self._workers[address]
+        if worker.is_down():
+            await anyio.sleep(_LIMITS["call_timeout_ms"] / 1000)
+            return errors.Failure(errors.ErrorKind.UPSTREAM_FAILED, "silent")
+        await anyio.sleep(_DELAY_S)
+        parts = ["platform", "v1", *path.split("/")]
+        answer = standin_worker.handle(worker, parts, content)
+        await anyio.sleep(_DELAY_S)
+        if answer is None:
+            return errors.Failure(errors.ErrorKind.CONFLICT, "refused")
+        return answer
+
+
+def _parse(message_class: type, answer: Any) -> Any:
+    if isinstance(answer, errors.Failure):
+        return answer
+    return pydantic.TypeAdapter(message_class).validate_python(answer)
+
+
+def _failure_of(answer: Any) -> errors.Failure | None:
+    return answer if isinstance(answer, errors.Failure) else None
+
+
 class _Cluster:
     """A fleet of simulated workers in one pool."""
 
     def __init__(
         self,
-        test: unittest.TestCase,
-        subnet: int,
         *options: list[str],
         lease_ms: int = _LIMITS["lease_ms"],
         **fields,
     ) -> None:
+        self.clock = virtual_time.Clock()
         self.driver = builders.FleetDriver()
-        self.driver.time_ms = int(time.time() * 1000)
+        self.driver.time_ms = int(self.clock.time() * 1000)
         builders.populate(self.driver, instances=0, **fields)
         self.fleet = self.driver.fleet
         self.addresses: dict[str, str] = {}
-        self._processes: dict[str, subprocess.Popen] = {}
-        test.addCleanup(self._stop)
+        self._workers: dict[str, standin_worker.Worker] = {}
         for number, extra in enumerate(options):
-            self._add(
-                f"w{number}",
-                f"{builders.LOOPBACK}.{subnet}.{number + 1}:7000",
-                extra,
-            )
-        self.replication = _Replication(self.driver)
+            address = f"{builders.LOOPBACK}.1.{number + 1}:7000"
+            self._add(f"w{number}", address, extra)
+        self.replication = _Replication(self.driver, self.clock)
         self._settings = builders.build_settings(
             controller={**_LIMITS, "lease_ms": lease_ms}, consensus=_CONSENSUS
         )
 
     def _add(self, name: str, address: str, extra: list[str]) -> None:
-        command = [sys.executable, "-m", "tests.standin_worker"]
-        command += ["--address", address, "--instance-id", name, *extra]
-        self._processes[name] = subprocess.Popen(command)
+        arguments = ["--address", address, "--instance-id", name, *extra]
+        options = standin_worker.parse_arguments(arguments)
+        self._workers[address] = standin_worker.Worker(options, self.clock)
         self.addresses[name] = address
         instance = builders.build_instance(
             name, address=address, rack=ids.Rack(f"rack-{name}")
         )
         self.driver.apply_ok(commands.PutInstance(instance))
 
-    def _stop(self) -> None:
-        for process in self._processes.values():
-            process.terminate()
-        for process in self._processes.values():
-            process.wait(10)
-
-    def call(self, name: str, path: str, content: dict | None = None) -> list:
-        data = None if content is None else json.dumps(content).encode()
-        url = f"http://{self.addresses[name]}/standin/v1/{path}"
-        method = "GET" if data is None else "PUT"
-        request = urllib.request.Request(url, data, method=method)
-        with urllib.request.urlopen(request, timeout=5) as response:
-            return json.load(response)
+    def call(self, name: str, path: str, content: dict) -> Any:
+        worker = self._workers[self.addresses[name]]
+        return standin_worker.handle(worker, ["standin", "v1", path], content)
 
     def events(self, name: str, event: str) -> list[dict]:
-        return [e for e in self.call(name, "log") if e["event"] == event]
+        return [e for e in self.call(name, "log", {}) if e["event"] == event]
 
     def instance(self, name: str) -> pools.Instance:
         return self.fleet.instances[ids.InstanceId(name)]
@@ -160,19 +222,20 @@
                 self._settings,
                 self.fleet,
                 self.replication,
-                timer.TimerService(),
+                virtual_time.Timer(self.clock),
+                _WorkerCalls(self._workers),
             )
             async with anyio.create_task_group() as group:
                 group.start_soon(loop.run)
                 await scenario()
                 group.cancel_scope.cancel()
 
-        asyncio.run(main())
+        virtual_time.run(main, self.clock)
 
     async def wait(self, condition, goal: str) -> None:
-        deadline_s = time.monotonic() + _DEADLINE_S
+        deadline_s = self.clock.monotonic() + _DEADLINE_S
         while not condition():
-            if time.monotonic() > deadline_s:
+            if self.clock.monotonic() > deadline_s:
                 raise AssertionError(f"timed out waiting for: {goal}")
             await anyio.sleep(0.02)
 
@@ -183,7 +246,7 @@
     def test_wave_reboots_each_worker_once_and_ends(self) -> None:
         """Guards against a wave that never ends and a repeated reboot."""
         cluster = _Cluster(
-            self, 1, [], [], ["--reboot-s", "2"], owed=profiles.Capacity(3)
+            [], [], ["--reboot-s", "2"], owed=profiles.Capacity(3)
         )
 
         async def scenario() -> None:
@@ -205,7 +268,7 @@
         self,
     ) -> None:
         """Guards against a job that runs on two workers at once."""
-        cluster = _Cluster(self, 2, [], ["--clock-offset-ms", "900000000"])
+        cluster = _Cluster([], ["--clock-offset-ms", "900000000"])
 
         async def scenario() -> None:
             cluster.submit("job", run_s=60.0)
@@ -240,7 +303,7 @@
 
     def test_worker_that_fails_every_task_is_quarantined(self) -> None:
         """Guards against a broken worker on which the whole queue fails."""
-        cluster = _Cluster(self, 3, ["--fail-tasks"], [], [], [])
+        cluster = _Cluster(["--fail-tasks"], [], [], [])
 
         async def scenario() -> None:
             names = [f"job{number}" for number in range(24)]
@@ -262,7 +325,7 @@
 
     def test_failure_streak_survives_the_loss_of_the_worker(self) -> None:
         """Guards against a failure streak that ends when a worker is lost."""
-        cluster = _Cluster(self, 14, ["--fail-tasks"], [], [], [])
+        cluster = _Cluster(["--fail-tasks"], [], [], [])
 
         def failed() -> int:
             states = [job.state for job in cluster.fleet.jobs.values()]
@@ -289,7 +352,7 @@
 
     def test_new_leader_repeats_no_action(self) -> None:
         """Guards against a second reboot or a lost wave after an election."""
-        cluster = _Cluster(self, 4, ["--reboot-s", "2"], [], [], [])
+        cluster = _Cluster(["--reboot-s", "2"], [], [], [])
 
         async def scenario() -> None:
             cluster.start_wave("w0", "w1")
@@ -304,7 +367,7 @@
                 )
                 cluster.replication.is_leader = False
                 await anyio.sleep(0.2)
-                cluster.replication.leader_since_s = time.monotonic()
+                cluster.replication.leader_since_s = cluster.clock.monotonic()
                 cluster.replication.is_leader = True
             wave = cluster.fleet.waves
             await cluster.wait(
@@ -322,7 +385,7 @@
         tolerance = profiles.Tolerance(
             actions=(profiles.Interruption.CHECKPOINT,)
         )
-        cluster = _Cluster(self, 5, [], tolerance=tolerance)
+        cluster = _Cluster([], tolerance=tolerance)
 
         async def scenario() -> None:
             cluster.submit("normal", run_s=1.5, declared_cores=16.0)
@@ -348,7 +411,7 @@
 
         Only a job that may still run elsewhere has to wait for the leases.
         """
-        cluster = _Cluster(self, 9, [], lease_ms=60_000)
+        cluster = _Cluster([], lease_ms=60_000)
         cluster.submit("earlier", run_s=0.1)
         place = commands.JobPlacement(
             ids.JobId("earlier"), ids.InstanceId("w0")
@@ -375,7 +438,7 @@
 
     def test_moved_instance_is_drained_and_fenced_first(self) -> None:
         """Guards against tasks of the old pool on an instance that moved."""
-        cluster = _Cluster(self, 6, [], [], owed=profiles.Capacity(1))
+        cluster = _Cluster([], [], owed=profiles.Capacity(1))
         other = pools.Pool(ids.PoolId("other"), ids.FirmId("firm-a"))
         cluster.driver.apply_ok(commands.PutPool(other))
 
@@ -397,7 +460,7 @@
             )
 
         cluster.run(scenario)
-        log = [entry["event"] for entry in cluster.call("w0", "log")]
+        log = [entry["event"] for entry in cluster.call("w0", "log", {})]
         self.assertEqual(
             log, ["lease", "start", "drain", "stop", "lease", "drain"]
         )
@@ -406,7 +469,7 @@
 
     def test_cancelled_jobs_are_stopped_on_their_worker(self) -> None:
         """Guards against tasks that continue after a burst of cancellations."""
-        cluster = _Cluster(self, 7, [])
+        cluster = _Cluster([])
         names = [f"job{number}" for number in range(4)]
 
         async def scenario() -> None:
@@ -430,7 +493,7 @@
         tolerance = profiles.Tolerance(max_out=1, max_out_s=2)
         owed = profiles.Capacity(instances=1)
         cluster = _Cluster(
-            self, 8, ["--reboot-s", "6"], [], owed=owed, tolerance=tolerance
+            ["--reboot-s", "6"], [], owed=owed, tolerance=tolerance
         )
 
         async def scenario() -> None:
