Keep a quarantine over the loss of its worker

Cause: LOST replaced the state QUARANTINED, and the leader's count of failures ends with the quarantine or with its term.

Change: an instance remembers that it is quarantined while it is lost and returning; only maintenance or a release ends that. The state machine refuses to record it as in service, so a leader that is behind can't either.

Evidence: test_quarantine_survives_the_loss_of_the_worker, with a change of leader in the silence, and test_only_maintenance_ends_a_quarantine_after_a_loss.

--- a/tarragoncleat/decisions/state_transitions.py
+++ b/tarragoncleat/decisions/state_transitions.py
@@ -86,6 +86,9 @@
             wave is not None and wave.state in planner.ACTIVE_WAVE_STATES
         )
         if not is_wave_active and can_return_to_service(instance, observation):
+            if instance.is_quarantined:
+                cause = "still quarantined after its loss"
+                return _state_change(instance, _STATE.QUARANTINED, cause)
             return _state_change(instance, _STATE.IN_SERVICE, "holds a lease")
         return None
     if instance.state in (_STATE.DRAINING, _STATE.IN_MAINTENANCE):
--- a/tarragoncleat/state/fleet_snapshot.py
+++ b/tarragoncleat/state/fleet_snapshot.py
@@ -53,11 +53,15 @@
         return msgpack.packb(field_values, default=_to_plain)
 
     def decode(self, data: bytes) -> list[Any]:
-        """Decodes and validates rows."""
+        """Decodes and validates rows.
+
+        Rows of an earlier version lack the fields added since, which have
+        defaults.
+        """
         names = self._names
         field_values = msgpack.unpackb(data)
         rows = [
-            dict(zip(names, values, strict=True)) for values in field_values
+            dict(zip(names, values, strict=False)) for values in field_values
         ]
         return self._adapter.validate_python(rows)
 
--- a/tarragoncleat/state/instance_handlers.py
+++ b/tarragoncleat/state/instance_handlers.py
@@ -153,7 +153,11 @@
     command: commands.RecordInstanceState,
 ) -> None:
     state = command.state
-    updated = dataclasses.replace(instance, state=state)
+    updated = dataclasses.replace(
+        instance,
+        state=state,
+        is_quarantined=_stays_quarantined(instance, state),
+    )
     if state in (_STATE.LOST, _STATE.IN_MAINTENANCE):
         # The loss or the reboot ends the worker's lease. A new lease needs a
         # higher fence.
@@ -175,6 +179,21 @@
     wave_handlers.finish_if_done(context, instance.wave_id)
 
 
+def _stays_quarantined(
+    instance: pools.Instance, state: pools.InstanceState
+) -> bool:
+    """Whether an instance is quarantined, or will be when it is back.
+
+    Only maintenance or a release ends a quarantine: a worker that was silent
+    for a while is as broken as before.
+    """
+    if state is _STATE.QUARANTINED:
+        return True
+    was_maintained = instance.state is _STATE.IN_MAINTENANCE
+    is_away = state in (_STATE.LOST, _STATE.RETURNING)
+    return instance.is_quarantined and is_away and not was_maintained
+
+
 def _check_pool(
     context: command_context.CommandContext,
     current: pools.Instance | None,
--- a/tarragoncleat/state/pools.py
+++ b/tarragoncleat/state/pools.py
@@ -49,7 +49,8 @@
 class Instance:
     """An instance; times in milliseconds since the epoch.
 
-    It belongs to exactly one pool, `pool_id`.
+    It belongs to exactly one pool, `pool_id`. With `is_quarantined` it returns
+    to quarantine, not to service, when it is back after a loss.
     """
 
     __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
@@ -69,6 +70,7 @@
     maintained_at_ms: int = 0
     fence: int = 1
     revision: ids.Revision = ids.Revision(0)
+    is_quarantined: bool = False
 
 
 # The transitions that the controller may record. Only a wave step or a move
@@ -86,7 +88,11 @@
         InstanceState.IN_SERVICE,
         InstanceState.LOST,
     },
-    InstanceState.RETURNING: {InstanceState.IN_SERVICE, InstanceState.LOST},
+    InstanceState.RETURNING: {
+        InstanceState.IN_SERVICE,
+        InstanceState.LOST,
+        InstanceState.QUARANTINED,
+    },
     InstanceState.LOST: {InstanceState.RETURNING, InstanceState.IN_SERVICE},
     InstanceState.QUARANTINED: {
         InstanceState.RETURNING,
@@ -107,6 +113,17 @@
             f"{instance.state.value} to {state.value}",
             {"revision": instance.revision},
         )
+    returned_from = (InstanceState.LOST, InstanceState.RETURNING)
+    if (
+        instance.is_quarantined
+        and instance.state in returned_from
+        and state is InstanceState.IN_SERVICE
+    ):
+        return errors.Failure(
+            errors.ErrorKind.CONFLICT,
+            f"instance {instance.instance_id} is quarantined",
+            {"revision": instance.revision},
+        )
     if state is InstanceState.IN_MAINTENANCE and instance.wave_id is None:
         return errors.Failure(
             errors.ErrorKind.CONFLICT,
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -323,6 +323,36 @@
         self.assertEqual(len(failed), 3)
         self.assertIs(cluster.instance("w0").state, _STATE.QUARANTINED)
 
+    def test_quarantine_survives_the_loss_of_the_worker(self) -> None:
+        """Guards against a broken worker in service after a short silence.
+
+        The leader changes while the worker is silent, so that the new one has
+        not counted the failures.
+        """
+        cluster = _Cluster(["--fail-tasks"], [], [], [])
+
+        async def wait_for(state: pools.InstanceState) -> None:
+            await cluster.wait(
+                lambda: cluster.instance("w0").state is state, f"w0 {state}"
+            )
+
+        async def scenario() -> None:
+            names = [f"job{number}" for number in range(24)]
+            cluster.submit(*names, run_s=0.1, declared_cores=16.0)
+            await wait_for(_STATE.QUARANTINED)
+            cluster.call("w0", "faults", {"silent": True})
+            await wait_for(_STATE.LOST)
+            cluster.replication.leader_since_s = cluster.clock.monotonic()
+            cluster.call("w0", "faults", {"silent": False})
+            await wait_for(_STATE.RETURNING)
+            await cluster.wait(
+                lambda: cluster.instance("w0").state is not _STATE.RETURNING,
+                "end of the return",
+            )
+
+        cluster.run(scenario)
+        self.assertIs(cluster.instance("w0").state, _STATE.QUARANTINED)
+
     def test_failure_streak_survives_the_loss_of_the_worker(self) -> None:
         """Guards against a failure streak that ends when a worker is lost."""
         cluster = _Cluster(["--fail-tasks"], [], [], [])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -293,6 +293,20 @@
             [item.instance_id for item in wave.skipped], ["i1", "i2"]
         )
 
+    def test_only_maintenance_ends_a_quarantine_after_a_loss(self) -> None:
+        """Guards against a broken worker that serves after a short silence."""
+        name = ids.InstanceId("i0")
+        for state in (_STATE.QUARANTINED, _STATE.LOST, _STATE.RETURNING):
+            self.record_state("i0", state)
+        serve = commands.RecordInstanceState(name, _STATE.IN_SERVICE, "seen")
+        self.assert_refused(serve, _KIND.CONFLICT)
+        self.record_state("i0", _STATE.QUARANTINED)
+        wave_id = self.start_wave("i0")
+        self.driver.apply_ok(commands.StepWave(wave_id, (name,)))
+        for state in (_STATE.IN_MAINTENANCE, _STATE.RETURNING):
+            self.record_state("i0", state)
+        self.driver.apply_ok(serve)
+
     def test_wave_finishes_without_removed_instances(self) -> None:
         """Guards against a wave that waits for removed instances."""
         wave_id = self.start_wave("i0", "i1")
