Leave the firm out of the scope of keys of callers without a token

Cause found by reading: the scope of a claim held the owner of the service as the entry knew it. An entry that had not applied the record that names the owner made its claim under another digest than the one that the resend reached, and both were granted.

Change: without a token the scope is the service and the key. With a token it is still the token's firm and name, which come from settings.

--- a/tarragoncleat/requests/caller_api.py
+++ b/tarragoncleat/requests/caller_api.py
@@ -243,7 +243,9 @@
         client = scope.get("client")
         address = client[0] if client else ""
         if token is None:
-            context.firm = owner or ""
+            # The firm is not part of the scope of a key then: entries may know
+            # different owners of a service for a while, and a resend through
+            # another entry would run again under its own claim.
             return await self._run_within_limits(context, address, "")
         if not _is_allowed(token, service, owner):
             return errors.Failure(
--- a/tests/request_path_rig.py
+++ b/tests/request_path_rig.py
@@ -83,16 +83,20 @@
 
 
 class Directory:
-    """Services with their standing; every service belongs to one firm."""
+    """Services with their standing; every service belongs to one firm.
 
-    def __init__(self) -> None:
+    Without an owner no service is known yet.
+    """
+
+    def __init__(self, owner: str | None = "hakata") -> None:
         self.standings: dict[str, profiles.Standing] = {}
+        self._owner = None if owner is None else ids.FirmId(owner)
 
     def standing_of(self, service: ids.ServiceId) -> profiles.Standing:
         return self.standings.get(service, profiles.Standing.NORMAL)
 
     def owner_of(self, service: ids.ServiceId) -> ids.FirmId | None:
-        return ids.FirmId("hakata")
+        return self._owner
 
 
 class NoClaims:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -119,6 +119,7 @@
     def setUp(self) -> None:
         self._log = _Log()
         self._network: dict[str, Any] = {}
+        self._directories = {name: rig.Directory() for name in _ENTRIES}
 
     def _run(self, test: Callable[[], Awaitable], **sections: Any) -> None:
         async def run() -> None:
@@ -151,6 +152,7 @@
                 _ENTRIES[name],
                 upstreams,
                 claim_store=store,
+                directory=self._directories[name],
                 authenticate=_authenticate,
             ) as api:
                 yield api
@@ -210,6 +212,22 @@
         self._run(check)
         self.assertEqual(self._runs("same"), len(callers))
 
+    def test_resend_through_an_entry_that_is_behind_runs_once(self) -> None:
+        """Guards against a second run under a claim of another scope.
+
+        One entry has not applied the record that names the service's owner.
+        """
+        self._directories["entry-1"] = rig.Directory(owner=None)
+
+        async def check() -> None:
+            first = await self._bid("entry-1", "behind")
+            second = await self._bid("entry-2", "behind")
+            self.assertEqual((first.status, second.status), (200, 200))
+            self.assertEqual(first.body, second.body)
+
+        self._run(check)
+        self.assertEqual(self._runs("behind"), 1)
+
     def test_failure_of_the_log_keeps_its_kind(self) -> None:
         """Guards against a definite failure that is reported as undecided."""
         self._log.refusal = errors.Failure(
