Let one malformed message end no process

- A heartbeat whose address can't be parsed was stored, and the leader failed when it created the worker's client; so did each next leader.
- An unforeseen error in the session with one worker ended the leader's process.
The session is opened again after 1 s, with the run that it had started (test_error_in_one_session_ends_neither_the_term_nor_a_run).
- A frame that is no msgpack list, or a request whose handler fails, ended the receiving node.
The connection is closed, and the request is answered as undetermined (test_malformed_frames_close_their_connection_only, test_failing_request_is_answered_as_undetermined).

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import loguru
 
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
@@ -37,6 +38,7 @@
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
 _LOAD_LOG_INTERVAL_S = 1.0
+_SESSION_RESTART_DELAY_S = 1.0
 _MS_PER_S = 1000
 
 WorkerClientFactory = Callable[[model.WorkerRecord], clients.WorkerClient]
@@ -317,19 +319,52 @@
             if worker_id not in workers:
                 self._sessions.pop(worker_id).close()
         for worker_id, worker in workers.items():
-            if worker_id in self._sessions or self._tasks is None:
-                continue
-            session = worker_session.WorkerSession(
-                worker.record,
-                self._state,
-                self._worker_client_factory(worker.record),
-                self,
-                self._timer,
-                self._bounds,
-                self._fence,
+            if worker_id not in self._sessions and self._tasks is not None:
+                self._open_session(worker.record, self._tasks)
+
+    def _open_session(
+        self, record: model.WorkerRecord, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        try:
+            client = self._worker_client_factory(record)
+        except ValueError as error:
+            # Stored by a version that didn't check addresses.
+            loguru.logger.error(
+                "worker {} can't be called: {}", record.worker_id, error
             )
-            self._sessions[worker_id] = session
-            self._tasks.start_soon(session.run)
+            tasks.start_soon(self.on_worker_unusable, record.worker_id)
+            return
+        session = worker_session.WorkerSession(
+            record,
+            self._state,
+            client,
+            self,
+            self._timer,
+            self._bounds,
+            self._fence,
+        )
+        self._sessions[record.worker_id] = session
+        tasks.start_soon(self._run_session, session)
+
+    async def on_worker_unusable(self, worker_id: str) -> None:
+        """Marks a worker that no task can have reached as lost."""
+        await self.commit(commands.MarkWorkersLost((worker_id,), is_final=True))
+
+    async def _run_session(self, session: worker_session.WorkerSession) -> None:
+        """Runs a session, and opens another one if it fails.
+
+        An unforeseen error that concerns one worker must not end the process:
+        it would end the next leader's as well.
+        """
+        worker_id = session.record.worker_id
+        try:
+            await session.run()
+        except Exception:  # noqa: BLE001
+            loguru.logger.exception("the session of {} failed", worker_id)
+            await self._timer.sleep_s(_SESSION_RESTART_DELAY_S)
+            if self._sessions.get(worker_id) is session:
+                del self._sessions[worker_id]
+            self.notify_state_changed()
 
     def _stop_ended_jobs(self) -> None:
         for job in self._state.pop_ended_jobs():
--- a/tarragoncleat/cluster/links.py
+++ b/tarragoncleat/cluster/links.py
@@ -15,6 +15,7 @@
 import loguru
 import msgpack
 
+from tarragoncleat.cluster import messages
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
@@ -99,7 +100,11 @@
                 self.close()
                 return
             for body in bodies:
-                receive(msgpack.unpackb(body))
+                parts = _unpack(body)
+                if parts is None:
+                    self.close()
+                    return
+                receive(parts)
 
     async def _receive(self) -> bytes:
         """Returns received bytes; none if the connection broke or is silent."""
@@ -115,6 +120,31 @@
         return b""
 
 
+def _unpack(body: bytes) -> list | None:
+    """Returns the parts of a frame, or None for a frame of another form."""
+    try:
+        parts = msgpack.unpackb(body)
+    except (msgpack.UnpackException, ValueError) as error:
+        loguru.logger.warning("malformed frame from a node: {!r}", error)
+        return None
+    if isinstance(parts, list) and parts:
+        *fields, data = parts[1:] or [None]
+        is_one_way = parts[0] == _ONE_WAY and _are_all(str, fields, 2)
+        is_exchange = parts[0] in (_REQUEST, _REPLY) and _are_all(
+            int, fields, 1
+        )
+        if (is_one_way or is_exchange) and isinstance(data, bytes):
+            return parts
+    loguru.logger.warning("a frame from a node has an unknown form")
+    return None
+
+
+def _are_all(kind: type, fields: list, count: int) -> bool:
+    return len(fields) == count and all(
+        isinstance(field, kind) for field in fields
+    )
+
+
 class _Pending:
     """A request that waits for its reply."""
 
@@ -288,6 +318,8 @@
                 self._on_lost(address)
 
     def _on_reply(self, connection: _Connection, parts: list) -> None:
+        if parts[0] != _REPLY:
+            return
         _, request_id, data = parts
         pending = connection.pending_requests.get(request_id)
         if pending is not None:
@@ -316,12 +348,22 @@
             # Drops messages for an earlier node at the same address.
             if recipient == self._own_id:
                 self._on_message(ids.EntryId(sender), codec.decode(data))
-        elif self._tasks is not None:
+        elif parts[0] == _REQUEST and self._tasks is not None:
             _, request_id, data = parts
             self._tasks.start_soon(self._answer, connection, request_id, data)
 
     async def _answer(
         self, connection: _Connection, request_id: int, data: bytes
     ) -> None:
-        reply = await self._on_request(codec.decode(data))
-        connection.enqueue([_REPLY, request_id, codec.encode(reply)])
+        try:
+            reply = codec.encode(await self._on_request(codec.decode(data)))
+        except Exception:  # noqa: BLE001
+            # One request that fails in an unforeseen way must not end the
+            # process: sent again, it would end the next leader's as well.
+            loguru.logger.exception("a request of another node failed")
+            reply = codec.encode(
+                messages.Refusal(
+                    errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
+                )
+            )
+        connection.enqueue([_REPLY, request_id, reply])
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -302,6 +302,8 @@
         self.has_ended = False
         self.start_outcome: clients.OrderOutcome | None = None
         self.lost_replies = 0
+        # Raised by the next renewal.
+        self.error: Exception | None = None
         self._changed = anyio.Event()
         self._sequence = itertools.count(1)
 
@@ -353,6 +355,9 @@
         self, order: clients.RenewLeaseOrder
     ) -> clients.WorkerReport | clients.OrderReply:
         """Returns a report; waits briefly for an end if the order allows it."""
+        error, self.error = self.error, None
+        if error is not None:
+            raise error
         failure = await self._failure()
         if failure is not None:
             return failure
@@ -455,12 +460,18 @@
     """Returns a dispatcher with fake clients, and its log."""
     log = FakeLog(local.state, term)
     by_id = {worker.record.worker_id: worker for worker in workers}
+
+    def create_client(record: model.WorkerRecord) -> FakeWorker:
+        if record.worker_id not in by_id:
+            raise ValueError(f"no client for {record.address!r}")
+        return by_id[record.worker_id]
+
     made = dispatcher.Dispatcher(
         log,  # type: ignore[arg-type]
         local.state,
         timer,
         bounds.Bounds(),
-        lambda record: by_id[record.worker_id],
+        create_client,
         instances or FakeInstanceClient(),
         FakeAdvisorClient(),
         "core-1",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -182,6 +182,9 @@
             {"service": 5},
             {"labels": "a"},
             {"address": None},
+            {"address": "10.0.0.1"},
+            {"address": "worker.example:80"},
+            {"address": "10.0.0.1:99999"},
         ):
             body = batch_builders.build_heartbeat_body(**fields)
             decoded = wire.decode_heartbeat("i-1", body)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -75,6 +75,45 @@
         self._run_scenario(scenario)
         self.assertEqual(next(iter(self.worker.running))[1], 2)
 
+    def test_error_in_one_session_ends_neither_the_term_nor_a_run(self) -> None:
+        """Guards against one worker's report that ends every process in turn.
+
+        The session is opened again, and the run that it had started goes on.
+        """
+        self.local.submit()
+        other = batch_builders.FakeWorker(batch_builders.build_record("w-2"))
+        self.other_workers = [other]
+
+        async def scenario() -> None:
+            await self._wait_until(lambda: self.worker.running)
+            self.local.register("w-2")
+            await self._wait_until(lambda: other.renewed_until_ms)
+            self.worker.error = RuntimeError("unforeseen")
+            await self._wait_until(lambda: self.worker.error is None)
+            self.worker.end(self.key)
+            before_ms = other.renewed_until_ms
+            other.clock_ms += 1_000
+            await self._wait_until(lambda: other.renewed_until_ms > before_ms)
+            await self._wait_until(
+                lambda: self._job_state() is jobs.JobState.COMPLETED
+            )
+
+        self._run_scenario(scenario)
+        self.assertEqual({order.run for order in self.worker.starts}, {1})
+
+    def test_worker_that_has_no_client_is_ended(self) -> None:
+        """Guards against a stored worker whose address can't be parsed."""
+        self.local.register("w-bad", address="nowhere")
+
+        async def scenario() -> None:
+            await self._wait_until(
+                lambda: self.local.state.has_worker_ended("w-bad")
+            )
+            self.local.submit()
+            await self._wait_until(lambda: self.worker.running)
+
+        self._run_scenario(scenario)
+
     def test_late_heartbeat_of_ended_incarnation_moves_no_task(self) -> None:
         """Guards against a second run beside one that is still running.
 
