--- a/tarragoncleat/requests/upstream_connections.py
+++ b/tarragoncleat/requests/upstream_connections.py
@@ -4,8 +4,6 @@
 buffer of a transport would hide whether a byte of a request was written.
 """
 
-import errno
-import os
 import select
 import socket
 
@@ -15,6 +13,7 @@
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import ids
 from tarragoncleat.kernel import settings as settings_module
+from tarragoncleat.kernel import tcp
 from tarragoncleat.kernel import timer as timer_module
 from tarragoncleat.requests import routing
 
@@ -113,7 +112,7 @@
                 continue
             except OSError as error:
                 return _upstream_failure(
-                    f"sending failed: {_error_name(error)}"
+                    f"sending failed: {tcp.error_name(error)}"
                 )
             self._has_sent = True
             rest = memoryview(rest)[sent:] if sent < len(rest) else b""
@@ -154,7 +153,7 @@
                 continue
             except OSError as error:
                 return _upstream_failure(
-                    f"receiving failed: {_error_name(error)}"
+                    f"receiving failed: {tcp.error_name(error)}"
                 )
             self._has_received = self._has_received or bool(data)
             self._codec.receive_data(data)
@@ -165,10 +164,6 @@
     return errors.Failure(errors.ErrorKind.UPSTREAM_FAILED, reason)
 
 
-def _error_name(error: OSError) -> str:
-    return errno.errorcode.get(error.errno or 0, "unknown error")
-
-
 def _pool_key(upstream: routing.Upstream) -> tuple[ids.UpstreamId, str, int]:
     return upstream.upstream_id, upstream.host, upstream.port
 
@@ -177,38 +172,10 @@
     upstream: routing.Upstream, timeout_s: float
 ) -> Connection | errors.Failure:
     """Connects to an upstream."""
-    family = socket.AF_INET6 if ":" in upstream.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    failure: errors.Failure | None = _upstream_failure(
-        "connecting was cancelled"
-    )
-    try:
-        failure = await _connect(
-            sock, (upstream.host, upstream.port), timeout_s
-        )
-    finally:
-        if failure is not None:
-            sock.close()
-    return Connection(upstream, sock) if failure is None else failure
-
-
-async def _connect(
-    sock: socket.socket, address: tuple[str, int], timeout_s: float
-) -> errors.Failure | None:
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    error_number = sock.connect_ex(address)
-    if error_number == errno.EINPROGRESS:
-        with anyio.move_on_after(timeout_s) as scope:
-            await anyio.wait_writable(sock)
-        if scope.cancelled_caught:
-            return _upstream_failure("connecting timed out")
-        error_number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    if error_number:
-        return _upstream_failure(
-            f"connecting failed: {os.strerror(error_number)}"
-        )
-    return None
+    sock = await tcp.connect(upstream.host, upstream.port, timeout_s)
+    if isinstance(sock, errors.Failure):
+        return sock
+    return Connection(upstream, sock)
 
 
 class ConnectionPool:
