Plan only for services that changed

Change: `ready_steps` keeps the ready steps by service, and `planner` deals only with services whose jobs or workers changed, or whose jobs became late. Steps without conditions share one ranking of the workers. Tasks that fit on no worker of the fleet aren't tried again. The penalty of a worker is kept, not counted for each round, and rounds are 3 ms apart.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -17,7 +17,7 @@
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import pacing
-from tarragoncleat.batch import placement
+from tarragoncleat.batch import planner
 from tarragoncleat.batch import pool_rebalancer
 from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import state as state_module
@@ -35,6 +35,8 @@
 
 _COMMIT_TIMEOUT_S = 3.0
 _CHECK_INTERVAL_S = 0.25
+# Changes that arrive within this time are planned in one round.
+_MIN_ROUND_GAP_S = 0.003
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
 _LOAD_LOG_INTERVAL_S = 1.0
@@ -87,6 +89,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._approval_cache = advice.ApprovalCache(advisor_client, timer)
         self._view_cache = worker_views.ViewCache()
+        self._planner = planner.Planner(state, self._approval_cache)
         self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._rebalancer = pool_rebalancer.PoolRebalancer(
@@ -255,32 +258,40 @@
                 )
                 await self._timer.sleep_s(_CHECK_INTERVAL_S)
             await self._state_changed.wait()
+            await self._timer.sleep_s(_MIN_ROUND_GAP_S)
 
-    def _plan(self) -> placement.Plan:
-        now_s = self._timer.monotonic_s()
-        schedulable_workers = {
-            worker_id: self._health.penalty(worker_id)
-            for worker_id, session in self._sessions.items()
-            if session.is_responsive
-            and not self._health.is_ejected(worker_id, now_s)
-            and not self._wave_controller.is_draining(session.record.instance)
-            and not self._rebalancer.has_pending_move(session.record.instance)
-        }
+    def _plan(self) -> planner.Plan:
+        schedulable_workers = self._schedulable_workers()
         due_for_maintenance = self._wave_controller.due_instances()
         self._views = self._view_cache.refresh(
             self._state, schedulable_workers, due_for_maintenance
         )
         self._approval_cache.clear_requests()
-        # Services without jobs are included once they have had one; a pool
-        # keeps its size until its first job, which may need all of it.
-        return placement.plan(
-            self._state,
+        return self._planner.plan(
             self._views,
+            self._view_cache.changed_services,
             self._timer.wall_time_ms(),
-            self._approval_cache,
-            idle_services=self._demands,
+            self._view_cache.has_other_workers,
         )
 
+    def _schedulable_workers(self) -> dict[str, float]:
+        """Returns the rank penalty of each worker that may get tasks."""
+        now_s = self._timer.monotonic_s()
+        health = self._health
+        is_draining = self._wave_controller.is_draining
+        has_pending_move = self._rebalancer.has_pending_move
+        penalties = {}
+        for worker_id, session in self._sessions.items():
+            instance = session.record.instance
+            if (
+                session.is_responsive_at(now_s)
+                and not health.is_ejected(worker_id, now_s)
+                and not is_draining(instance)
+                and not has_pending_move(instance)
+            ):
+                penalties[worker_id] = health.penalty(worker_id)
+        return penalties
+
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
         for start in starts:
             session = self._sessions.get(start.worker_id)
@@ -297,7 +308,7 @@
             )
             session.start(start, payload, located[2].checkpoint, ticket)
 
-    def _log_starts(self, plan: placement.Plan) -> None:
+    def _log_starts(self, plan: planner.Plan) -> None:
         waiting = sum(
             demand.unplaced_millicores for demand in plan.demands.values()
         )
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -52,13 +52,14 @@
 class Step:
     """The tasks of one step in one occurrence."""
 
-    __slots__ = ("definition", "done_count", "tasks", "waiting")
+    __slots__ = ("definition", "demand", "done_count", "tasks", "waiting")
 
     def __init__(
         self, job_id: str, occurrence: int, number: int, definition: Any
     ) -> None:
         """Creates a step whose tasks all wait."""
         self.definition: model.StepDefinition = definition
+        self.demand = self.definition.demand
         self.tasks = [
             Task(model.TaskKey(job_id, occurrence, number, position))
             for position in range(definition.task_count)
@@ -106,7 +107,10 @@
 
 
 class Job:
-    """An accepted job."""
+    """An accepted job.
+
+    `revision` increases with each change to the states of its tasks.
+    """
 
     __slots__ = (
         "_has_started",
@@ -118,6 +122,7 @@
         "next_occurrence",
         "occurrences",
         "queue",
+        "revision",
         "state",
     )
 
@@ -138,6 +143,7 @@
         self.ended_ms: int | None = None
         self.occurrences: dict[int, Occurrence] = {}
         self.next_occurrence = 0
+        self.revision = 0
         self._has_started = False
         if definition.repeat_count == 0:
             self.open_occurrence(0)
@@ -191,6 +197,7 @@
             self.job_id, number, self.definition
         )
         self.next_occurrence = number + 1
+        self.revision += 1
 
     def find_task(self, key: model.TaskKey) -> tuple[Step, Task] | None:
         """Returns a task's step and the task, or None if it doesn't exist."""
@@ -229,6 +236,7 @@
         task.run = run_start.run
         task.worker_id = run_start.worker_id
         self._has_started = True
+        self.revision += 1
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
         return True
@@ -251,6 +259,7 @@
         )
         if task.state is not TaskState.RUNNING or not is_current:
             return []
+        self.revision += 1
         released_tasks = [task]
         if run_end.ending is commands.Ending.DONE and step.definition.gang:
             released_tasks = [
@@ -296,6 +305,7 @@
                 self._finish(JobState.FAILED, now_ms)
 
     def _requeue(self, step: Step, task: Task) -> None:
+        self.revision += 1
         if self.has_ended:
             task.state = TaskState.DROPPED
             return
@@ -309,6 +319,7 @@
             self._finish(JobState.COMPLETED, now_ms)
 
     def _finish(self, state: JobState, now_ms: int) -> None:
+        self.revision += 1
         self.state = state
         self.ended_ms = now_ms
         for occurrence in self.occurrences.values():
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -3,266 +3,171 @@
 Pure functions over the state and views of the workers, without I/O or clock.
 """
 
+import bisect
 from collections.abc import Iterable, Iterator, Sequence
 import dataclasses
 import heapq
+import itertools
+import operator
 
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import commands
-from tarragoncleat.batch import job_order
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import ready_steps
 from tarragoncleat.batch import worker_views
 
-__all__ = ["Plan", "plan"]
+__all__ = ["place_steps"]
 
 _LONG_RUNNING, _IN_USE, _IDLE = range(3)
 
 
-@dataclasses.dataclass(slots=True)
-class _ReadyStep:
-    """A step with tasks that may start, and its sort key."""
-
-    order: tuple
-    can_meet_objective: bool
-    needs_ticket: bool
-    step: jobs_module.Step
-    placed_count: int = 0
-
-    @property
-    def unplaced_count(self) -> int:
-        """Number of tasks without a worker."""
-        return len(self.step.waiting) - self.placed_count
-
-
-@dataclasses.dataclass(slots=True)
-class Plan:
-    """Runs to start, and the load by service that remains after them."""
-
-    starts: list[commands.RunStart] = dataclasses.field(default_factory=list)
-    demands: dict[str, pool_sizing.Demand] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-def plan(
-    state: state_module.BatchState,
-    views: dict[str, list[worker_views.WorkerView]],
-    now_ms: int,
-    approval_cache: advice.ApprovalCache | None = None,
-    idle_services: Iterable[str] = (),
-) -> Plan:
-    """Returns the runs to start now; deducts their resources from the views.
-
-    Args:
-        state: The replicated state.
-        views: Workers by service.
-        now_ms: Time in milliseconds since the epoch.
-        approval_cache: Source of the tickets that steps of queues with advice
-            need for each worker; missing ones are requested.
-        idle_services: Services that get a demand even without jobs.
-    """
-    ready: dict[str, list[_ReadyStep]] = {
-        service: [] for service in idle_services if service in views
-    }
-    for job in state.active_jobs.values():
-        policy = state.policy_of(job)
-        if policy is None:
-            continue
-        steps = ready.setdefault(policy.service, [])
-        steps.extend(_ready_steps(job, policy, now_ms))
-    result = Plan()
-    default_instance_millicores = _largest_worker_millicores(views)
-    for service, steps in ready.items():
-        steps.sort(key=lambda ready_step: ready_step.order)
-        result.demands[service] = _plan_service(
-            [step for step in steps if step.can_meet_objective],
-            views.get(service, ()),
-            default_instance_millicores,
-            approval_cache,
-            result.starts,
-        )
-    late = {
-        service: [step for step in steps if not step.can_meet_objective]
-        for service, steps in ready.items()
-    }
-    if any(late.values()):
-        _record_placeable(ready, views, result.demands)
-        lacking = _lacking_services(state, result.demands)
-        for service, steps in late.items():
-            _place_late_steps(
-                steps,
-                views.get(service, ()),
-                bool(lacking - {service}),
-                approval_cache,
-                result.starts,
-                result.demands[service],
-            )
-    return result
-
-
-def _place_late_steps(
-    steps: Sequence[_ReadyStep],
+def place_steps(
+    steps: Sequence[ready_steps.ReadyStep],
     views: Sequence[worker_views.WorkerView],
-    gives_way: bool,
     approval_cache: advice.ApprovalCache | None,
-    starts: list[commands.RunStart],
-    demand: pool_sizing.Demand,
-) -> None:
-    """Starts steps of late jobs, and updates the service's load.
+) -> list[commands.RunStart]:
+    """Returns the starts of steps; deducts their resources from the views.
 
-    With `gives_way` they get only workers with long-running tasks: the others
-    can move, once they are idle, to a pool that lacks instances.
+    Args:
+        steps: Steps in the order in which they get capacity.
+        views: Workers that the steps may use.
+        approval_cache: Source of the tickets that some steps need.
     """
-    workers = views
-    if gives_way:
-        workers = [view for view in views if view.long_running_tasks]
-    _place_steps(steps, workers, approval_cache, starts)
-    demand.late_millicores = _unplaced_millicores(steps)
-    _update_used(demand, views)
-
-
-def _record_placeable(
-    ready: dict[str, list[_ReadyStep]],
-    views: dict[str, list[worker_views.WorkerView]],
-    demands: dict[str, pool_sizing.Demand],
-) -> None:
-    """Sets the part of each service's unplaced demand that fits somewhere."""
-    records = [view.record for workers in views.values() for view in workers]
-    for service, steps in ready.items():
-        demands[service].placeable_millicores = _unplaced_millicores(
-            step for step in steps if _is_placeable(step, records)
-        )
-
+    starts: list[commands.RunStart] = []
+    workers = [view for view in views if view.is_schedulable]
+    # Under overload nearly all workers are full and hundreds of steps wait, so
+    # full workers are skipped; checking them for each step would take all of
+    # the leader's time.
+    ranking = _Ranking(workers, _min_demand(steps))
+    for ready_step in steps:
+        if not ranking.has_views:
+            break
+        if _is_plain(ready_step):
+            placed = ranking.place(ready_step.step)
+        else:
+            usable = _workers_with_ticket(
+                ready_step, ranking.views, approval_cache
+            )
+            placed = list(_place_step(ready_step.step, usable))
+            if placed:
+                ranking = _Ranking(ranking.views, _min_demand(steps))
+        ready_step.placed_count = len(placed)
+        starts.extend(placed)
+    return starts
 
-def _lacking_services(
-    state: state_module.BatchState, demands: dict[str, pool_sizing.Demand]
-) -> set[str]:
-    """Returns the services that need instances of other pools for their work.
 
-    Without a spare pool no instance moves.
-    """
-    configuration = state.configuration
-    if configuration is None or not any(
-        service.is_spare for service in configuration.services
-    ):
-        return set()
-    return {
-        service
-        for service, demand in demands.items()
-        if pool_sizing.lacks_instances(demand)
-    }
-
-
-def _largest_worker_millicores(
-    views: dict[str, list[worker_views.WorkerView]],
-) -> int:
-    """Returns the size of the largest worker, in 1/1000 core."""
-    return max(
-        (
-            view.record.cpu_millicores
-            for service_views in views.values()
-            for view in service_views
-        ),
-        default=1,
+def _is_plain(ready_step: ready_steps.ReadyStep) -> bool:
+    """Whether only the load of a worker decides how well it suits the step."""
+    definition = ready_step.step.definition
+    return not (
+        ready_step.needs_ticket
+        or definition.gang
+        or definition.required_label
+        or definition.data_rack
+        or definition.max_per_worker
+        or definition.long_running
+        or definition.best_effort
+        or definition.latency_target_ms
     )
 
 
-def _plan_service(
-    steps: Sequence[_ReadyStep],
-    views: Sequence[worker_views.WorkerView],
-    default_instance_millicores: int,
-    approval_cache: advice.ApprovalCache | None,
-    starts: list[commands.RunStart],
-) -> pool_sizing.Demand:
-    """Starts the steps in time of a service and returns its remaining load.
+class _Ranking:
+    """Workers in the order in which plain steps fill them.
 
-    If the service has no workers, `default_instance_millicores` is the assumed
-    size of its instances.
+    The order is the same for all plain steps, so it is kept while they are
+    placed, and only the worker that got a task moves in it.
     """
-    instance_millicores = (
-        views[0].record.cpu_millicores if views else default_instance_millicores
-    )
-    demand = pool_sizing.Demand(instance_millicores=instance_millicores)
-    _place_steps(steps, views, approval_cache, starts)
-    demand.unplaced_millicores = _unplaced_millicores(steps)
-    demand.unplaced_long_running = sum(
-        ready_step.unplaced_count
-        for ready_step in steps
-        if ready_step.step.definition.long_running
-    )
-    _update_used(demand, views)
-    return demand
-
-
-def _is_placeable(
-    ready_step: _ReadyStep, records: Sequence[model.WorkerRecord]
-) -> bool:
-    """Whether a step in time has unplaced tasks that fit on some worker."""
-    if not (ready_step.can_meet_objective and ready_step.unplaced_count):
-        return False
-    definition = ready_step.step.definition
-    label = definition.required_label
-    return any(
-        definition.demand.fits_into(record.capacity)
-        and (not label or label in record.labels)
-        for record in records
-    )
 
+    def __init__(
+        self,
+        workers: Sequence[worker_views.WorkerView],
+        min_demand: model.Resources,
+    ) -> None:
+        """Ranks workers; placing a step of another kind makes it stale.
+
+        Args:
+            workers: Workers; those with less than `min_demand` free are full.
+            min_demand: The minimum of each resource over the steps to place.
+        """
+        self._min_demand = min_demand
+        self._ranked = sorted(
+            (
+                (_plain_rank(view), view)
+                for view in workers
+                if min_demand.fits_into(view.free)
+            ),
+            key=operator.itemgetter(0),
+        )
+        # Workers only get fuller, so what didn't fit once won't fit later.
+        self._unplaced_demands: list[model.Resources] = []
 
-def _unplaced_millicores(steps: Iterable[_ReadyStep]) -> int:
-    return sum(
-        ready_step.unplaced_count
-        * ready_step.step.definition.demand.cpu_millicores
-        for ready_step in steps
-    )
+    @property
+    def has_views(self) -> bool:
+        """Whether some worker is not full."""
+        return bool(self._ranked)
 
+    @property
+    def views(self) -> list[worker_views.WorkerView]:
+        """The workers that are not full."""
+        return [view for _, view in self._ranked]
+
+    def place(self, step: jobs_module.Step) -> list[commands.RunStart]:
+        """Places as many of a step's tasks as fit."""
+        demand = step.demand
+        if any(other.fits_into(demand) for other in self._unplaced_demands):
+            return []
+        starts = []
+        index = 0
+        for position in sorted(step.waiting):
+            index = self._find(demand, index)
+            if index == len(self._ranked):
+                self._unplaced_demands.append(demand)
+                break
+            view = self._ranked[index][1]
+            task = step.tasks[position]
+            starts.append(
+                commands.RunStart(
+                    task.key, step.next_run(position), view.record.worker_id
+                )
+            )
+            view.add_task(task.key, step.definition, demand)
+            index = min(index, self._move(index))
+        return starts
 
-def _update_used(
-    demand: pool_sizing.Demand, views: Sequence[worker_views.WorkerView]
-) -> None:
-    """Sets the used and the free capacity of a service's workers."""
-    demand.free_millicores = sum(
-        view.free.cpu_millicores for view in views if view.is_schedulable
-    )
-    demand.used_millicores = sum(
-        view.record.cpu_millicores - view.free.cpu_millicores for view in views
-    )
+    def _find(self, demand: model.Resources, index: int) -> int:
+        """Returns the first worker from an index on that a task fits on."""
+        for rank_and_view in itertools.islice(self._ranked, index, None):
+            if demand.fits_into(rank_and_view[1].free):
+                break
+            index += 1
+        return index
+
+    def _move(self, index: int) -> int:
+        """Ranks a worker again after it got a task.
+
+        Returns:
+            Its new index, or the index of the next worker if it is full now.
+        """
+        _, view = self._ranked.pop(index)
+        if not self._min_demand.fits_into(view.free):
+            return index
+        entry = (_plain_rank(view), view)
+        new_index = bisect.bisect(
+            self._ranked, entry[0], key=operator.itemgetter(0)
+        )
+        self._ranked.insert(new_index, entry)
+        return new_index
 
 
-def _place_steps(
-    steps: Sequence[_ReadyStep],
-    views: Sequence[worker_views.WorkerView],
-    approval_cache: advice.ApprovalCache | None,
-    starts: list[commands.RunStart],
-) -> None:
-    """Adds the starts of steps, which are in the order of their ranks."""
-    workers = [view for view in views if view.is_schedulable]
-    # Under overload nearly all workers are full and hundreds of steps wait, so
-    # full workers are skipped; checking them for each step would take all of
-    # the leader's time.
-    min_demand = _min_demand(steps)
-    candidates = _with_free_capacity(workers, min_demand)
-    for ready_step in steps:
-        if not candidates:
-            break
-        placed = list(
-            _place_step(
-                ready_step.step,
-                _workers_with_ticket(ready_step, candidates, approval_cache),
-            )
-        )
-        if placed:
-            starts.extend(placed)
-            ready_step.placed_count = len(placed)
-            candidates = _with_free_capacity(candidates, min_demand)
+def _plain_rank(view: worker_views.WorkerView) -> tuple:
+    """Returns the rank of a worker for a plain step; see `_rank`."""
+    return (view.penalty, *_packing_preference(view), view.record.worker_id)
 
 
-def _min_demand(steps: Sequence[_ReadyStep]) -> model.Resources:
+def _min_demand(steps: Sequence[ready_steps.ReadyStep]) -> model.Resources:
     """Returns the minimum of each resource over the demands of the steps."""
-    demands = [ready_step.step.definition.demand for ready_step in steps]
+    demands = {ready_step.step.demand for ready_step in steps}
     if not demands:
         return model.Resources(0, 0, 0)
     return model.Resources(
@@ -270,34 +175,8 @@
     )
 
 
-def _with_free_capacity(
-    workers: Sequence[worker_views.WorkerView], min_demand: model.Resources
-) -> list[worker_views.WorkerView]:
-    return [view for view in workers if min_demand.fits_into(view.free)]
-
-
-def _ready_steps(
-    job: jobs_module.Job, policy: model.QueuePolicy, now_ms: int
-) -> Iterator[_ReadyStep]:
-    order = None
-    for occurrence in job.occurrences.values():
-        for step in occurrence.steps:
-            if step.waiting and occurrence.is_ready(step):
-                if order is None:
-                    order = job_order.sort_key(job, policy, now_ms)
-                best_effort = step.definition.best_effort
-                can_meet_objective = job_order.can_meet_objective(order)
-                needs_ticket = policy.advice is not None
-                yield _ReadyStep(
-                    (best_effort, *order),
-                    can_meet_objective,
-                    needs_ticket,
-                    step,
-                )
-
-
 def _workers_with_ticket(
-    ready_step: _ReadyStep,
+    ready_step: ready_steps.ReadyStep,
     workers: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
 ) -> Sequence[worker_views.WorkerView]:
@@ -311,9 +190,7 @@
         if approval_cache.ticket(key, view.record.worker_id) is not None
     ]
     candidates = [
-        view
-        for view in approved
-        if ready_step.step.definition.demand.fits_into(view.free)
+        view for view in approved if ready_step.step.demand.fits_into(view.free)
     ]
     missing = len(ready_step.step.waiting) - len(candidates)
     if missing > 0:
@@ -334,7 +211,7 @@
     ranked = [
         (_rank(first, definition, view), view)
         for view in workers
-        if _can_run(first, definition, view)
+        if _can_run(first, step, view)
     ]
     heapq.heapify(ranked)
     starts = []
@@ -343,13 +220,13 @@
             break
         view = ranked[0][1]
         task = step.tasks[position]
-        view.add_task(task.key, definition)
+        view.add_task(task.key, definition, step.demand)
         starts.append(
             commands.RunStart(
                 task.key, step.next_run(position), view.record.worker_id
             )
         )
-        if _can_run(first, definition, view):
+        if _can_run(first, step, view):
             rank = _rank(first, definition, view)
             heapq.heapreplace(ranked, (rank, view))
         else:
@@ -370,7 +247,7 @@
         run = step.next_run(0)
         starts = []
         for task, view in zip(step.tasks, chosen, strict=True):
-            view.add_task(task.key, step.definition)
+            view.add_task(task.key, step.definition, step.demand)
             starts.append(
                 commands.RunStart(task.key, run, view.record.worker_id)
             )
@@ -389,10 +266,10 @@
     originals = {view.record.worker_id: view for view in group}
     chosen = []
     for task in step.tasks:
-        copy = _best_worker(task.key, step.definition, copies)
+        copy = _best_worker(task.key, step, copies)
         if copy is None:
             return None
-        copy.add_task(task.key, step.definition)
+        copy.add_task(task.key, step.definition, step.demand)
         chosen.append(originals[copy.record.worker_id])
     return chosen
 
@@ -409,15 +286,15 @@
 
 def _best_worker(
     key: model.TaskKey,
-    definition: model.StepDefinition,
+    step: jobs_module.Step,
     workers: Sequence[worker_views.WorkerView],
 ) -> worker_views.WorkerView | None:
     best = None
     best_rank: tuple = ()
     for view in workers:
-        if not _can_run(key, definition, view):
+        if not _can_run(key, step, view):
             continue
-        rank = _rank(key, definition, view)
+        rank = _rank(key, step.definition, view)
         if best is None or rank < best_rank:
             best, best_rank = view, rank
     return best
@@ -425,11 +302,12 @@
 
 def _can_run(
     key: model.TaskKey,
-    definition: model.StepDefinition,
+    step: jobs_module.Step,
     view: worker_views.WorkerView,
 ) -> bool:
-    if not definition.demand.fits_into(view.free):
+    if not step.demand.fits_into(view.free):
         return False
+    definition = step.definition
     label = definition.required_label
     if label and label not in view.record.labels:
         return False
--- /dev/null
+++ b/tarragoncleat/batch/planner.py
@@ -0,0 +1,260 @@
+"""Plans the runs to start, and the load of each service that remains.
+
+A plan deals again only with the services whose jobs or workers changed since
+the one before; the others keep their load. So the cost of a decision on one
+service doesn't grow with the work of the others.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+import dataclasses
+
+from tarragoncleat.batch import advice
+from tarragoncleat.batch import commands
+from tarragoncleat.batch import model
+from tarragoncleat.batch import placement
+from tarragoncleat.batch import pool_sizing
+from tarragoncleat.batch import ready_steps
+from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_views
+
+__all__ = ["Plan", "Planner", "plan"]
+
+_Views = dict[str, list[worker_views.WorkerView]]
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Runs to start, and the load by service that remains after them."""
+
+    starts: list[commands.RunStart] = dataclasses.field(default_factory=list)
+    demands: dict[str, pool_sizing.Demand] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Planner:
+    """Plans runs again and again during one leader's term."""
+
+    def __init__(
+        self,
+        state: state_module.BatchState,
+        approval_cache: advice.ApprovalCache | None = None,
+    ) -> None:
+        """Creates a planner that has made no plan yet.
+
+        Args:
+            state: The replicated state, read only.
+            approval_cache: Source of the tickets that steps of queues with
+                advice need for each worker; missing ones are requested.
+        """
+        self._state = state
+        self._approval_cache = approval_cache
+        self._index = ready_steps.ReadyIndex()
+        self._demands: dict[str, pool_sizing.Demand] = {}
+        # Whether late work of a service gave way to others in the last plan.
+        self._gave_way: dict[str, bool] = {}
+        # Whether some worker is large enough, by demand and label.
+        self._fits: dict[tuple[model.Resources, str], bool] = {}
+
+    def plan(
+        self,
+        views: _Views,
+        changed_views: Collection[str],
+        now_ms: int,
+        has_other_workers: bool = True,
+    ) -> Plan:
+        """Returns the runs to start now, and deducts them from the views.
+
+        Services without jobs keep a load once they have had one; a pool keeps
+        its size until its first job, which may need all of it.
+
+        Args:
+            views: Workers by service.
+            changed_views: Services whose views changed since the last plan.
+            now_ms: Time in milliseconds since the epoch.
+            has_other_workers: Whether workers were added or removed since then.
+        """
+        changed = self._index.refresh(self._state, now_ms)
+        services = self._index.services
+        stale = {
+            service
+            for service in services.keys() | self._demands.keys()
+            if has_other_workers
+            or service in changed
+            or service in changed_views
+            or service not in self._demands
+            # Approvals may have arrived.
+            or self._steps_of(service).need_tickets
+        }
+        if has_other_workers:
+            self._fits.clear()
+        result = Plan()
+        for service in sorted(stale):
+            self._plan_in_time(service, views, result.starts)
+        self._plan_late(stale, views, result.starts)
+        result.demands = dict(self._demands)
+        return result
+
+    def _steps_of(self, service: str) -> ready_steps.ServiceSteps:
+        return self._index.services.get(service, ready_steps.ServiceSteps())
+
+    def _plan_in_time(
+        self,
+        service: str,
+        views: _Views,
+        starts: list[commands.RunStart],
+    ) -> None:
+        """Starts the steps in time of a service, and sets its load."""
+        service_views = views.get(service, [])
+        steps = self._steps_of(service)
+        if not service_views and service not in self._index.services:
+            self._demands.pop(service, None)
+            return
+        if service_views:
+            instance_millicores = service_views[0].record.cpu_millicores
+        else:
+            instance_millicores = _largest_worker_millicores(views)
+        demand = pool_sizing.Demand(instance_millicores=instance_millicores)
+        placeable = self._placeable(steps.in_time, views)
+        starts.extend(
+            placement.place_steps(
+                placeable, service_views, self._approval_cache
+            )
+        )
+        demand.placeable_millicores = _unplaced_millicores(placeable)
+        demand.unplaced_millicores = _unplaced_millicores(steps.in_time)
+        demand.unplaced_long_running = sum(
+            ready_step.unplaced_count
+            for ready_step in steps.in_time
+            if ready_step.step.definition.long_running
+        )
+        _update_used(demand, service_views)
+        self._demands[service] = demand
+
+    def _plan_late(
+        self,
+        stale: Collection[str],
+        views: _Views,
+        starts: list[commands.RunStart],
+    ) -> None:
+        """Starts steps of late jobs, and updates the load of their services.
+
+        While another service lacks instances they get only workers with
+        long-running tasks: the others can move there once they are idle.
+        """
+        with_late_steps = [
+            service
+            for service, steps in self._index.services.items()
+            if steps.late
+        ]
+        if not with_late_steps:
+            return
+        lacking = self._lacking_services()
+        for service in with_late_steps:
+            gives_way = bool(lacking - {service})
+            if service in stale or self._gave_way.get(service) != gives_way:
+                self._gave_way[service] = gives_way
+                self._place_late(service, views, gives_way, starts)
+
+    def _place_late(
+        self,
+        service: str,
+        views: _Views,
+        gives_way: bool,
+        starts: list[commands.RunStart],
+    ) -> None:
+        steps = self._steps_of(service).late
+        service_views = views.get(service, [])
+        workers = service_views
+        if gives_way:
+            workers = [view for view in workers if view.long_running_tasks]
+        placeable = self._placeable(steps, views)
+        starts.extend(
+            placement.place_steps(placeable, workers, self._approval_cache)
+        )
+        demand = self._demands[service]
+        demand.late_millicores = _unplaced_millicores(steps)
+        _update_used(demand, service_views)
+
+    def _placeable(
+        self, steps: Iterable[ready_steps.ReadyStep], views: _Views
+    ) -> list[ready_steps.ReadyStep]:
+        """Returns the steps whose tasks fit on some worker of the fleet.
+
+        The others can never run; trying them again would cost each plan a look
+        at every worker.
+        """
+        result = []
+        for ready_step in steps:
+            ready_step.placed_count = 0
+            step = ready_step.step
+            key = (step.demand, step.definition.required_label)
+            if key not in self._fits:
+                self._fits[key] = _fits_somewhere(*key, views)
+            if self._fits[key]:
+                result.append(ready_step)
+        return result
+
+    def _lacking_services(self) -> set[str]:
+        """Returns the services that need instances of other pools.
+
+        Without a spare pool no instance moves.
+        """
+        configuration = self._state.configuration
+        if configuration is None or not any(
+            service.is_spare for service in configuration.services
+        ):
+            return set()
+        return {
+            service
+            for service, demand in self._demands.items()
+            if pool_sizing.lacks_instances(demand)
+        }
+
+
+def plan(
+    state: state_module.BatchState,
+    views: _Views,
+    now_ms: int,
+    approval_cache: advice.ApprovalCache | None = None,
+) -> Plan:
+    """Returns a plan that no earlier one precedes; see `Planner.plan`."""
+    return Planner(state, approval_cache).plan(views, views.keys(), now_ms)
+
+
+def _largest_worker_millicores(views: _Views) -> int:
+    """Returns the size of the largest worker, in 1/1000 core."""
+    return max(
+        (
+            view.record.cpu_millicores
+            for service_views in views.values()
+            for view in service_views
+        ),
+        default=1,
+    )
+
+
+def _unplaced_millicores(steps: Iterable[ready_steps.ReadyStep]) -> int:
+    return sum(ready_step.unplaced_millicores for ready_step in steps)
+
+
+def _update_used(
+    demand: pool_sizing.Demand, views: Sequence[worker_views.WorkerView]
+) -> None:
+    """Sets the used and the free capacity of a service's workers."""
+    demand.free_millicores = sum(
+        view.free.cpu_millicores for view in views if view.is_schedulable
+    )
+    demand.used_millicores = sum(
+        view.record.cpu_millicores - view.free.cpu_millicores for view in views
+    )
+
+
+def _fits_somewhere(demand: model.Resources, label: str, views: _Views) -> bool:
+    """Whether a task fits on some worker while nothing else runs there."""
+    return any(
+        demand.fits_into(view.record.capacity)
+        and (not label or label in view.record.labels)
+        for service_views in views.values()
+        for view in service_views
+    )
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -28,12 +28,14 @@
     """Recent results of one worker.
 
     `progress` holds for each run its percentage and the time since which it is
-    unchanged; `ejection_s` is the length of the next ejection.
+    unchanged; `ejection_s` is the length of the next ejection, and `penalty`
+    is the rank penalty for recent failures.
     """
 
     recent_ends: deque[tuple[bool, str]] = dataclasses.field(
         default_factory=lambda: deque(maxlen=_MAX_RECENT_ENDS)
     )
+    penalty: float = 0.0
     ejected_until_s: float = 0.0
     last_report_s: float = 0.0
     ejection_s: float = _EJECTION_S
@@ -56,6 +58,9 @@
             return
         stats = self._stats_of(run_end.worker_id)
         stats.recent_ends.append((is_failure, run_end.task.job_id))
+        failures = sum(failed for failed, _ in stats.recent_ends)
+        failure_share = failures / len(stats.recent_ends)
+        stats.penalty = _FAILURE_PENALTY * round(failure_share)
         if not is_failure:
             stats.ejection_s = _EJECTION_S
             return
@@ -119,10 +124,7 @@
     def penalty(self, worker_id: str) -> float:
         """Returns the rank penalty of a worker for recent failures."""
         stats = self._stats.get(worker_id)
-        if stats is None or not stats.recent_ends:
-            return 0.0
-        failures = sum(failed for failed, _ in stats.recent_ends)
-        return _FAILURE_PENALTY * round(failures / len(stats.recent_ends))
+        return 0.0 if stats is None else stats.penalty
 
     def _stats_of(self, worker_id: str) -> _WorkerStats:
         return self._stats.setdefault(worker_id, _WorkerStats())
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -136,13 +136,14 @@
     @property
     def is_responsive(self) -> bool:
         """Whether the worker answers and has reported in this term."""
-        since_contact_s = (
-            self._timer.monotonic_s() - self._leases.last_contact_s
-        )
+        return self.is_responsive_at(self._timer.monotonic_s())
+
+    def is_responsive_at(self, now_s: float) -> bool:
+        """Returns `is_responsive` at a time that was read before."""
         return (
             self._has_report
             and not self._consecutive_failures
-            and since_contact_s < _MAX_SILENCE_S
+            and now_s - self._leases.last_contact_s < _MAX_SILENCE_S
         )
 
     def supersedes(self, other: "WorkerSession") -> bool:
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -41,11 +41,19 @@
     task_count: int = 0
     is_modified: bool = False
 
+    @property
+    def traits(self) -> tuple[bool, float, bool]:
+        """What the leader has found out about the worker."""
+        return self.is_schedulable, self.penalty, self.is_due_for_maintenance
+
     def add_task(
-        self, key: model.TaskKey, definition: model.StepDefinition
+        self,
+        key: model.TaskKey,
+        definition: model.StepDefinition,
+        demand: model.Resources,
     ) -> None:
         """Adds a task and deducts its demand."""
-        self.free = self.free.minus(definition.demand)
+        self.free = self.free.minus(demand)
         step = key[:3]
         self.tasks_by_step[step] = self.tasks_by_step.get(step, 0) + 1
         self.latency_sensitive_tasks += definition.latency_target_ms > 0
@@ -74,6 +82,18 @@
     def __init__(self) -> None:
         """Creates an empty cache."""
         self._entries: dict[str, _CacheEntry] = {}
+        self._changed_services: set[str] = set()
+        self._has_other_workers = False
+
+    @property
+    def changed_services(self) -> frozenset[str]:
+        """Services whose views the last refresh changed."""
+        return frozenset(self._changed_services)
+
+    @property
+    def has_other_workers(self) -> bool:
+        """Whether the last refresh found workers added or removed."""
+        return self._has_other_workers
 
     def refresh(
         self,
@@ -88,30 +108,43 @@
             schedulable_workers: Penalty of each worker that may get tasks.
             due_for_maintenance: Instances to avoid for long-running tasks.
         """
-        cached: dict[str, _CacheEntry] = {}
+        previous, self._entries = self._entries, {}
+        self._changed_services = set()
+        self._has_other_workers = False
         views: dict[str, list[WorkerView]] = {}
         for worker_id, worker in state.workers.items():
-            entry = self._entries.get(worker_id)
+            entry = previous.pop(worker_id, None)
+            is_schedulable = (
+                worker_id in schedulable_workers
+                and worker.state is state_module.WorkerState.UP
+            )
+            traits = (
+                is_schedulable,
+                schedulable_workers.get(worker_id, 0.0),
+                worker.record.instance in due_for_maintenance,
+            )
             if (
                 entry is None
                 or entry.worker is not worker
                 or entry.revision != worker.revision
                 or entry.view.is_modified
+                or entry.view.traits != traits
             ):
                 view = _build_view(state, worker)
+                (
+                    view.is_schedulable,
+                    view.penalty,
+                    view.is_due_for_maintenance,
+                ) = traits
+                if entry is None or entry.worker is not worker:
+                    self._has_other_workers = True
                 entry = _CacheEntry(worker, worker.revision, view)
-            cached[worker_id] = entry
-            view = entry.view
-            view.penalty = schedulable_workers.get(worker_id, 0.0)
-            view.is_due_for_maintenance = (
-                worker.record.instance in due_for_maintenance
-            )
-            view.is_schedulable = (
-                worker_id in schedulable_workers
-                and worker.state is state_module.WorkerState.UP
-            )
-            views.setdefault(worker.record.service, []).append(view)
-        self._entries = cached
+                self._changed_services.add(worker.record.service)
+            self._entries[worker_id] = entry
+            views.setdefault(worker.record.service, []).append(entry.view)
+        for entry in previous.values():
+            self._has_other_workers = True
+            self._changed_services.add(entry.worker.record.service)
         return views
 
 
@@ -131,6 +164,6 @@
     for key in worker.tasks:
         located = state.task(key)
         if located is not None:
-            view.add_task(key, located[1].definition)
+            view.add_task(key, located[1].definition, located[1].demand)
     view.is_modified = False
     return view
