Take heartbeats and confirmations off the leader

All heartbeats of the workers (180 on 1.5 s: 120 a second) came to its HTTP listener, because every control node named it as the address for them.

Change: - Followers answer the heartbeats that change nothing from their copies of the state while they hear the leader; the leader names a follower, if possible of the worker's availability zone (`batch.heartbeats`). - Two requests with records are in flight to a follower at most; what is proposed meanwhile goes into one. - Two confirmations of the leadership are in flight at most; reads that arrive meanwhile share the next one. - The codec looks up the fields of a class once.

--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -12,7 +12,10 @@
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
+from tarragoncleat.batch import heartbeats
 from tarragoncleat.batch import leader_service
+from tarragoncleat.batch import messages
+from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links as links_module
@@ -173,6 +176,14 @@
             return self._settings.entry_id
         return self._finder.leader_id
 
+    def heartbeat_node(self, worker: model.WorkerRecord) -> ids.EntryId | None:
+        """Returns the node for a worker's further heartbeats, or None."""
+        if not self._node.is_leader:
+            return self._settings.entry_id
+        return heartbeats.select_node(
+            worker, self._settings.entry_id, self._node.zones()
+        )
+
     def open(
         self, initial_replicas: Sequence[ids.EntryId], folder: pathlib.Path
     ) -> errors.Failure | None:
@@ -195,6 +206,12 @@
                 result = await self._service.handle(request)
             if result is not None and not _is_no_leader(result):
                 return result
+        elif isinstance(request, messages.Heartbeat) and (
+            heartbeats.changes_nothing(
+                request, self._state, self._node.leader_silence_s
+            )
+        ):
+            return messages.Done()
         return await self._finder.call(request, timeout_s)
 
     def dump(self) -> dict:
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -36,6 +36,9 @@
 _MAX_MISSING_RECORDS = 128
 _ANNOUNCEMENT_VALID_S = 1.6
 _READ_TIMEOUT_S = 1.0
+# Confirmations of the leadership in flight; each costs a message to and from
+# every follower.
+_MAX_CONFIRMATIONS = 2
 
 _Value = TypeVar("_Value")
 
@@ -137,6 +140,7 @@
         self._read_indexes: dict[int, int] = {}
         self._read_token = 0
         self._next_read_batch: _ReadBatch | None = None
+        self._confirmations = anyio.Semaphore(_MAX_CONFIRMATIONS)
 
     def open(
         self, initial_replicas: Sequence[ids.EntryId], folder: pathlib.Path
@@ -210,6 +214,18 @@
             and core.log.term_at(applied) == core.term
         )
 
+    @property
+    def leader_silence_s(self) -> float | None:
+        """Time since the last message of a leader, or None before the first."""
+        contact_s = self._core.leader_contact_s
+        return (
+            None if contact_s is None else self._timer.monotonic_s() - contact_s
+        )
+
+    def zones(self) -> dict[ids.EntryId, ids.AvailabilityZone | None]:
+        """Returns the availability zone of each live node, if it is known."""
+        return {node: self._zones.get(node) for node in self.live_nodes()}
+
     def live_nodes(self) -> tuple[ids.EntryId, ...]:
         """Returns the replicas and the nodes with a recent announcement."""
         now_s = self._timer.monotonic_s()
@@ -295,10 +311,12 @@
         if read_batch is None:
             read_batch = self._next_read_batch = _ReadBatch()
             try:
-                # Reads in the same event loop iteration join this batch.
+                # Reads in the same event loop iteration join this batch, and so
+                # do those that arrive while earlier batches are confirmed.
                 await anyio.lowlevel.checkpoint()
-                self._next_read_batch = None
-                read_batch.is_confirmed = await self._confirm_leadership()
+                async with self._confirmations:
+                    self._next_read_batch = None
+                    read_batch.is_confirmed = await self._confirm_leadership()
             finally:
                 self._next_read_batch = None
                 read_batch.done.set()
--- a/tarragoncleat/kernel/codec.py
+++ b/tarragoncleat/kernel/codec.py
@@ -20,6 +20,7 @@
 __all__ = ["decode", "encode", "message"]
 
 _Class = TypeVar("_Class", bound=type)
+_PLAIN_TYPES = frozenset({bool, bytes, float, int, str, type(None)})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,15 +121,24 @@
 
 
 def _to_plain(value: object) -> object:
-    if isinstance(value, enum.Enum):
-        return value.value
-    if dataclasses.is_dataclass(value):
-        return {
-            field.name: _to_plain(getattr(value, field.name))
-            for field in dataclasses.fields(value)
-        }
+    cls: Any = type(value)
+    if cls in _PLAIN_TYPES:
+        return value
+    if issubclass(cls, enum.Enum):
+        return value.value  # type: ignore[attr-defined]
+    names = _field_names(cls)
+    if names is not None:
+        return {name: _to_plain(getattr(value, name)) for name in names}
     if isinstance(value, (list, tuple, set, frozenset)):
         return [_to_plain(item) for item in value]
     if isinstance(value, dict):
         return {_to_plain(key): _to_plain(item) for key, item in value.items()}
     return value
+
+
+@functools.cache
+def _field_names(cls: type) -> tuple[str, ...] | None:
+    """Returns the names of a dataclass's fields, or None for another class."""
+    if not dataclasses.is_dataclass(cls):
+        return None
+    return tuple(field.name for field in dataclasses.fields(cls))
--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -22,8 +22,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
+    """What a follower has confirmed and been sent.
+
+    `batch_index` is the first index of the latest request with records.
+    """
+
     next_index: int
     contact_s: float
+    batch_index: int = 0
     match_index: int = 0
     sent_commit_index: int = 0
     acked_sequence: int = 0
@@ -285,8 +291,12 @@
         if progress.snapshot_index is not None or progress.is_probing:
             return False
         in_flight = progress.next_index - 1 - progress.match_index
+        # Two requests are in flight at most; what is proposed meanwhile is sent
+        # in one. A request for each proposal would take a third of the
+        # processor time of a busy leader.
         return (
             progress.next_index <= self._log.last_index
+            and progress.match_index >= progress.batch_index - 1
             and in_flight < _MAX_WINDOW_RECORDS
         )
 
@@ -317,6 +327,8 @@
             commit_index,
             self._sequence,
         )
+        if records:
+            progress.batch_index = progress.next_index
         progress.next_index += len(records)
         progress.sent_commit_index = commit_index
         self._output.immediate_messages.append(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -238,7 +238,9 @@
             call, batch_builders.ManualTimer(), lambda: None
         )
         control = control_app.ControlApp(
-            call, batch_builders.ManualTimer(), lambda: "http://10.0.0.1:80"
+            call,
+            batch_builders.ManualTimer(),
+            lambda worker: "http://10.0.0.1:80",
         )
         body = json.dumps({"steps": [{"count": 1}]}).encode()
         request = http_messages.Request(method, "h", path, {}, body)
