End a worker without a client once

Until the record that ends it was committed, each round of placement proposed another one. test_worker_that_has_no_client_is_ended counts them now.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -79,6 +79,7 @@
         self._worker_client_factory = worker_client_factory
         self._fence = node.term
         self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._unusable_workers: set[str] = set()
         self._health = worker_health.WorkerHealth()
         self._pending_ends: list[commands.RunEnd] = []
         self._ends_stored = anyio.Event()
@@ -330,7 +331,9 @@
             if worker_id not in workers:
                 self._sessions.pop(worker_id).close()
         for worker_id, worker in workers.items():
-            if worker_id not in self._sessions and self._tasks is not None:
+            if self._tasks is None or worker_id in self._unusable_workers:
+                continue
+            if worker_id not in self._sessions:
                 self._open_session(worker.record, self._tasks)
 
     def _open_session(
@@ -343,7 +346,8 @@
             loguru.logger.error(
                 "worker {} can't be called: {}", record.worker_id, error
             )
-            tasks.start_soon(self.on_worker_unusable, record.worker_id)
+            self._unusable_workers.add(record.worker_id)
+            tasks.start_soon(self._end_unusable_worker, record.worker_id)
             return
         session = worker_session.WorkerSession(
             record,
@@ -357,7 +361,7 @@
         self._sessions[record.worker_id] = session
         tasks.start_soon(self._run_session, session)
 
-    async def on_worker_unusable(self, worker_id: str) -> None:
+    async def _end_unusable_worker(self, worker_id: str) -> None:
         """Marks a worker that no task can have reached as lost."""
         await self.commit(commands.MarkWorkersLost((worker_id,), is_final=True))
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -113,6 +113,8 @@
             await self._wait_until(lambda: self.worker.running)
 
         self._run_scenario(scenario)
+        ended = commands.MarkWorkersLost(("w-bad",), is_final=True)
+        self.assertEqual(self.log.committed.count(ended), 1)
 
     def test_late_heartbeat_of_ended_incarnation_moves_no_task(self) -> None:
         """Guards against a second run beside one that is still running.
