Move runs off workers that are taken away at short notice

Users of the large site saw work stall while a hall's workers were taken away at short notice. A draining worker kept its runs until its end; what had not ended then was lost, also with saved progress, and waited until the loss was noticed. The time that the worker announces (`remaining_ms`) was decoded and used by no decision.

Change: `batch.departures` compares it with the expected end of each run, by the run's own speed or else by its estimate. A run that won't end in time is stopped at once, so that it resumes elsewhere from its checkpoint. Gangs are left alone, because stopping a member ends all.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import departures
 from tarragoncleat.batch import events
 from tarragoncleat.batch import job_order
 from tarragoncleat.batch import jobs as jobs_module
@@ -80,6 +81,7 @@
         self._fence = node.term
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._unusable_workers: set[str] = set()
+        self._departures = departures.Departures()
         self._health = worker_health.WorkerHealth()
         self._pending_ends: list[commands.RunEnd] = []
         self._ends_stored = anyio.Event()
@@ -420,7 +422,7 @@
         async for _ in self._timer.subscribe(_CHECK_INTERVAL_S):
             await self._release_expired_leases()
             await self._open_due_occurrences()
-            self._stop_long_running_on_draining()
+            self._stop_runs_on_draining()
             self._stop_stuck_runs()
             self.notify_state_changed()
 
@@ -453,18 +455,27 @@
                     commands.OpenOccurrence(job.job_id, job.next_occurrence)
                 )
 
-    def _stop_long_running_on_draining(self) -> None:
-        """Stops long-running tasks on draining workers to restart elsewhere."""
+    def record_departure(self, worker_id: str, remaining_ms: int) -> None:
+        """Takes note of how long a draining worker stays at least."""
+        now_s = self._timer.monotonic_s()
+        self._departures.record_notice(worker_id, remaining_ms, now_s)
+
+    def _stop_runs_on_draining(self) -> None:
+        """Stops runs that draining workers won't finish, to move them."""
+        self._departures.forget_ended(self._state)
+        now_s = self._timer.monotonic_s()
         for worker_id, session in self._sessions.items():
             worker = self._state.workers.get(worker_id)
             if worker is None:
                 continue
             if worker.state is not state_module.WorkerState.DRAINING:
                 continue
-            for task in self._state.tasks_on(worker):
-                located = self._state.task(task.key)
-                if located is not None and located[1].definition.long_running:
-                    session.stop(task.key, task.run)
+            for run_id in self._departures.unfinishable_runs(
+                session, self._state, now_s
+            ):
+                if run_id not in session.stopping:
+                    self._log_worker_change(worker_id, "unfinishable_task")
+                    session.stop(*run_id)
 
     def _stop_stuck_runs(self) -> None:
         """Stops tasks without progress; they restart elsewhere."""
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -136,6 +136,8 @@
                 )
             )
             worker = self._state.workers.get(record.worker_id)
+        if request.is_draining and request.remaining_ms is not None:
+            self._record_departure(record.worker_id, request.remaining_ms)
         draining = state_module.WorkerState.DRAINING
         is_active = worker is not None and worker.state is not draining
         if is_active and request.is_draining:
@@ -152,6 +154,11 @@
         )
         return messages.Done()
 
+    def _record_departure(self, worker_id: str, remaining_ms: int) -> None:
+        dispatcher = self._dispatcher()
+        if dispatcher is not None:
+            dispatcher.record_departure(worker_id, remaining_ms)
+
     def _retry_renewal_now(self, worker_id: str) -> None:
         dispatcher = self._dispatcher()
         if dispatcher is not None and worker_id in dispatcher.sessions:
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -123,6 +123,15 @@
         """Runs in the latest report, by task and run number."""
         return self._running
 
+    @property
+    def reported_s(self) -> float:
+        """When the latest report arrived; 0 before the first one."""
+        return self._report_received_s or 0.0
+
+    def started_s(self, task: model.TaskKey, run: int) -> float | None:
+        """Returns when the worker accepted a run, if it did so in this term."""
+        return self._answered_s.get((task, run))
+
     @property
     def paces(self) -> dict[_RunId, int]:
         """Speed of each paced run, in percent."""
@@ -366,17 +375,25 @@
         if not self._consecutive_failures and self._leases.has_clock:
             until_ms = self._leases.grant(self._lease_ms, now_s)
             wait_ms = _LONG_POLL_MS
-            if self._paces or self._stopping or self._needs_frequent_reports():
+            if self._needs_frequent_reports():
                 wait_ms = _SHORT_POLL_MS
         return clients.RenewLeaseOrder(
             until_ms, self._fence, self._acknowledged_sequence, wait_ms
         )
 
     def _needs_frequent_reports(self) -> bool:
-        """Whether latency-sensitive and best-effort tasks share the worker."""
+        """Whether decisions on the worker's tasks depend on their progress.
+
+        That is while it drains, while tasks are stopped or paced, and while
+        latency-sensitive and best-effort tasks share it.
+        """
         worker = self._state.workers.get(self.record.worker_id)
         if worker is None:
             return False
+        if self._paces or self._stopping:
+            return True
+        if worker.state is state_module.WorkerState.DRAINING:
+            return True
         steps = []
         for key in worker.tasks:
             located = self._state.task(key)
