Let entries announce themselves once a second

The leader answers two announcements a second of each entry, 194 on the large site. Entries need the answers for their readiness (2.5 s without one) and for the leader's address, which a failed request shows sooner. Nodes that can be replicas keep 0.5 s, and so does an entry that knows no leader. test_leader_finder passes.

--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -17,6 +17,9 @@
 __all__ = ["LeaderContact", "LeaderFinder"]
 
 _ANNOUNCE_INTERVAL_S = 0.5
+# Interval of nodes that can't be replicas: there may be a hundred of them, and
+# the leader answers each announcement.
+_OBSERVER_ANNOUNCE_INTERVAL_S = 1.0
 _QUERY_TIMEOUT_S = 0.5
 _ATTEMPT_TIMEOUT_S = 1.2
 _RETRY_DELAY_S = 0.05
@@ -85,15 +88,20 @@
         """Announces this node to the leader until cancelled."""
         while True:
             await self._announce()
-            is_awaited = self._waiting_count > 0
-            interval_s = _RETRY_DELAY_S if is_awaited else _ANNOUNCE_INTERVAL_S
-            with anyio.move_on_after(interval_s):
+            with anyio.move_on_after(self._announce_interval_s()):
                 await self._wake.wait()
             # Also when it is woken: a leader that others name but that can't be
             # reached is lost again in each round.
             await self._timer.sleep_s(_MIN_ANNOUNCE_INTERVAL_S)
             self._wake = anyio.Event()
 
+    def _announce_interval_s(self) -> float:
+        if self._waiting_count > 0:
+            return _RETRY_DELAY_S
+        if self._announcement.node_id is None and self._leader is not None:
+            return _OBSERVER_ANNOUNCE_INTERVAL_S
+        return _ANNOUNCE_INTERVAL_S
+
     async def call(self, message: object, timeout_s: float) -> Any:
         """Sends a request to the leader, with retries; it must be idempotent.
 
