Announce commits with the next request where nobody waits for them

On the users' platform followers answer only heartbeats from their copies of the state.

The replicas of a configuration are unpacked once, not for each message. The pause after a round of placement grows with its plan, which limits plans to a quarter of the processor.

Evidence: test_consensus, BusyLeaderTest: ten proposals beside two requests go into one; without announcements a commit travels with the next heartbeat.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -38,6 +38,9 @@
 _CHECK_INTERVAL_S = 0.25
 # Changes that arrive within this time are planned in one round.
 _MIN_ROUND_GAP_S = 0.003
+# Pause after a round relative to its plan, which limits the share of the
+# processor that plans take.
+_ROUND_GAP_PLANS = 3
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
 _LOAD_LOG_INTERVAL_S = 1.0
@@ -245,7 +248,9 @@
             self._state_changed = anyio.Event()
             self._sync_sessions()
             self._stop_ended_jobs()
+            planned_s = self._timer.monotonic_s()
             plan = self._plan()
+            plan_s = self._timer.monotonic_s() - planned_s
             starts = plan.starts
             self._demands = plan.demands
             if starts:
@@ -261,7 +266,9 @@
                 )
                 await self._timer.sleep_s(_CHECK_INTERVAL_S)
             await self._state_changed.wait()
-            await self._timer.sleep_s(_MIN_ROUND_GAP_S)
+            await self._timer.sleep_s(
+                max(_MIN_ROUND_GAP_S, _ROUND_GAP_PLANS * plan_s)
+            )
 
     def _plan(self) -> planner.Plan:
         schedulable_workers = self._schedulable_workers()
--- a/tarragoncleat/kernel/settings.py
+++ b/tarragoncleat/kernel/settings.py
@@ -103,13 +103,17 @@
 
 
 class ConsensusSettings(_Section):
-    """Timing and snapshots of the replicated log."""
+    """Timing and snapshots of the replicated log.
+
+    Followers that answer callers from their own state need `announce_commits`.
+    """
 
     heartbeat_ms: int = pydantic.Field(100, ge=10, le=5_000)
     election_timeout_min_ms: int = pydantic.Field(500, ge=50, le=30_000)
     election_timeout_max_ms: int = pydantic.Field(1_000, ge=100, le=60_000)
     snapshot_every_records: int = pydantic.Field(2_000, ge=10, le=1_000_000)
     propose_timeout_ms: int = pydantic.Field(3_000, ge=100, le=60_000)
+    announce_commits: bool = True
 
     @pydantic.model_validator(mode="after")
     def _check_times(self) -> "ConsensusSettings":
--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -282,6 +282,8 @@
         commit_index: int,
         now: consensus_output.Now,
     ) -> None:
+        if not self._timing.announces_commits:
+            return
         has_confirmed_all = progress.next_index == progress.match_index + 1
         is_behind = progress.sent_commit_index < commit_index
         if has_confirmed_all and is_behind and progress.snapshot_index is None:
--- a/tarragoncleat/log/consensus_messages.py
+++ b/tarragoncleat/log/consensus_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import functools
 from typing import NamedTuple
 
 import msgpack
@@ -79,7 +80,13 @@
 
 def decode_configuration(record: Record) -> tuple[ids.EntryId, ...]:
     """Returns the replicas that a configuration record names."""
-    return tuple(ids.EntryId(name) for name in msgpack.unpackb(record.payload))
+    return _unpack_replicas(record.payload)
+
+
+@functools.lru_cache(maxsize=16)
+def _unpack_replicas(payload: bytes) -> tuple[ids.EntryId, ...]:
+    """Unpacks a configuration; the leader reads it for each message."""
+    return tuple(ids.EntryId(name) for name in msgpack.unpackb(payload))
 
 
 @codec.message("vote_request")
--- a/tarragoncleat/log/consensus_output.py
+++ b/tarragoncleat/log/consensus_output.py
@@ -21,11 +21,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Timing:
-    """Intervals of the core in seconds."""
+    """Intervals of the core in seconds.
+
+    With `announces_commits` the followers hear of a commit at once, which costs
+    a message to and from each of them; otherwise with the next request.
+    """
 
     heartbeat_s: float
     election_min_s: float
     election_max_s: float
+    announces_commits: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tarragoncleat/log/replica.py
+++ b/tarragoncleat/log/replica.py
@@ -73,6 +73,7 @@
                 consensus_settings.heartbeat_ms / _MS_PER_S,
                 consensus_settings.election_timeout_min_ms / _MS_PER_S,
                 consensus_settings.election_timeout_max_ms / _MS_PER_S,
+                consensus_settings.announce_commits,
             ),
             random.Random(),
             saved,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -7,6 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from tarragoncleat.kernel import ids
 from tarragoncleat.log import consensus_leader
 from tarragoncleat.log import consensus_log
 from tarragoncleat.log import consensus_messages
@@ -168,5 +169,88 @@
         self.assertEqual(simulation.leaders(), simulation.names)
 
 
+class BusyLeaderTest(unittest.TestCase):
+    """Guards against messages that take a busy leader's processor time.
+
+    Load pattern: hundreds of proposals a second, each on its own, while the
+    followers' confirmations are under way.
+    """
+
+    def _build(
+        self, announces_commits: bool
+    ) -> tuple[consensus_leader.Leadership, consensus_log.Log]:
+        names = (ids.EntryId("a"), ids.EntryId("b"))
+        log = consensus_log.Log(
+            consensus_messages.Snapshot(0, 0, 0, names, b"")
+        )
+        self._output = consensus_output.Output()
+        leadership = consensus_leader.Leadership(
+            names[0],
+            1,
+            log,
+            consensus_output.Timing(0.1, 0.5, 1.0, announces_commits),
+            consensus_output.Now(0.0, 0),
+            self._output,
+        )
+        return leadership, log
+
+    def _propose(
+        self,
+        leadership: consensus_leader.Leadership,
+        log: consensus_log.Log,
+    ) -> None:
+        kind = consensus_messages.RecordKind.COMMAND
+        log.append(
+            consensus_messages.Record(log.last_index + 1, 1, 0, kind, b"own")
+        )
+        leadership.send_pending_records(0, consensus_output.Now(0.0, 0))
+
+    def _sent(self) -> list[int]:
+        """Returns how many records each request since the last call carries."""
+        sent = [
+            len(envelope.message.records)
+            for envelope in self._output.immediate_messages
+            if isinstance(envelope.message, consensus_messages.AppendRequest)
+        ]
+        self._output.immediate_messages.clear()
+        return sent
+
+    def _confirm(
+        self,
+        leadership: consensus_leader.Leadership,
+        index: int,
+        commit_index: int,
+    ) -> None:
+        reply = consensus_messages.AppendReply(
+            1, ids.EntryId("b"), True, index, 0
+        )
+        now = consensus_output.Now(0.0, 0)
+        leadership.on_append_reply(reply, commit_index, now)
+
+    def test_proposals_beside_two_requests_go_into_one(self) -> None:
+        """Guards against a request to each follower for each proposal."""
+        leadership, log = self._build(announces_commits=True)
+        for _ in range(10):
+            self._propose(leadership, log)
+        self.assertEqual(self._sent(), [1, 1])
+        self._confirm(leadership, 1, commit_index=0)
+        self.assertEqual(self._sent(), [8])
+        self._confirm(leadership, 2, commit_index=0)
+        self.assertEqual(self._sent(), [])
+
+    def test_commit_is_announced_with_the_next_request(self) -> None:
+        """Guards against a further message for each commit if none needs it."""
+        for announces_commits, expected in ((True, [0]), (False, [])):
+            leadership, log = self._build(announces_commits)
+            self._propose(leadership, log)
+            self._sent()
+            self._confirm(leadership, 1, commit_index=1)
+            self.assertEqual(self._sent(), expected)
+            leadership.send_heartbeats(1, consensus_output.Now(0.0, 0))
+            request = self._output.immediate_messages[-1].message
+            assert isinstance(request, consensus_messages.AppendRequest)
+            self.assertEqual(request.commit_index, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
