Limit the pause after a round of placement

The pause grows with the time of the plan, and that clock counts a suspension: a leader suspended for 7 s in a plan would have placed nothing for another 21 s. The pause is 20 ms at most now. test_suspension_during_a_plan_delays_no_later_one fails without the limit and passes with it.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -41,6 +41,8 @@
 # Pause after a round relative to its plan, which limits the share of the
 # processor that plans take.
 _ROUND_GAP_PLANS = 3
+# A plan during which the process was suspended takes as long as that.
+_MAX_ROUND_GAP_S = 0.02
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
 _LOAD_LOG_INTERVAL_S = 1.0
@@ -266,9 +268,7 @@
                 )
                 await self._timer.sleep_s(_CHECK_INTERVAL_S)
             await self._state_changed.wait()
-            await self._timer.sleep_s(
-                max(_MIN_ROUND_GAP_S, _ROUND_GAP_PLANS * plan_s)
-            )
+            await self._timer.sleep_s(_round_gap_s(plan_s))
 
     def _plan(self) -> planner.Plan:
         schedulable_workers = self._schedulable_workers()
@@ -544,3 +544,9 @@
                 len(worker.tasks) if worker else 0,
             )
         )
+
+
+def _round_gap_s(plan_s: float) -> float:
+    """Returns the pause after a round whose plan took `plan_s`."""
+    gap_s = max(_MIN_ROUND_GAP_S, _ROUND_GAP_PLANS * plan_s)
+    return min(gap_s, _MAX_ROUND_GAP_S)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Callable
 import time
+from typing import Any
 import unittest
+import unittest.mock
 
 import anyio
 
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs
+from tarragoncleat.batch import worker_views
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
@@ -101,6 +104,32 @@
         self._run_scenario(scenario)
         self.assertEqual({order.run for order in self.worker.starts}, {1})
 
+    def test_suspension_during_a_plan_delays_no_later_one(self) -> None:
+        """Guards against a pause as long as the process was suspended."""
+        timer = batch_builders.ManualTimer()
+
+        async def scenario() -> None:
+            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            refresh = worker_views.ViewCache.refresh
+            suspended: list[float] = []
+
+            def suspend(*arguments: Any) -> object:
+                if not suspended:
+                    suspended.append(timer.monotonic_s())
+                    timer.advance(7.0)
+                return refresh(*arguments)
+
+            with unittest.mock.patch.object(
+                worker_views.ViewCache, "refresh", suspend
+            ):
+                while not suspended:
+                    await anyio.sleep(0.005)
+            self.local.submit()
+            with anyio.fail_after(3):
+                await self._wait_until(lambda: self.worker.running)
+
+        self._run_scenario(scenario, timer)
+
     def test_worker_that_has_no_client_is_ended(self) -> None:
         """Guards against a stored worker whose address can't be parsed."""
         self.local.register("w-bad", address="nowhere")
