Show a replica that can't write in its state dump

Traced: the others commit without waiting for the leader's own write, which a busy machine may delay. The test waits now until the replica is blocked, and then checks as before that it doesn't lead. That wait never ended: a `Failure` is falsy, so the dump said "blocked": null at all times. The dump is mended; the test's own last loop had passed over it as well.

--- a/tarragoncleat/log/replica.py
+++ b/tarragoncleat/log/replica.py
@@ -158,9 +158,9 @@
             "first_index": self._core.log.first_index,
             "snapshot_index": self._core.log.snapshot.index,
             "replicas": list(self._core.log.replicas),
-            "blocked": self._write_failure.reason
-            if self._write_failure
-            else None,
+            "blocked": None
+            if self._write_failure is None
+            else self._write_failure.reason,
             "writes": self._write_count,
             "bytes": self._store.size_bytes(),
         }
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -155,6 +155,9 @@
                     self.assertIs(outcome.kind, errors.ErrorKind.UNDECIDED)
                 while not await cluster.entries["entry-5"].propose(b"on", 60):
                     await anyio.sleep(0.02)
+                # The others commit without waiting for the leader's own write.
+                while not cluster.entries[leader].dump()["replica"]["blocked"]:
+                    await anyio.sleep(0.02)
                 self.assertFalse(cluster.entries[leader].is_leader)
                 while b"on" not in cluster.state_machines[leader].payloads:
                     await anyio.sleep(0.02)
