Log which runs are lost with a worker

Change: the event runs_lost beside worker_changed, and a counter by change. Evidence: tests.test_batch_metrics.

--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -41,6 +41,7 @@
         self._unsuccessful_ends = meter.create_counter(
             "ends_other_than_done", "1"
         )
+        self._lost_runs = meter.create_counter("runs_lost", "1")
         self._start_refusals = meter.create_counter("starts_refused", "1")
         self._worker_changes = meter.create_counter("worker_changes", "1")
         self._term = meter.create_gauge("term", "1")
@@ -99,6 +100,10 @@
         for _, _, _, ending in event.runs:
             self._unsuccessful_ends.add(1, {"ending": ending})
 
+    @_record_event.register
+    def _record_lost_runs(self, event: events.RunsLost) -> None:
+        self._lost_runs.add(len(event.runs), {"change": event.change})
+
     @_record_event.register
     def _record_refused_start(self, event: events.StartRefused) -> None:
         self._start_refusals.add(1, {"outcome": event.outcome})
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -218,7 +218,7 @@
                 or (other.has_lease_expired and not other.is_responsive)
             )
             if has_lease_expired or session.supersedes(other):
-                self._log_worker_change(worker_id, "followed")
+                self._log_lost_worker(worker_id, "followed")
                 self._start_soon(
                     self.commit,
                     commands.MarkWorkersLost((worker_id,), is_final=True),
@@ -227,7 +227,7 @@
     def on_worker_ended(self, session: worker_session.WorkerSession) -> None:
         """Marks a worker whose incarnation has ended as lost."""
         worker_id = session.record.worker_id
-        self._log_worker_change(worker_id, "gone")
+        self._log_lost_worker(worker_id, "gone")
         self._start_soon(
             self.commit, commands.MarkWorkersLost((worker_id,), is_final=True)
         )
@@ -443,7 +443,7 @@
         )
         if expired:
             for worker_id in expired:
-                self._log_worker_change(worker_id, "lapsed")
+                self._log_lost_worker(worker_id, "lapsed")
             await self.commit(commands.MarkWorkersLost(expired, is_final=False))
 
     def _may_hold_tasks(self, worker_id: str) -> bool:
@@ -533,6 +533,17 @@
         if self._tasks is not None:
             self._tasks.start_soon(call, *args)
 
+    def _log_lost_worker(self, worker_id: str, change: str) -> None:
+        """Logs a loss with the runs that it ends."""
+        self._log_worker_change(worker_id, change)
+        worker = self._state.workers.get(worker_id)
+        if worker is None or not worker.tasks:
+            return
+        runs = sorted(
+            (str(task.key), task.run) for task in self._state.tasks_on(worker)
+        )
+        event_log.emit(events.RunsLost(worker_id, change, tuple(runs)))
+
     def _log_worker_change(self, worker_id: str, change: str) -> None:
         session = self._sessions.get(worker_id)
         worker = self._state.workers.get(worker_id)
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -24,6 +24,7 @@
     "RequestAnswered",
     "RequestRefused",
     "RunsEnded",
+    "RunsLost",
     "RunsStarted",
     "StartRefused",
     "StartsNotStored",
@@ -146,6 +147,20 @@
     runs: tuple[tuple[str, int, str, str], ...]
 
 
+@event_log.event("runs_lost")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunsLost:
+    """A worker was lost with runs; their tasks are queued again.
+
+    `change` is that of the `WorkerChanged` beside it; `runs` holds task and run
+    number.
+    """
+
+    worker: str
+    change: str
+    runs: tuple[tuple[str, int], ...]
+
+
 @event_log.event("start_refused")
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRefused:
--- a/tests/test_batch_metrics.py
+++ b/tests/test_batch_metrics.py
@@ -18,11 +18,15 @@
         metrics.record_event(
             events.RunsEnded((("t", 1, "w", "lapsed"), ("t", 2, "w", "failed")))
         )
+        metrics.record_event(events.RunsLost("w", "gone", (("t", 1), ("u", 1))))
         metrics.record_event(events.JobEnded("j", "completed", 900, 2_000))
         text = metrics.render().decode()
         self.assertIn('status="503"', text)
         self.assertRegex(text, r"starts_total(\{[^}]*\})? 3\.0")
         self.assertRegex(text, r'ending="lapsed"[^}]*\} 1\.0')
+        self.assertRegex(
+            text, r'runs_lost_total\{[^}]*change="gone"[^}]*\} 2\.0'
+        )
         self.assertRegex(text, r"waiting_cores(\{[^}]*\})? 2\.5")
         self.assertNotIn('"j"', text)
 
