Give up tasks that crash the workers that start them

Change: the replicated state counts crashes for each task by instance; suspects are placed apart, probable ones alone; a job is given up after crashes on three instances, the last on a worker of its own, or five in company.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -95,10 +95,26 @@
         if line.get("event") in _CONTEXT_EVENTS
         and 0 <= last_line["time_ms"] - line["time_ms"] <= _CONTEXT_MS
     ]
-    cause = _cause_of(last_line, request_id)
+    cause = _give_up_cause(own_lines, request_id) or _cause_of(
+        last_line, request_id
+    )
     return Explanation(request_id, tuple(own_lines), tuple(context), cause)
 
 
+def _give_up_cause(
+    lines: Iterable[Mapping[str, Any]], request_id: str
+) -> str | None:
+    """Returns why the job was given up, or None if it was not."""
+    prefix = f"{request_id}."
+    for line in lines:
+        if request_id not in line.get("given_up", ()):
+            continue
+        for task, crashes in line.get("runs", ()):
+            if str(task).startswith(prefix):
+                return f"{crashes} workers crashed under {task}"
+    return None
+
+
 def _without_other_runs(
     line: Mapping[str, Any], request_id: str
 ) -> Mapping[str, Any]:
--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -41,6 +41,8 @@
         self._unsuccessful_ends = meter.create_counter(
             "ends_other_than_done", "1"
         )
+        self._crashes = meter.create_counter("worker_crashes", "1")
+        self._given_up_jobs = meter.create_counter("jobs_given_up", "1")
         self._lost_runs = meter.create_counter("runs_lost", "1")
         self._start_refusals = meter.create_counter("starts_refused", "1")
         self._worker_changes = meter.create_counter("worker_changes", "1")
@@ -104,6 +106,11 @@
     def _record_lost_runs(self, event: events.RunsLost) -> None:
         self._lost_runs.add(len(event.runs), {"change": event.change})
 
+    @_record_event.register
+    def _record_crash(self, event: events.TasksSuspected) -> None:
+        self._crashes.add(1, {"isolated": event.was_isolated})
+        self._given_up_jobs.add(len(event.given_up))
+
     @_record_event.register
     def _record_refused_start(self, event: events.StartRefused) -> None:
         self._start_refusals.add(1, {"outcome": event.outcome})
--- /dev/null
+++ b/tarragoncleat/batch/crashes.py
@@ -0,0 +1,114 @@
+"""Attribution of a worker's crash to the tasks that ran on it.
+
+A task may crash each worker that starts it, and takes all tasks beside it down.
+The number of crashes alone doesn't tell it from those that were beside it more
+than once, so suspects are kept apart, and a task is given up after a crash of a
+worker that its job had to itself.
+"""
+
+from collections.abc import Collection
+import dataclasses
+import enum
+
+from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import model
+
+__all__ = ["Crash", "Suspicion", "record_crash", "suspects", "suspicion"]
+
+# A run that lasted as long clears its task: it doesn't crash at its start.
+_CLEARING_RUN_MS = 60_000
+# Instances on which a task must have crashed a worker. One instance may fail
+# again and again by itself.
+_MIN_INSTANCES = 3
+# A task in company is given up before the users' limit of three more starts
+# after three crashes.
+_MAX_CRASHES = 5
+_PROBABLE_CRASHES = 2
+
+
+class Suspicion(enum.Enum):
+    """How likely a task crashes its worker.
+
+    POSSIBLE tasks run on a worker without suspects of other jobs, PROBABLE ones
+    on a worker without tasks of other jobs.
+    """
+
+    NONE = "none"
+    POSSIBLE = "possible"
+    PROBABLE = "probable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash with the tasks that ran on the worker.
+
+    Attributes:
+        worker: The worker.
+        was_isolated: Whether only one job's tasks ran on it.
+        tasks: The tasks, with the number of crashes of each.
+        given_up: Jobs that were given up.
+    """
+
+    worker: model.WorkerRecord
+    was_isolated: bool
+    tasks: tuple[tuple[model.TaskKey, int], ...]
+    given_up: tuple[str, ...]
+
+
+def suspicion(task: jobs_module.Task) -> Suspicion:
+    """Returns the suspicion against a task."""
+    if not task.crashed_instances:
+        return Suspicion.NONE
+    is_probable = (
+        task.was_last_started
+        or len(task.crashed_instances) >= _PROBABLE_CRASHES
+    )
+    return Suspicion.PROBABLE if is_probable else Suspicion.POSSIBLE
+
+
+def record_crash(
+    worker: model.WorkerRecord,
+    tasks: Collection[tuple[jobs_module.Job, jobs_module.Task]],
+    now_ms: int,
+) -> Crash:
+    """Counts a crash for all tasks that ran on the worker.
+
+    Gives up the jobs whose tasks crash their workers.
+
+    Args:
+        worker: The worker.
+        tasks: The tasks with their jobs, also of jobs that have ended.
+        now_ms: Time of the log record.
+    """
+    was_isolated = len({job.job_id for job, _ in tasks}) == 1
+    last_start_ms = max(task.started_ms for _, task in tasks)
+    counts = []
+    given_up = []
+    for job, task in tasks:
+        if task.state is jobs_module.TaskState.DONE:
+            continue
+        if task.started_ms and now_ms - task.started_ms >= _CLEARING_RUN_MS:
+            job.clear_crashes(task)
+        was_last_started = 0 < last_start_ms == task.started_ms
+        job.add_crash(task, worker.instance, was_last_started)
+        counts.append((task.key, len(task.crashed_instances)))
+        if _is_guilty(task, was_isolated) and not job.has_ended:
+            job.give_up(now_ms)
+            given_up.append(job.job_id)
+    return Crash(worker, was_isolated, tuple(counts), tuple(given_up))
+
+
+def _is_guilty(task: jobs_module.Task, was_isolated: bool) -> bool:
+    instances = len(set(task.crashed_instances))
+    return (was_isolated and instances >= _MIN_INSTANCES) or len(
+        task.crashed_instances
+    ) >= _MAX_CRASHES
+
+
+def suspects(step: jobs_module.Step, level: Suspicion) -> list[int]:
+    """Returns the positions of the waiting tasks under one suspicion."""
+    return sorted(
+        position
+        for position in step.waiting & step.suspects
+        if suspicion(step.tasks[position]) is level
+    )
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -94,6 +94,7 @@
         self._ends_committed = True
         self._state_changed = anyio.Event()
         state.pop_ended_jobs()
+        state.pop_crashes()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._approval_cache = advice.ApprovalCache(advisor_client, timer)
         self._view_cache = worker_views.ViewCache()
@@ -249,6 +250,7 @@
         while True:
             self._state_changed = anyio.Event()
             self._sync_sessions()
+            self._log_crashes()
             self._stop_ended_jobs()
             planned_s = self._timer.monotonic_s()
             plan = self._plan()
@@ -273,14 +275,15 @@
     def _plan(self) -> planner.Plan:
         schedulable_workers = self._schedulable_workers()
         due_for_maintenance = self._wave_controller.due_instances()
+        now_ms = self._timer.wall_time_ms()
         self._views = self._view_cache.refresh(
-            self._state, schedulable_workers, due_for_maintenance
+            self._state, schedulable_workers, due_for_maintenance, now_ms
         )
         self._approval_cache.clear_requests()
         return self._planner.plan(
             self._views,
             self._view_cache.changed_services,
-            self._timer.wall_time_ms(),
+            now_ms,
             self._view_cache.has_other_workers,
         )
 
@@ -398,6 +401,18 @@
                 if session is not None:
                     session.stop(task.key, task.run)
 
+    def _log_crashes(self) -> None:
+        for crash in self._state.pop_crashes():
+            event_log.emit(
+                events.TasksSuspected(
+                    crash.worker.worker_id,
+                    crash.worker.instance,
+                    crash.was_isolated,
+                    tuple((str(key), count) for key, count in crash.tasks),
+                    crash.given_up,
+                )
+            )
+
     def _log_job_ended(self, job: jobs_module.Job) -> None:
         policy = self._state.policy_of(job)
         objective_ms = 0.0
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -29,6 +29,7 @@
     "StartRefused",
     "StartsNotStored",
     "TaskPaced",
+    "TasksSuspected",
     "WaveAccepted",
     "WorkerChanged",
 ]
@@ -161,6 +162,26 @@
     runs: tuple[tuple[str, int], ...]
 
 
+@event_log.event("tasks_suspected")
+@dataclasses.dataclass(frozen=True, slots=True)
+class TasksSuspected:
+    """A worker crashed under tasks, and the crash was counted for each.
+
+    Attributes:
+        worker: Id of the worker.
+        instance: Its instance.
+        was_isolated: Whether only tasks of one job ran on it.
+        runs: Task, and number of workers that have crashed under it.
+        given_up: Jobs that failed because of it.
+    """
+
+    worker: str
+    instance: str
+    was_isolated: bool
+    runs: tuple[tuple[str, int], ...]
+    given_up: tuple[str, ...]
+
+
 @event_log.event("start_refused")
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRefused:
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -35,9 +35,33 @@
 
 
 class Task:
-    """A task with the state of its latest run."""
+    """A task with the state of its latest run.
+
+    Attributes:
+        key: Key of the task.
+        state: State of the task.
+        run: Number of the latest run; 0 before the first one.
+        failures: Number of runs that ended as failed.
+        worker_id: Worker of the latest run.
+        checkpoint: Latest saved progress; empty for none.
+        started_ms: When the latest run was recorded, in ms since the epoch; 0
+            if it isn't known.
+        crashed_instances: Instance of each worker that crashed under the task.
+        was_last_started: Whether no task on the worker that crashed last under
+            the task had been started later.
+    """
 
-    __slots__ = ("checkpoint", "failures", "key", "run", "state", "worker_id")
+    __slots__ = (
+        "checkpoint",
+        "crashed_instances",
+        "failures",
+        "key",
+        "run",
+        "started_ms",
+        "state",
+        "was_last_started",
+        "worker_id",
+    )
 
     def __init__(self, key: model.TaskKey) -> None:
         """Creates a waiting task."""
@@ -47,12 +71,25 @@
         self.failures = 0
         self.worker_id = ""
         self.checkpoint = ""
+        self.started_ms = 0
+        self.crashed_instances: tuple[str, ...] = ()
+        self.was_last_started = False
 
 
 class Step:
-    """The tasks of one step in one occurrence."""
+    """The tasks of one step in one occurrence.
 
-    __slots__ = ("definition", "demand", "done_count", "tasks", "waiting")
+    `suspects` holds the positions of the tasks under which workers crashed.
+    """
+
+    __slots__ = (
+        "definition",
+        "demand",
+        "done_count",
+        "suspects",
+        "tasks",
+        "waiting",
+    )
 
     def __init__(
         self, job_id: str, occurrence: int, number: int, definition: Any
@@ -65,6 +102,7 @@
             for position in range(definition.task_count)
         ]
         self.waiting = set(range(definition.task_count))
+        self.suspects: set[int] = set()
         self.done_count = 0
 
     @property
@@ -225,7 +263,7 @@
         task = located[1]
         return task.state is TaskState.WAITING and run_start.run > task.run
 
-    def start(self, run_start: commands.RunStart) -> bool:
+    def start(self, run_start: commands.RunStart, now_ms: int) -> bool:
         """Records the start of a run; returns False if it is not allowed."""
         located = self.find_task(run_start.task)
         if located is None or not self.can_start(run_start):
@@ -235,6 +273,7 @@
         task.state = TaskState.RUNNING
         task.run = run_start.run
         task.worker_id = run_start.worker_id
+        task.started_ms = now_ms
         self._has_started = True
         self.revision += 1
         if self.state is JobState.QUEUED:
@@ -274,8 +313,31 @@
 
     def requeue_lost(self, task: Task) -> None:
         """Requeues a task whose worker was lost."""
-        step = self.occurrences[task.key.occurrence].steps[task.key.step]
-        self._requeue(step, task)
+        self._requeue(self._step_of(task), task)
+
+    def add_crash(
+        self, task: Task, instance: str, was_last_started: bool
+    ) -> None:
+        """Records that a worker on an instance crashed under a task."""
+        self.revision += 1
+        task.crashed_instances += (instance,)
+        task.was_last_started = was_last_started
+        self._step_of(task).suspects.add(task.key.position)
+
+    def clear_crashes(self, task: Task) -> None:
+        """Forgets the crashes under a task."""
+        self.revision += 1
+        task.crashed_instances = ()
+        task.was_last_started = False
+        self._step_of(task).suspects.discard(task.key.position)
+
+    def give_up(self, now_ms: int) -> None:
+        """Fails the job, because a task of it crashes its workers."""
+        if not self.has_ended:
+            self._finish(JobState.FAILED, now_ms)
+
+    def _step_of(self, task: Task) -> Step:
+        return self.occurrences[task.key.occurrence].steps[task.key.step]
 
     def cancel(self, now_ms: int) -> None:
         """Cancels the job unless it has ended."""
@@ -328,6 +390,13 @@
                     step.tasks[position].state = TaskState.DROPPED
                 step.waiting.clear()
 
+    def suspect_tasks(self) -> Iterator[Task]:
+        """Yields the tasks under which workers crashed."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                for position in sorted(step.suspects):
+                    yield step.tasks[position]
+
     def pack(self) -> list:
         """Returns the job without its definition, for a snapshot."""
         return [
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -166,12 +166,15 @@
 
     @_handle.register
     async def _end_worker(self, request: messages.WorkerLeft) -> Any:
-        # Its registration may be in the log and not in the state yet.
-        result = await self._commit(
-            commands.MarkWorkersLost((request.worker_id,), is_final=True)
-        )
-        if isinstance(result, errors.Failure):
-            return result
+        # Its registration may be in the log and not in the state yet. A worker
+        # that leaves as draining hasn't crashed.
+        for command in (
+            commands.DrainWorker(request.worker_id),
+            commands.MarkWorkersLost((request.worker_id,), is_final=True),
+        ):
+            result = await self._commit(command)
+            if isinstance(result, errors.Failure):
+                return result
         return messages.Done()
 
     @_handle.register
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -12,30 +12,38 @@
 
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import crashes
+from tarragoncleat.batch import isolation
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
+from tarragoncleat.batch import placement_rank
 from tarragoncleat.batch import ready_steps
 from tarragoncleat.batch import worker_views
 
 __all__ = ["place_steps"]
 
-_LONG_RUNNING, _IN_USE, _IDLE = range(3)
-
 
 def place_steps(
     steps: Sequence[ready_steps.ReadyStep],
     views: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
+    gives_way: bool = False,
 ) -> list[commands.RunStart]:
     """Returns the starts of steps; deducts their resources from the views.
 
     Args:
         steps: Steps in the order in which they get capacity.
-        views: Workers that the steps may use.
+        views: Workers of the steps' service.
         approval_cache: Source of the tickets that some steps need.
+        gives_way: Whether the steps leave workers without long-running tasks to
+            others, except for tasks that must run alone.
     """
-    starts: list[commands.RunStart] = []
-    workers = [view for view in views if view.is_schedulable]
+    starts = _place_alone(steps, views, approval_cache)
+    workers = [
+        view
+        for view in views
+        if view.is_open and (view.long_running_tasks or not gives_way)
+    ]
     # Under overload nearly all workers are full and hundreds of steps wait, so
     # full workers are skipped; checking them for each step would take all of
     # the leader's time.
@@ -51,8 +59,36 @@
             )
             placed = list(_place_step(ready_step.step, usable))
             if placed:
-                ranking = _Ranking(ranking.views, _min_demand(steps))
-        ready_step.placed_count = len(placed)
+                ranking = _Ranking(
+                    [view for view in ranking.views if view.is_open],
+                    _min_demand(steps),
+                )
+        ready_step.placed_count += len(placed)
+        starts.extend(placed)
+    return starts
+
+
+def _place_alone(
+    steps: Iterable[ready_steps.ReadyStep],
+    views: Sequence[worker_views.WorkerView],
+    approval_cache: advice.ApprovalCache | None,
+) -> list[commands.RunStart]:
+    """Places the tasks that probably crash their workers, before all others.
+
+    Other tasks would take each vacant worker first.
+    """
+    starts: list[commands.RunStart] = []
+    for ready_step in steps:
+        step = ready_step.step
+        if not step.suspects or step.definition.gang:
+            continue
+        positions = crashes.suspects(step, crashes.Suspicion.PROBABLE)
+        if not positions:
+            continue
+        workers = [view for view in views if view.is_schedulable]
+        usable = _workers_with_ticket(ready_step, workers, approval_cache)
+        placed = isolation.place_alone(step, positions, usable)
+        ready_step.placed_count += len(placed)
         starts.extend(placed)
     return starts
 
@@ -61,7 +97,8 @@
     """Whether only the load of a worker decides how well it suits the step."""
     definition = ready_step.step.definition
     return not (
-        ready_step.needs_ticket
+        ready_step.step.suspects
+        or ready_step.needs_ticket
         or definition.gang
         or definition.required_label
         or definition.data_rack
@@ -161,8 +198,12 @@
 
 
 def _plain_rank(view: worker_views.WorkerView) -> tuple:
-    """Returns the rank of a worker for a plain step; see `_rank`."""
-    return (view.penalty, *_packing_preference(view), view.record.worker_id)
+    """Returns what `placement_rank.rank` does, for a plain step."""
+    return (
+        view.penalty,
+        *placement_rank.packing_preference(view),
+        view.record.worker_id,
+    )
 
 
 def _min_demand(steps: Sequence[ready_steps.ReadyStep]) -> model.Resources:
@@ -204,18 +245,35 @@
 ) -> Iterable[commands.RunStart]:
     if step.definition.gang:
         return _place_gang(step, workers)
+    positions = step.waiting
+    apart: list[commands.RunStart] = []
+    if step.suspects:
+        positions = positions - step.suspects
+        apart = isolation.place_apart(
+            step,
+            crashes.suspects(step, crashes.Suspicion.POSSIBLE),
+            workers,
+        )
+    return [*apart, *_place_unsuspected(step, positions, workers)]
+
+
+def _place_unsuspected(
+    step: jobs_module.Step,
+    positions: Iterable[int],
+    workers: Sequence[worker_views.WorkerView],
+) -> list[commands.RunStart]:
     definition = step.definition
     first = step.tasks[0].key
     # Tasks of a step are identical, and placing one changes only the rank of
     # its worker, so a worker is ranked again only after it got a task.
     ranked = [
-        (_rank(first, definition, view), view)
+        (placement_rank.rank(first, definition, view), view)
         for view in workers
-        if _can_run(first, step, view)
+        if placement_rank.can_run(first, step, view)
     ]
     heapq.heapify(ranked)
     starts = []
-    for position in sorted(step.waiting):
+    for position in sorted(positions):
         if not ranked:
             break
         view = ranked[0][1]
@@ -226,8 +284,8 @@
                 task.key, step.next_run(position), view.record.worker_id
             )
         )
-        if _can_run(first, step, view):
-            rank = _rank(first, definition, view)
+        if placement_rank.can_run(first, step, view):
+            rank = placement_rank.rank(first, definition, view)
             heapq.heapreplace(ranked, (rank, view))
         else:
             heapq.heappop(ranked)
@@ -240,6 +298,8 @@
     """Places all tasks of a gang or none."""
     if len(step.waiting) < len(step.tasks):
         return []
+    if step.suspects:
+        workers = isolation.workers_for_gang(step, workers)
     for group in _gang_groups(step.definition, workers):
         chosen = _workers_for_gang(step, group)
         if chosen is None:
@@ -248,6 +308,8 @@
         starts = []
         for task, view in zip(step.tasks, chosen, strict=True):
             view.add_task(task.key, step.definition, step.demand)
+            if step.suspects:
+                view.add_suspect(task.key.job_id, crashes.suspicion(task))
             starts.append(
                 commands.RunStart(task.key, run, view.record.worker_id)
             )
@@ -292,69 +354,9 @@
     best = None
     best_rank: tuple = ()
     for view in workers:
-        if not _can_run(key, step, view):
+        if not placement_rank.can_run(key, step, view):
             continue
-        rank = _rank(key, step.definition, view)
+        rank = placement_rank.rank(key, step.definition, view)
         if best is None or rank < best_rank:
             best, best_rank = view, rank
     return best
-
-
-def _can_run(
-    key: model.TaskKey,
-    step: jobs_module.Step,
-    view: worker_views.WorkerView,
-) -> bool:
-    if not step.demand.fits_into(view.free):
-        return False
-    definition = step.definition
-    label = definition.required_label
-    if label and label not in view.record.labels:
-        return False
-    max_per_worker = definition.max_per_worker
-    return (
-        not max_per_worker
-        or view.tasks_by_step.get(key[:3], 0) < max_per_worker
-    )
-
-
-def _rank(
-    key: model.TaskKey,
-    definition: model.StepDefinition,
-    view: worker_views.WorkerView,
-) -> tuple:
-    """Returns the rank of a worker for a task; the lowest is the best."""
-    data_rack = definition.data_rack
-    is_remote = bool(data_rack) and view.record.rack != data_rack
-    interfering = 0
-    if definition.best_effort:
-        interfering = view.latency_sensitive_tasks
-    elif definition.latency_target_ms:
-        interfering = view.best_effort_tasks
-    is_due_for_maintenance = (
-        view.is_due_for_maintenance and definition.long_running
-    )
-    same_step = (
-        view.tasks_by_step.get(key[:3], 0) if definition.long_running else 0
-    )
-    return (
-        view.penalty,
-        is_remote,
-        is_due_for_maintenance,
-        same_step,
-        interfering,
-        *_packing_preference(view),
-        view.record.worker_id,
-    )
-
-
-def _packing_preference(view: worker_views.WorkerView) -> tuple[int, int]:
-    """Returns a rank that packs tasks so that whole workers become idle.
-
-    Workers with long-running tasks can't move anyway, so they are filled first,
-    evenly. Of the others the fullest come first and idle ones last.
-    """
-    free = view.free.cpu_millicores
-    if view.long_running_tasks:
-        return _LONG_RUNNING, -free
-    return (_IN_USE, free) if view.task_count else (_IDLE, free)
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -165,12 +165,11 @@
     ) -> None:
         steps = self._steps_of(service).late
         service_views = views.get(service, [])
-        workers = service_views
-        if gives_way:
-            workers = [view for view in workers if view.long_running_tasks]
         placeable = self._placeable(steps, views)
         starts.extend(
-            placement.place_steps(placeable, workers, self._approval_cache)
+            placement.place_steps(
+                placeable, service_views, self._approval_cache, gives_way
+            )
         )
         demand = self._demands[service]
         demand.late_millicores = _unplaced_millicores(steps)
@@ -243,7 +242,7 @@
 ) -> None:
     """Sets the used and the free capacity of a service's workers."""
     demand.free_millicores = sum(
-        view.free.cpu_millicores for view in views if view.is_schedulable
+        view.free.cpu_millicores for view in views if view.is_open
     )
     demand.used_millicores = sum(
         view.record.cpu_millicores - view.free.cpu_millicores for view in views
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import crashes
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import waves
@@ -24,6 +25,9 @@
 _MAX_ENDED_WORKERS = 10_000
 # Only a leader reads the queue of ended jobs; on followers it must not grow.
 _MAX_UNREAD_ENDED_JOBS = 10_000
+_MAX_UNREAD_CRASHES = 1_000
+# Index in a snapshot; those of earlier builds end before it.
+_CRASH_EVIDENCE = 8
 
 
 class WorkerState(enum.Enum):
@@ -37,16 +41,18 @@
 class Worker:
     """A worker, and the tasks that run or may run on it.
 
-    `revision` increases with each change to the tasks.
+    `revision` increases with each change to the tasks. `lapsed_tasks` are those
+    that ran when the lease expired: the worker may have crashed under them.
     """
 
-    __slots__ = ("_tasks", "record", "revision", "state")
+    __slots__ = ("_tasks", "lapsed_tasks", "record", "revision", "state")
 
     def __init__(self, record: model.WorkerRecord) -> None:
         """Creates a worker on which nothing runs."""
         self.record = record
         self.state = WorkerState.UP
         self._tasks: set[model.TaskKey] = set()
+        self.lapsed_tasks: frozenset[model.TaskKey] = frozenset()
         self.revision = 0
 
     @property
@@ -92,6 +98,9 @@
         self._ended_jobs: collections.deque[jobs_module.Job] = (
             collections.deque(maxlen=_MAX_UNREAD_ENDED_JOBS)
         )
+        self._crashes: collections.deque[crashes.Crash] = collections.deque(
+            maxlen=_MAX_UNREAD_CRASHES
+        )
 
     @property
     def configuration(self) -> model.FleetConfiguration | None:
@@ -119,6 +128,12 @@
         self._ended_jobs.clear()
         return ended
 
+    def pop_crashes(self) -> list[crashes.Crash]:
+        """Returns the crashes of workers with tasks since the last call."""
+        popped = list(self._crashes)
+        self._crashes.clear()
+        return popped
+
     @property
     def time_ms(self) -> int:
         """Leader's wall clock time of the last applied record."""
@@ -285,6 +300,7 @@
         if existing is not None:
             if existing.state is WorkerState.LEASE_EXPIRED:
                 existing.state = WorkerState.UP
+                existing.lapsed_tasks = frozenset()
             return False
         self._add_worker(Worker(record))
         return True
@@ -301,11 +317,14 @@
         for worker_id in command.worker_ids:
             worker = self._workers.get(worker_id)
             if command.is_final:
+                if worker is not None and self._has_crashed(worker):
+                    self._record_crash(worker)
                 self._end_worker(worker_id)
             elif worker is not None:
                 # A draining worker gets no tasks when it is back either.
                 if worker.state is WorkerState.UP:
                     worker.state = WorkerState.LEASE_EXPIRED
+                worker.lapsed_tasks |= worker.tasks
                 self._requeue_tasks(worker)
         return None
 
@@ -323,7 +342,7 @@
                 job is not None
                 and run_start not in refused
                 and run_start.task[:3] not in broken_gangs
-                and job.start(run_start)
+                and job.start(run_start, self._time_ms)
             )
             started.append(is_started)
             if is_started:
@@ -411,6 +430,37 @@
         if len(self._ended_workers) > _MAX_ENDED_WORKERS:
             del self._ended_workers[next(iter(self._ended_workers))]
 
+    def _has_crashed(self, worker: Worker) -> bool:
+        """Whether a worker that has ended did so unplanned, with tasks."""
+        if worker.state is WorkerState.DRAINING:
+            return False
+        record = worker.record
+        is_maintained = any(
+            record.worker_id in wave.chosen.get(record.instance, ())
+            for wave in self._waves.values()
+        )
+        return not is_maintained and bool(worker.tasks or worker.lapsed_tasks)
+
+    def _record_crash(self, worker: Worker) -> None:
+        """Counts a crash for the worker's tasks, and requeues them."""
+        keys = sorted(worker.tasks | worker.lapsed_tasks)
+        self._requeue_tasks(worker)
+        tasks = [
+            (located[0], located[2])
+            for key in keys
+            if (located := self.task(key)) is not None
+        ]
+        if not tasks:
+            return
+        crash = crashes.record_crash(worker.record, tasks, self._time_ms)
+        self._crashes.append(crash)
+        for job, task in tasks:
+            self._deactivate_if_ended(job)
+            # After an expired lease the task may run on another worker by now.
+            current = self._workers.get(task.worker_id)
+            if current is not None:
+                current.revision += 1
+
     def _remove_worker(self, worker: Worker) -> None:
         self._requeue_tasks(worker)
         record = worker.record
@@ -457,9 +507,39 @@
                 ],
                 [wave.pack() for wave in self._waves.values()],
                 list(self._ended_workers),
+                self._pack_crash_evidence(),
             ]
         )
 
+    def _pack_crash_evidence(self) -> dict:
+        """Returns what crashes are judged by, for a snapshot.
+
+        It stands behind the other values and apart from the tasks, because a
+        build without it reads just these. Only tasks that run or are under
+        suspicion are included.
+        """
+        tasks = {
+            task.key: task
+            for job in self._jobs.values()
+            for task in (*job.running_tasks(), *job.suspect_tasks())
+        }
+        return {
+            "tasks": [
+                [
+                    list(key),
+                    task.started_ms,
+                    list(task.crashed_instances),
+                    task.was_last_started,
+                ]
+                for key, task in tasks.items()
+            ],
+            "lapsed": [
+                [worker_id, sorted(map(list, worker.lapsed_tasks))]
+                for worker_id, worker in self._workers.items()
+                if worker.lapsed_tasks
+            ],
+        }
+
     def restore(self, index: int, data: bytes) -> None:
         """Replaces the state by a snapshot; empty data means an empty state."""
         self.__init__()  # type: ignore[misc]
@@ -484,6 +564,22 @@
             wave = waves.Wave.unpack(packed)
             self._waves[wave.number] = wave
         self._ended_workers = dict.fromkeys(values[7])
+        if len(values) > _CRASH_EVIDENCE:
+            self._restore_crash_evidence(values[_CRASH_EVIDENCE])
+
+    def _restore_crash_evidence(self, packed: dict) -> None:
+        for key, started_ms, instances, was_last_started in packed["tasks"]:
+            located = self.task(model.TaskKey(*key))
+            if located is None:
+                continue
+            job, _, task = located
+            task.started_ms = started_ms
+            for instance in instances:
+                job.add_crash(task, instance, was_last_started)
+        for worker_id, keys in packed["lapsed"]:
+            self._workers[worker_id].lapsed_tasks = frozenset(
+                model.TaskKey(*key) for key in keys
+            )
 
     def _restore_job(self, job: jobs_module.Job) -> None:
         self._jobs[job.job_id] = job
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Collection
 import dataclasses
+import math
 
+from tarragoncleat.batch import crashes
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 
 __all__ = ["ViewCache", "WorkerView", "build_views"]
 
+# A task that runs for so long after a crash probably didn't cause it, and is no
+# longer kept apart.
+_PROBATION_MS = 5_000
+
 
 @dataclasses.dataclass(slots=True)
 class WorkerView:
@@ -24,7 +30,11 @@
         best_effort_tasks: Number of best-effort tasks.
         long_running_tasks: Number of long-running tasks.
         task_count: Number of tasks.
-        is_modified: Whether a plan has added tasks to the view.
+        suspect_jobs: Jobs of the tasks on probation after a crash.
+        isolated_job: The only job whose tasks may be added; empty for any.
+        is_closed: Whether the plan adds no tasks, so that the worker becomes
+            vacant for a task that must run alone.
+        is_modified: Whether a plan has changed the view.
     """
 
     record: model.WorkerRecord
@@ -39,8 +49,18 @@
     best_effort_tasks: int = 0
     long_running_tasks: int = 0
     task_count: int = 0
+    suspect_jobs: frozenset[str] = frozenset()
+    isolated_job: str = ""
+    is_closed: bool = False
     is_modified: bool = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks without a suspicion may be added."""
+        return (
+            self.is_schedulable and not self.isolated_job and not self.is_closed
+        )
+
     @property
     def traits(self) -> tuple[bool, float, bool]:
         """What the leader has found out about the worker."""
@@ -62,14 +82,30 @@
         self.task_count += 1
         self.is_modified = True
 
+    def add_suspect(self, job_id: str, suspicion: crashes.Suspicion) -> None:
+        """Keeps other suspects, or all tasks of other jobs, off the worker."""
+        self.suspect_jobs |= {job_id}
+        if suspicion is crashes.Suspicion.PROBABLE:
+            self.isolated_job = job_id
+        self.is_modified = True
+
+    def close(self) -> None:
+        """Lets the plan add no tasks."""
+        self.is_closed = True
+        self.is_modified = True
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CacheEntry:
-    """A view with the worker and revision that it was built from."""
+    """A view with the worker and revision that it was built from.
+
+    `valid_until_ms` is when a task's probation ends.
+    """
 
     worker: state_module.Worker
     revision: int
     view: WorkerView
+    valid_until_ms: float
 
 
 class ViewCache:
@@ -100,6 +136,7 @@
         state: state_module.BatchState,
         schedulable_workers: dict[str, float],
         due_for_maintenance: Collection[str] = (),
+        now_ms: int = 0,
     ) -> dict[str, list[WorkerView]]:
         """Returns the views of all workers by service.
 
@@ -107,6 +144,7 @@
             state: The replicated state.
             schedulable_workers: Penalty of each worker that may get tasks.
             due_for_maintenance: Instances to avoid for long-running tasks.
+            now_ms: Time in milliseconds since the epoch.
         """
         previous, self._entries = self._entries, {}
         self._changed_services = set()
@@ -129,8 +167,9 @@
                 or entry.revision != worker.revision
                 or entry.view.is_modified
                 or entry.view.traits != traits
+                or now_ms >= entry.valid_until_ms
             ):
-                view = _build_view(state, worker)
+                view, valid_until_ms = _build_view(state, worker, now_ms)
                 (
                     view.is_schedulable,
                     view.penalty,
@@ -138,7 +177,9 @@
                 ) = traits
                 if entry is None or entry.worker is not worker:
                     self._has_other_workers = True
-                entry = _CacheEntry(worker, worker.revision, view)
+                entry = _CacheEntry(
+                    worker, worker.revision, view, valid_until_ms
+                )
                 self._changed_services.add(worker.record.service)
             self._entries[worker_id] = entry
             views.setdefault(worker.record.service, []).append(entry.view)
@@ -152,18 +193,31 @@
     state: state_module.BatchState,
     schedulable_workers: dict[str, float],
     due_for_maintenance: Collection[str] = (),
+    now_ms: int = 0,
 ) -> dict[str, list[WorkerView]]:
     """Returns the views of all workers by service, without a cache."""
-    return ViewCache().refresh(state, schedulable_workers, due_for_maintenance)
+    return ViewCache().refresh(
+        state, schedulable_workers, due_for_maintenance, now_ms
+    )
 
 
 def _build_view(
-    state: state_module.BatchState, worker: state_module.Worker
-) -> WorkerView:
+    state: state_module.BatchState, worker: state_module.Worker, now_ms: int
+) -> tuple[WorkerView, float]:
+    """Returns a view, and when the first probation on the worker ends."""
     view = WorkerView(worker.record, worker.record.capacity)
+    valid_until_ms = math.inf
     for key in worker.tasks:
         located = state.task(key)
-        if located is not None:
-            view.add_task(key, located[1].definition, located[1].demand)
+        if located is None:
+            continue
+        _, step, task = located
+        view.add_task(key, step.definition, step.demand)
+        if key.position not in step.suspects:
+            continue
+        probation_end_ms = task.started_ms + _PROBATION_MS
+        if now_ms < probation_end_ms:
+            view.add_suspect(key.job_id, crashes.suspicion(task))
+            valid_until_ms = min(valid_until_ms, probation_end_ms)
     view.is_modified = False
-    return view
+    return view, valid_until_ms
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -64,11 +64,26 @@
         self.start_leader()
 
     def crash(self, worker_id: str) -> None:
-        """Ends a worker with all that runs on it."""
+        """Ends a worker, all that runs on it, and the gangs of those runs."""
         self.crashes.append((self.now_ms, worker_id))
         instance = self.state.workers[worker_id].record.instance
         self._down[worker_id] = (instance, self.now_ms + _RESTART_MS)
+        lost = list(self._running[worker_id])
         self._running[worker_id].clear()
+        for run in lost:
+            located = self.state.task(run.task)
+            if located is not None and located[1].definition.gang:
+                self._break_gang(run)
+
+    def _break_gang(self, lost: _Run) -> None:
+        """Ends the other members of a gang that has lost one."""
+        for worker_id, runs in self._running.items():
+            for run in list(runs):
+                if run.task[:3] == lost.task[:3] and run.run == lost.run:
+                    runs.remove(run)
+                    self.local.end(
+                        run.task, commands.Ending.BROKEN, run.run, worker_id
+                    )
 
     def worker_of(self, key: model.TaskKey) -> str:
         """Returns the worker on which a task runs, or an empty name."""
@@ -139,7 +154,7 @@
             for worker_id in self.state.workers
             if worker_id not in self._down
         }
-        views = self._views.refresh(self.state, schedulable)
+        views = self._views.refresh(self.state, schedulable, now_ms=self.now_ms)
         plan = self._planner.plan(
             views,
             self._views.changed_services,
--- a/tests/test_batch_metrics.py
+++ b/tests/test_batch_metrics.py
@@ -19,6 +19,9 @@
             events.RunsEnded((("t", 1, "w", "lapsed"), ("t", 2, "w", "failed")))
         )
         metrics.record_event(events.RunsLost("w", "gone", (("t", 1), ("u", 1))))
+        metrics.record_event(
+            events.TasksSuspected("w", "i", True, (("j.0.0.0", 3),), ("j",))
+        )
         metrics.record_event(events.JobEnded("j", "completed", 900, 2_000))
         text = metrics.render().decode()
         self.assertIn('status="503"', text)
@@ -27,6 +30,10 @@
         self.assertRegex(
             text, r'runs_lost_total\{[^}]*change="gone"[^}]*\} 2\.0'
         )
+        self.assertRegex(
+            text, r'worker_crashes_total\{[^}]*="true"[^}]*\} 1\.0'
+        )
+        self.assertRegex(text, r"jobs_given_up_total(\{[^}]*\})? 1\.0")
         self.assertRegex(text, r"waiting_cores(\{[^}]*\})? 2\.5")
         self.assertNotIn('"j"', text)
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,8 +4,12 @@
 each worker that starts them, together with all that runs beside them.
 """
 
+from collections.abc import Callable
 import unittest
 
+import msgpack
+
+from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import model
 from tests import batch_builders
@@ -65,6 +69,169 @@
             )
         )
 
+    def test_crashes_long_after_the_start_end_too(self) -> None:
+        """Without company the start of the crash tells nothing apart."""
+        self.fleet.crash_after_ms = 2_500
+        names = self._submit_bystanders()
+        self.fleet.local.submit("guilty")
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
+    def test_count_outlives_leaders_and_snapshots(self) -> None:
+        """A new leader or a restart must not begin to count anew."""
+        self.fleet.local.submit("guilty", batch_builders.build_step(2))
+        for _ in range(40):
+            self.fleet.advance(1.5)
+            self.fleet.restart_from_snapshot()
+        self._check_guilty_is_given_up(self.guilty)
+
+    def test_lasting_task_that_crashes_its_workers_is_given_up(self) -> None:
+        """A task that lasts is restarted however it ends, but not for ever."""
+        step = batch_builders.build_step(2, long_running=True)
+        self.fleet.local.submit("innocent", step)
+        self.fleet.advance(1)
+        self.fleet.local.submit("guilty", step)
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        self.assertIs(self.fleet.job_state("innocent"), jobs.JobState.RUNNING)
+
+    def test_gang_that_crashes_its_workers_is_given_up(self) -> None:
+        """The other members of a gang run on workers of their own."""
+        names = self._submit_bystanders()
+        self.fleet.crash_after_ms = 500
+        gang = batch_builders.build_step(6, gang=True)
+        self.fleet.local.submit("guilty", gang)
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
+    def test_many_guilty_tasks_leave_the_pool_to_others(self) -> None:
+        """Workers held for suspects must not stop the work of the others."""
+        for number in range(12):
+            key = batch_builders.task_key(f"guilty-{number:02d}")
+            self.fleet.deadly.add(key)
+            self.fleet.local.submit(key.job_id)
+        names = self._submit_bystanders(20)
+        self.fleet.advance(120)
+        for key in self.fleet.deadly - {self.guilty}:
+            self._check_guilty_is_given_up(key)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
+    def test_pool_whose_workers_all_have_lasting_tasks(self) -> None:
+        """No worker becomes vacant there, and the suspect must not starve."""
+        lasting = batch_builders.build_step(8, long_running=True)
+        self.fleet.local.submit("lasting", lasting)
+        self.fleet.advance(1)
+        self.fleet.local.submit("guilty")
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        self.assertIs(self.fleet.job_state("lasting"), jobs.JobState.RUNNING)
+        tasks = self.fleet.state.job("lasting").running_tasks()
+        self.assertEqual(len(list(tasks)), 8)
+
+
+class InnocentTaskTest(unittest.TestCase):
+    """Tests that crashes with other causes end no job."""
+
+    def setUp(self) -> None:
+        self.fleet = crash_fleet.CrashFleet(6)
+        self.key = batch_builders.task_key("job")
+
+    def _crash_until_done(self, is_faulty: Callable[[str], bool]) -> None:
+        """Crashes faulty workers as soon as they run the task."""
+        for _ in range(400):
+            self.fleet.advance(0.1)
+            worker_id = self.fleet.worker_of(self.key)
+            if worker_id and is_faulty(worker_id):
+                self.fleet.crash(worker_id)
+
+    def test_instance_that_fails_by_itself_is_not_the_tasks_fault(self) -> None:
+        """Workers of one instance may crash again and again."""
+        self.fleet.local.submit("job")
+        self._crash_until_done(lambda name: name.startswith("instance-00"))
+        self.assertIs(self.fleet.job_state("job"), jobs.JobState.COMPLETED)
+
+    def test_long_runs_clear_a_task(self) -> None:
+        """A task that lasts sees crashes of many workers in its life."""
+        step = batch_builders.build_step(long_running=True)
+        self.fleet.local.submit("job", step)
+        for _ in range(10):
+            self.fleet.advance(70)
+            self.fleet.crash(self.fleet.worker_of(self.key))
+        self.fleet.advance(5)
+        self.assertIs(self.fleet.job_state("job"), jobs.JobState.RUNNING)
+        self.assertTrue(self.fleet.worker_of(self.key))
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    """Tests which ends of workers count as crashes."""
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        self.local.register("w-1", "w-2", "w-3", "w-4")
+        self.local.submit()
+        self.key = batch_builders.task_key()
+
+    def _crashes(self) -> int:
+        located = self.local.state.task(self.key)
+        assert located is not None
+        return len(located[2].crashed_instances)
+
+    def test_planned_ends_do_not_count(self) -> None:
+        """Departures and maintenance are not the fault of a task."""
+        self.local.start(self.key, 1, "w-1")
+        self.local.apply(commands.DrainWorker("w-1"))
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=True))
+        self.assertEqual(self._crashes(), 0)
+        self.local.start(self.key, 2, "w-2")
+        instance = "instance-of-w-2"
+        self.local.apply(commands.StartWave(1, (instance,), 20_000, 1))
+        self.local.apply(
+            commands.RecordMaintenance(
+                1, instance, commands.MaintenancePhase.CHOSEN
+            )
+        )
+        # The order's answer was lost; the worker's successor is noticed first.
+        self.local.apply(commands.MarkWorkersLost(("w-2",), is_final=True))
+        self.assertEqual(self._crashes(), 0)
+
+    def test_silence_does_not_count_until_the_worker_has_ended(self) -> None:
+        """A worker that was only cut off must not speak against its tasks."""
+        self.local.start(self.key, 1, "w-1")
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=False))
+        self.local.register("w-1")
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=True))
+        self.assertEqual(self._crashes(), 0)
+
+    def test_crash_that_is_noticed_after_the_lease_counts(self) -> None:
+        """A worker may be back only after the leases of its tasks ended."""
+        self.local.start(self.key, 1, "w-1")
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=False))
+        self.local.start(self.key, 2, "w-2")
+        data = self.local.state.snapshot()
+        self.local.state.restore(1, data)
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=True))
+        self.assertEqual(self._crashes(), 1)
+        self.assertEqual(self.local.state.pop_crashes()[0].tasks[0][1], 1)
+
+    def test_snapshots_of_a_build_without_the_count_are_read(self) -> None:
+        """An upgrade and a return to the old build must not stop a node."""
+        self.local.start(self.key, 1, "w-1")
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=True))
+        self.local.start(self.key, 2, "w-2")
+        values = msgpack.unpackb(self.local.state.snapshot())
+        self.assertEqual(len(values[4][0][1][7][0][1][0][0]), 5)
+        old_data = msgpack.packb(values[:8])
+        self.local.state.restore(1, old_data)
+        self.assertEqual(self._crashes(), 0)
+        self.assertTrue(self.local.state.is_current(self.key, 2, "w-2"))
+        self.local.apply(commands.MarkWorkersLost(("w-2",), is_final=True))
+        self.assertEqual(self._crashes(), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -122,6 +122,21 @@
         )
         self.assertIn("lapsed", story.cause or "")
 
+    def test_job_that_was_given_up_names_the_crashes(self) -> None:
+        """Guards against the attempts as the cause, which it didn't use up."""
+        story = self._story(
+            self._line(
+                "tasks_suspected",
+                8_000,
+                worker="w",
+                runs=[["x.0.0.0", 1], [f"{_ID}.0.0.2", 3]],
+                given_up=[_ID],
+            ),
+            self._line("job_ended", job=_ID, state="failed"),
+        )
+        self.assertEqual(story.cause, f"3 workers crashed under {_ID}.0.0.2")
+        self.assertNotIn("x.0.0.0", story.render())
+
     def test_runs_of_other_requests_are_left_out(self) -> None:
         """Guards against a report that includes runs of other requests."""
         story = self._story(
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -66,6 +66,17 @@
         self._depose()
         self.assertEqual(self._handle(leaving).kind, errors.ErrorKind.NO_LEADER)
 
+    def test_worker_that_leaves_has_not_crashed(self) -> None:
+        """Its notice may have been lost, and its tasks are not at fault."""
+        self._submit()
+        self.local.register("w-1")
+        self.local.start(batch_builders.task_key())
+        self.assertIsInstance(
+            self._handle(messages.WorkerLeft("w-1")), messages.Done
+        )
+        self.assertEqual(self.local.state.workers, {})
+        self.assertEqual(self.local.state.pop_crashes(), [])
+
     def test_known_job_is_acknowledged_again_without_a_second_one(self) -> None:
         """Guards against a repeated submission that is stored twice."""
         self.assertIsInstance(self._submit(), messages.Done)
