Follow workers whose capacity shrinks and grows

Cause: the capacity of the registration was kept for the worker's whole life; heartbeats with another one were answered and dropped. Change: the leader stores a changed capacity (RegisterWorker, no new command), in the order of the heartbeats' sequence numbers; plans use it at once; a stored start is checked again when it is sent, and withdrawn if its room is gone. What a task doesn't use may be overdrawn without keeping it waiting. Evidence: tests.test_resized_workers; seven of its eight tests fail on the code before. The kept planner is compared with a new one over random changes of capacity as well.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -120,7 +120,11 @@
 @codec.message("batch_register_worker", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegisterWorker:
-    """Registers a worker, or marks one with an expired lease as up again."""
+    """Registers a worker, or marks one with an expired lease as up again.
+
+    A known worker takes over the capacity. Its other fields stay; they belong
+    to its incarnation.
+    """
 
     worker: model.WorkerRecord
 
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -193,8 +193,9 @@
         if worker is None:
             return
         if worker.state is state_module.WorkerState.LEASE_EXPIRED:
+            # The session's record has the capacity of the registration.
             self._start_soon(
-                self.commit, commands.RegisterWorker(session.record)
+                self.commit, commands.RegisterWorker(worker.record)
             )
         self._end_earlier_incarnations(session)
         now_s = self._timer.monotonic_s()
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -32,6 +32,7 @@
     "TasksSuspected",
     "WaveAccepted",
     "WorkerChanged",
+    "WorkerResized",
 ]
 
 _HIGH = event_log.Priority.HIGH
@@ -214,6 +215,26 @@
     tasks: int = 0
 
 
+@event_log.event("worker_resized")
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerResized:
+    """A worker's capacity has changed; resources are CPU, memory, accelerators.
+
+    Attributes:
+        worker: Id of the worker.
+        service: Its service.
+        sequence: Number of the heartbeat that told it.
+        capacity: The new capacity, in 1/1000 core, MB and accelerators.
+        free: What no task reserves; negative while more runs than fits.
+    """
+
+    worker: str
+    service: str
+    sequence: int
+    capacity: tuple[int, ...]
+    free: tuple[int, ...]
+
+
 @event_log.event("leadership")
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipChanged:
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -23,6 +23,8 @@
 __all__ = ["LeaderService"]
 
 _COMMIT_TIMEOUT_S = 2.5
+# Kept sequence numbers of workers that have ended.
+_MAX_STALE_SEQUENCES = 100
 _MS_PER_S = 1000
 
 
@@ -49,6 +51,8 @@
         self._timer = timer
         self._jobs = job_service.JobService(node, state, timer)
         self._dispatcher = dispatcher
+        # Sequence number of the latest heartbeat by worker.
+        self._sequences: dict[str, int] = {}
 
     async def handle(self, request: Any) -> Any:
         """Handles a request; returns a reply message or a `Failure`."""
@@ -125,6 +129,7 @@
         record = request.worker
         if self._state.has_worker_ended(record.worker_id):
             return messages.Done()
+        is_latest = self._record_sequence(request)
         worker = self._state.workers.get(record.worker_id)
         if worker is None:
             result = await self._commit(commands.RegisterWorker(record))
@@ -136,6 +141,19 @@
                 )
             )
             worker = self._state.workers.get(record.worker_id)
+        elif is_latest and worker.record.capacity != record.capacity:
+            result = await self._commit(commands.RegisterWorker(record))
+            if isinstance(result, errors.Failure):
+                return result
+            event_log.emit(
+                events.WorkerResized(
+                    record.worker_id,
+                    record.service,
+                    request.sequence,
+                    tuple(worker.record.capacity),
+                    tuple(self._state.free_on(worker)),
+                )
+            )
         if request.is_draining and request.remaining_ms is not None:
             self._record_departure(record.worker_id, request.remaining_ms)
         draining = state_module.WorkerState.DRAINING
@@ -145,6 +163,25 @@
         self._retry_renewal_now(record.worker_id)
         return messages.Done()
 
+    def _record_sequence(self, heartbeat: messages.Heartbeat) -> bool:
+        """Records a heartbeat; returns False if a later one came before it.
+
+        A heartbeat that was held up must not restore an earlier capacity.
+        """
+        worker_id = heartbeat.worker.worker_id
+        if heartbeat.sequence < self._sequences.get(worker_id, 0):
+            return False
+        self._sequences[worker_id] = heartbeat.sequence
+        if len(self._sequences) > _MAX_STALE_SEQUENCES + 2 * len(
+            self._state.workers
+        ):
+            self._sequences = {
+                name: sequence
+                for name, sequence in self._sequences.items()
+                if name in self._state.workers
+            }
+        return True
+
     async def _drain(self, record: model.WorkerRecord) -> Any:
         result = await self._commit(commands.DrainWorker(record.worker_id))
         if isinstance(result, errors.Failure):
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -47,11 +47,16 @@
     accelerators: int
 
     def fits_into(self, free: "Resources") -> bool:
-        """Whether `free` covers this demand."""
+        """Whether `free` covers this demand.
+
+        Free resources are negative after a worker's capacity has shrunk; what
+        isn't needed may be so.
+        """
+        cpu, memory, accelerators = self
         return (
-            self.cpu_millicores <= free.cpu_millicores
-            and self.memory_mb <= free.memory_mb
-            and self.accelerators <= free.accelerators
+            (cpu <= free.cpu_millicores or not cpu)
+            and (memory <= free.memory_mb or not memory)
+            and (accelerators <= free.accelerators or not accelerators)
         )
 
     def minus(self, other: "Resources") -> "Resources":
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -72,7 +72,8 @@
             views: Workers by service.
             changed_views: Services whose views changed since the last plan.
             now_ms: Time in milliseconds since the epoch.
-            has_other_workers: Whether workers were added or removed since then.
+            has_other_workers: Whether workers were added, removed or resized
+                since then.
         """
         changed = self._index.refresh(self._state, now_ms)
         services = self._index.services
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 from collections.abc import Iterator
+import dataclasses
 import enum
 import functools
 from typing import Any
@@ -60,6 +61,18 @@
         """Tasks that run or may run on the worker."""
         return self._tasks
 
+    def resize(self, capacity: model.Resources) -> None:
+        """Takes over a capacity, also one that is smaller than what runs."""
+        if capacity == self.record.capacity:
+            return
+        self.record = dataclasses.replace(
+            self.record,
+            cpu_millicores=capacity.cpu_millicores,
+            memory_mb=capacity.memory_mb,
+            accelerators=capacity.accelerators,
+        )
+        self.revision += 1
+
     def add_task(self, key: model.TaskKey) -> None:
         """Adds a task."""
         self._tasks.add(key)
@@ -301,6 +314,7 @@
             if existing.state is WorkerState.LEASE_EXPIRED:
                 existing.state = WorkerState.UP
                 existing.lapsed_tasks = frozenset()
+            existing.resize(record.capacity)
             return False
         self._add_worker(Worker(record))
         return True
@@ -590,6 +604,15 @@
             if worker is not None:
                 worker.add_task(task.key)
 
+    def free_on(self, worker: Worker) -> model.Resources:
+        """Returns the capacity that no task reserves; negative if it shrank."""
+        free = worker.record.capacity
+        for key in worker.tasks:
+            located = self.task(key)
+            if located is not None:
+                free = free.minus(located[1].demand)
+        return free
+
     def tasks_on(self, worker: Worker) -> Iterator[jobs_module.Task]:
         """Yields the tasks that run or may run on a worker."""
         for key in worker.tasks:
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 import dataclasses
+import operator
 from typing import Protocol
 
 import anyio
@@ -234,6 +235,9 @@
     async def _start(self, order: _StartOrder) -> None:
         was_unanswered = False
         while self._is_current(order.task, order.run):
+            if not self._has_room(order.task):
+                await self._withdraw_start(order, was_unanswered)
+                return
             reply = await self._send_start(order)
             if reply is None or reply.outcome is _Outcome.UNANSWERED:
                 was_unanswered = was_unanswered or reply is not None
@@ -294,6 +298,12 @@
             )
         )
         self._listener.on_start_refused(self, order.task, outcome)
+        await self._withdraw_start(order, was_unanswered)
+
+    async def _withdraw_start(
+        self, order: _StartOrder, was_unanswered: bool
+    ) -> None:
+        """Queues a task again whose run the worker doesn't have."""
         if was_unanswered:
             # An earlier attempt may still reach the worker; after a stop the
             # worker refuses it.
@@ -311,6 +321,21 @@
                 return
             await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
 
+    def _has_room(self, task: model.TaskKey) -> bool:
+        """Whether all tasks on the worker fit, as far as this one matters.
+
+        The worker's capacity may have shrunk since the start was stored.
+        """
+        worker = self._state.workers.get(self.record.worker_id)
+        located = self._state.task(task)
+        if worker is None or located is None:
+            return True
+        demand = located[1].demand
+        free = self._state.free_on(worker)
+        return demand.fits_into(
+            model.Resources(*map(operator.add, free, demand))
+        )
+
     async def _stop(self, task: model.TaskKey, run: int) -> None:
         order = clients.StopOrder(task, run, self._fence)
         while True:
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -128,7 +128,7 @@
 
     @property
     def has_other_workers(self) -> bool:
-        """Whether the last refresh found workers added or removed."""
+        """Whether the last refresh found workers added, removed or resized."""
         return self._has_other_workers
 
     def refresh(
@@ -175,7 +175,11 @@
                     view.penalty,
                     view.is_due_for_maintenance,
                 ) = traits
-                if entry is None or entry.worker is not worker:
+                if (
+                    entry is None
+                    or entry.worker is not worker
+                    or entry.view.record.capacity != worker.record.capacity
+                ):
                     self._has_other_workers = True
                 entry = _CacheEntry(
                     worker, worker.revision, view, valid_until_ms
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -4,6 +4,7 @@
 and are cancelled, while workers come, move and fail.
 """
 
+import dataclasses
 import random
 import unittest
 
@@ -152,6 +153,15 @@
             worker_id = self.random.choice(workers)
             self.local.apply(commands.DrainWorker(worker_id))
 
+    def resize(self) -> None:
+        workers = list(self.local.state.workers.values())
+        if workers:
+            record = dataclasses.replace(
+                self.random.choice(workers).record,
+                cpu_millicores=self.random.choice([2_000, 4_000, 8_000]),
+            )
+            self.local.apply(commands.RegisterWorker(record))
+
     def suspect(self) -> None:
         for worker_id in self.local.state.workers:
             self._penalties[worker_id] = self.random.choice([0.0, 0.0, 1.0])
@@ -208,7 +218,7 @@
             + [fleet.end] * 6
             + [fleet.register, fleet.lose, fleet.cancel, fleet.suspect] * 1
             + [fleet.wait] * 2
-            + [fleet.drain, fleet.configure, fleet.restore]
+            + [fleet.drain, fleet.configure, fleet.restore, fleet.resize]
         )
         started = 0
         for _ in range(_STEPS_PER_SEED):
