Keep suspects from waiting for each other

Cause: a worker took suspects of one job only, and a step's suspects were spread over all workers, so that dozens of jobs waited while the pool was half idle; suspects that must run alone shared a quarter of the workers also when others were vacant; a power loss made all tasks that began together probable suspects. Stored starts that never reached a worker counted as begun (waiting-count).

--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -17,9 +17,13 @@
 
 # A run that lasted as long clears its task: it doesn't crash at its start.
 _CLEARING_RUN_MS = 60_000
-# Instances on which a task must have crashed a worker. One instance may fail
-# again and again by itself.
+# Instances on which a task must have crashed a worker; one instance may fail
+# again and again by itself. The longer the run, the more likely the crash had
+# another cause.
+_MIN_INSTANCES_PROMPT = 2
 _MIN_INSTANCES = 3
+# Includes the time until a worker's successor answers.
+_PROMPT_CRASH_MS = 10_000
 # A task in company is given up before the users' limit of three more starts
 # after three crashes.
 _MAX_CRASHES = 5
@@ -81,28 +85,43 @@
         now_ms: Time of the log record.
     """
     was_isolated = len({job.job_id for job, _ in tasks}) == 1
-    last_start_ms = max(task.started_ms for _, task in tasks)
+    last_started = _last_started(tasks)
     counts = []
     given_up = []
     for job, task in tasks:
         if task.state is jobs_module.TaskState.DONE:
             continue
-        if task.started_ms and now_ms - task.started_ms >= _CLEARING_RUN_MS:
+        run_ms = now_ms - task.started_ms
+        if task.started_ms and run_ms >= _CLEARING_RUN_MS:
             job.clear_crashes(task)
-        was_last_started = 0 < last_start_ms == task.started_ms
-        job.add_crash(task, worker.instance, was_last_started)
+        job.add_crash(task, worker.instance, task.key in last_started)
         counts.append((task.key, len(task.crashed_instances)))
-        if _is_guilty(task, was_isolated) and not job.has_ended:
+        is_prompt = run_ms < _PROMPT_CRASH_MS
+        if _is_guilty(task, was_isolated, is_prompt) and not job.has_ended:
             job.give_up(now_ms)
             given_up.append(job.job_id)
     return Crash(worker, was_isolated, tuple(counts), tuple(given_up))
 
 
-def _is_guilty(task: jobs_module.Task, was_isolated: bool) -> bool:
+def _last_started(
+    tasks: Collection[tuple[jobs_module.Job, jobs_module.Task]],
+) -> frozenset[model.TaskKey]:
+    """Returns the tasks that were started last, if they are of one job."""
+    last_ms = max(task.started_ms for _, task in tasks)
+    last = [task.key for _, task in tasks if task.started_ms == last_ms]
+    if not last_ms or len({key.job_id for key in last}) > 1:
+        return frozenset()
+    return frozenset(last)
+
+
+def _is_guilty(
+    task: jobs_module.Task, was_isolated: bool, is_prompt: bool
+) -> bool:
+    needed = _MIN_INSTANCES_PROMPT if is_prompt else _MIN_INSTANCES
     instances = len(set(task.crashed_instances))
-    return (was_isolated and instances >= _MIN_INSTANCES) or len(
-        task.crashed_instances
-    ) >= _MAX_CRASHES
+    return (was_isolated and instances >= needed) or (
+        len(task.crashed_instances) >= _MAX_CRASHES
+    )
 
 
 def suspects(step: jobs_module.Step, level: Suspicion) -> list[int]:
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -278,7 +278,11 @@
         due_for_maintenance = self._wave_controller.due_instances()
         now_ms = self._timer.wall_time_ms()
         self._views = self._view_cache.refresh(
-            self._state, schedulable_workers, due_for_maintenance, now_ms
+            self._state,
+            schedulable_workers,
+            due_for_maintenance,
+            now_ms,
+            self._health.crashed_instances(self._timer.monotonic_s()),
         )
         self._approval_cache.clear_requests()
         return self._planner.plan(
@@ -551,6 +555,11 @@
 
     def _log_lost_worker(self, worker_id: str, change: str) -> None:
         """Logs a loss with the runs that it ends."""
+        session = self._sessions.get(worker_id)
+        if session is not None and change != "lapsed":
+            self._health.record_crash(
+                session.record.instance, self._timer.monotonic_s()
+            )
         self._log_worker_change(worker_id, change)
         worker = self._state.workers.get(worker_id)
         if worker is None or not worker.tasks:
--- a/tarragoncleat/batch/isolation.py
+++ b/tarragoncleat/batch/isolation.py
@@ -15,8 +15,11 @@
 
 __all__ = ["place_alone", "place_apart", "workers_for_gang"]
 
-# Limits the capacity that is lost to tasks that run alone.
+# Limits the capacity that other tasks lack for those that run alone.
 _MAX_ISOLATED_SHARE = 0.25
+# Each crash makes a dozen suspects, nearly all of them innocent. With one on a
+# worker they would wait for each other.
+_MAX_OTHER_SUSPECTS = 3
 
 _Views = Sequence[worker_views.WorkerView]
 
@@ -24,10 +27,10 @@
 def place_apart(
     step: jobs_module.Step, positions: Iterable[int], workers: _Views
 ) -> list[commands.RunStart]:
-    """Places tasks on workers without suspects of other jobs."""
+    """Places tasks on workers with few suspects of other jobs."""
     starts = []
     for position in positions:
-        candidates = _without_other_suspects(step, workers)
+        candidates = _with_few_suspects(step, workers)
         view = _best(step, position, candidates)
         if view is not None:
             starts.append(_start(step, position, view))
@@ -35,23 +38,30 @@
 
 
 def place_alone(
-    step: jobs_module.Step, positions: Iterable[int], workers: _Views
+    step: jobs_module.Step,
+    positions: Iterable[int],
+    workers: _Views,
+    is_first: bool,
 ) -> list[commands.RunStart]:
     """Places tasks on workers without tasks of other jobs.
 
-    If there is no such worker, one is closed until it is vacant. Long-running
-    tasks don't end, so a worker that has only these is used if all have some.
-
     Args:
         step: A step that is no gang.
         positions: The tasks.
         workers: All workers that may get tasks, in any order.
+        is_first: Whether other tasks are still to be placed. The share of the
+            workers is limited then. If none is vacant, one is closed until it
+            is; long-running tasks don't end, so a worker that has only these
+            is used if all have some.
     """
     starts = []
     for position in positions:
         view = _worker_of_own(step, position, workers)
-        if view is None:
+        if view is None and is_first:
             view = _worker_to_isolate(step, position, workers)
+        elif view is None:
+            vacant = [view for view in workers if not view.task_count]
+            view = _best(step, position, vacant)
         if view is None:
             break
         has_short_tasks = view.task_count > view.long_running_tasks
@@ -67,7 +77,7 @@
 
     These are workers that it has to itself, if all of its tasks fit there.
     Vacating as many as a large gang needs would cost a pool too much, so
-    otherwise they are those without suspects of other jobs.
+    otherwise they are those with few suspects of other jobs.
     """
     job_id = step.tasks[0].key.job_id
     own = [
@@ -77,15 +87,16 @@
     ]
     if placement_rank.room_for(step, own) >= len(step.tasks):
         return own
-    return _without_other_suspects(step, workers)
+    return _with_few_suspects(step, workers)
 
 
-def _without_other_suspects(step: jobs_module.Step, workers: _Views) -> _Views:
+def _with_few_suspects(step: jobs_module.Step, workers: _Views) -> _Views:
     job_id = step.tasks[0].key.job_id
     return [
         view
         for view in workers
-        if view.is_open and not view.suspect_jobs - {job_id}
+        if view.is_open
+        and len(view.suspect_jobs - {job_id}) < _MAX_OTHER_SUSPECTS
     ]
 
 
@@ -115,7 +126,7 @@
         candidates,
         key=lambda view: (
             view.long_running_tasks,
-            view.record.instance in task.crashed_instances,
+            _may_be_at_fault(task, view),
             view.task_count,
             view.record.worker_id,
         ),
@@ -128,8 +139,9 @@
 ) -> worker_views.WorkerView | None:
     """Returns the worker that suits a task best, or None.
 
-    An instance on which a worker crashed under it comes last: the instance may
-    be at fault.
+    Instances that may be at fault come last. Tasks of one job stay together, so
+    that they are suspects on few workers. Long-running tasks have more to lose
+    than others.
     """
     task = step.tasks[position]
     suitable = [
@@ -138,13 +150,26 @@
     return min(
         suitable,
         key=lambda view: (
-            view.record.instance in task.crashed_instances,
+            _may_be_at_fault(task, view),
+            task.key.job_id not in view.suspect_jobs,
+            len(view.suspect_jobs),
+            view.long_running_tasks > 0,
             *placement_rank.rank(task.key, step.definition, view),
         ),
         default=None,
     )
 
 
+def _may_be_at_fault(
+    task: jobs_module.Task, view: worker_views.WorkerView
+) -> bool:
+    """Whether a crash under the task there could have another cause."""
+    return (
+        view.has_crashed_recently
+        or view.record.instance in task.crashed_instances
+    )
+
+
 def _start(
     step: jobs_module.Step, position: int, view: worker_views.WorkerView
 ) -> commands.RunStart:
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -151,6 +151,7 @@
     """
 
     __slots__ = (
+        "_has_begun",
         "_has_started",
         "accepted_ms",
         "chain_ms",
@@ -183,6 +184,7 @@
         self.next_occurrence = 0
         self.revision = 0
         self._has_started = False
+        self._has_begun = False
         if definition.repeat_count == 0:
             self.open_occurrence(0)
 
@@ -196,6 +198,16 @@
         """Whether a task of the job was ever started."""
         return self._has_started
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether no task runs or is known to have begun.
+
+        A start may be stored whose worker crashes before it gets the order.
+        """
+        if not self._has_started:
+            return True
+        return not self._has_begun and not any(self.running_tasks())
+
     @property
     def is_long_running(self) -> bool:
         """Whether the job runs until it is cancelled."""
@@ -299,6 +311,8 @@
         if task.state is not TaskState.RUNNING or not is_current:
             return []
         self.revision += 1
+        if run_end.ending is not commands.Ending.REJECTED:
+            self._has_begun = True
         released_tasks = [task]
         if run_end.ending is commands.Ending.DONE and step.definition.gang:
             released_tasks = [
@@ -429,6 +443,12 @@
                 occurrence.steps, packed_steps, strict=True
             ):
                 _unpack_step(step, packed_tasks)
+        job._has_begun = any(
+            task.state is TaskState.DONE or task.failures or task.checkpoint
+            for occurrence in job.occurrences.values()
+            for step in occurrence.steps
+            for task in step.tasks
+        )
         return job
 
 
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -20,7 +20,7 @@
 from tarragoncleat.batch import ready_steps
 from tarragoncleat.batch import worker_views
 
-__all__ = ["place_steps"]
+__all__ = ["place_on_vacant", "place_steps"]
 
 
 def place_steps(
@@ -38,7 +38,7 @@
         gives_way: Whether the steps leave workers without long-running tasks to
             others, except for tasks that must run alone.
     """
-    starts = _place_alone(steps, views, approval_cache)
+    starts = _place_alone(steps, views, approval_cache, is_first=True)
     workers = [
         view
         for view in views
@@ -68,26 +68,45 @@
     return starts
 
 
+def place_on_vacant(
+    steps: Sequence[ready_steps.ReadyStep],
+    views: Sequence[worker_views.WorkerView],
+    approval_cache: advice.ApprovalCache | None,
+) -> list[commands.RunStart]:
+    """Returns starts of tasks that must run alone, after all other steps.
+
+    They use the workers that are still vacant.
+    """
+    return _place_alone(steps, views, approval_cache, is_first=False)
+
+
 def _place_alone(
     steps: Iterable[ready_steps.ReadyStep],
     views: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
+    is_first: bool,
 ) -> list[commands.RunStart]:
-    """Places the tasks that probably crash their workers, before all others.
+    """Places the tasks that probably crash their workers.
 
-    Other tasks would take each vacant worker first.
+    Before the others they get a share of the workers, since the others would
+    take each vacant one; after them what is left vacant.
     """
     starts: list[commands.RunStart] = []
     for ready_step in steps:
         step = ready_step.step
         if not step.suspects or step.definition.gang:
             continue
-        positions = crashes.suspects(step, crashes.Suspicion.PROBABLE)
+        positions = [
+            position
+            for position in crashes.suspects(step, crashes.Suspicion.PROBABLE)
+            if position not in ready_step.placed_alone
+        ]
         if not positions:
             continue
         workers = [view for view in views if view.is_schedulable]
         usable = _workers_with_ticket(ready_step, workers, approval_cache)
-        placed = isolation.place_alone(step, positions, usable)
+        placed = isolation.place_alone(step, positions, usable, is_first)
+        ready_step.placed_alone.update(start.task.position for start in placed)
         ready_step.placed_count += len(placed)
         starts.extend(placed)
     return starts
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -93,6 +93,8 @@
         for service in sorted(stale):
             self._plan_in_time(service, views, result.starts)
         self._plan_late(stale, views, result.starts)
+        for service in sorted(stale):
+            self._place_suspects(service, views, result.starts)
         result.demands = dict(self._demands)
         return result
 
@@ -176,6 +178,26 @@
         demand.late_millicores = _unplaced_millicores(steps)
         _update_used(demand, service_views)
 
+    def _place_suspects(
+        self, service: str, views: _Views, starts: list[commands.RunStart]
+    ) -> None:
+        """Starts tasks that must run alone on workers that are still vacant."""
+        steps = self._steps_of(service)
+        suspects = [
+            ready_step
+            for ready_step in (*steps.in_time, *steps.late)
+            if ready_step.step.suspects
+        ]
+        if not suspects or self._gave_way.get(service):
+            return
+        service_views = views.get(service, [])
+        starts.extend(
+            placement.place_on_vacant(
+                suspects, service_views, self._approval_cache
+            )
+        )
+        _update_used(self._demands[service], service_views)
+
     def _placeable(
         self, steps: Iterable[ready_steps.ReadyStep], views: _Views
     ) -> list[ready_steps.ReadyStep]:
@@ -187,6 +209,7 @@
         result = []
         for ready_step in steps:
             ready_step.placed_count = 0
+            ready_step.placed_alone.clear()
             step = ready_step.step
             key = (step.demand, step.definition.required_label)
             if key not in self._fits:
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/ready_steps.py
@@ -26,12 +26,14 @@
         rank: Rank of its job.
         needs_ticket: Whether workers need the advisor's approval.
         placed_count: Number of its tasks that the latest plan starts.
+        placed_alone: Positions of those of them that run alone.
     """
 
     step: jobs_module.Step
     rank: job_order.JobRank
     needs_ticket: bool
     placed_count: int = 0
+    placed_alone: set[int] = dataclasses.field(default_factory=set)
 
     @property
     def unplaced_count(self) -> int:
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -227,10 +227,9 @@
         )
 
     def waiting_count(self, key: model.QueueKey) -> int:
-        """Returns the number of a queue's jobs without a started task."""
+        """Returns the number of a queue's jobs of which no task has begun."""
         return sum(
-            job.queue == key and not job.has_started
-            for job in self._active.values()
+            job.queue == key and job.is_waiting for job in self._active.values()
         )
 
     def apply(self, index: int, time_ms: int, payload: bytes) -> bytes:
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -21,6 +21,7 @@
 _REFUSAL_EJECTION_S = 0.5
 _STUCK_S = 2.5
 _FAILURE_PENALTY = 1.0
+_RECENT_CRASH_S = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +51,8 @@
     def __init__(self) -> None:
         """Creates a tracker that considers every worker healthy."""
         self._stats: dict[str, _WorkerStats] = {}
+        # When a worker crashed last, by instance.
+        self._crashes: dict[str, float] = {}
 
     def record_end(self, run_end: commands.RunEnd, now_s: float) -> None:
         """Records the end of a run; may eject the worker."""
@@ -78,6 +81,19 @@
         until_s = now_s + _REFUSAL_EJECTION_S
         stats.ejected_until_s = max(stats.ejected_until_s, until_s)
 
+    def record_crash(self, instance: str, now_s: float) -> None:
+        """Records that a worker on an instance ended."""
+        self._crashes[instance] = now_s
+
+    def crashed_instances(self, now_s: float) -> frozenset[str]:
+        """Returns the instances on which a worker ended recently."""
+        self._crashes = {
+            instance: crashed_s
+            for instance, crashed_s in self._crashes.items()
+            if now_s - crashed_s < _RECENT_CRASH_S
+        }
+        return frozenset(self._crashes)
+
     def record_report(
         self,
         session: worker_session.WorkerSession,
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -24,6 +24,8 @@
         free: Resources that no task reserves.
         is_schedulable: Whether the worker may get tasks now.
         is_due_for_maintenance: Whether its instance awaits maintenance.
+        has_crashed_recently: Whether a worker on its instance crashed shortly
+            before.
         penalty: Rank penalty; 0 for none.
         tasks_by_step: Number of tasks by step (job, occurrence, step).
         latency_sensitive_tasks: Number of tasks with a latency target.
@@ -41,6 +43,7 @@
     free: model.Resources
     is_schedulable: bool = True
     is_due_for_maintenance: bool = False
+    has_crashed_recently: bool = False
     penalty: float = 0.0
     tasks_by_step: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
@@ -62,9 +65,14 @@
         )
 
     @property
-    def traits(self) -> tuple[bool, float, bool]:
+    def traits(self) -> tuple[bool, float, bool, bool]:
         """What the leader has found out about the worker."""
-        return self.is_schedulable, self.penalty, self.is_due_for_maintenance
+        return (
+            self.is_schedulable,
+            self.penalty,
+            self.is_due_for_maintenance,
+            self.has_crashed_recently,
+        )
 
     def add_task(
         self,
@@ -137,6 +145,7 @@
         schedulable_workers: dict[str, float],
         due_for_maintenance: Collection[str] = (),
         now_ms: int = 0,
+        crashed_instances: Collection[str] = (),
     ) -> dict[str, list[WorkerView]]:
         """Returns the views of all workers by service.
 
@@ -145,6 +154,8 @@
             schedulable_workers: Penalty of each worker that may get tasks.
             due_for_maintenance: Instances to avoid for long-running tasks.
             now_ms: Time in milliseconds since the epoch.
+            crashed_instances: Instances to avoid for tasks that are suspected
+                of crashing their workers.
         """
         previous, self._entries = self._entries, {}
         self._changed_services = set()
@@ -160,6 +171,7 @@
                 is_schedulable,
                 schedulable_workers.get(worker_id, 0.0),
                 worker.record.instance in due_for_maintenance,
+                worker.record.instance in crashed_instances,
             )
             if (
                 entry is None
@@ -174,6 +186,7 @@
                     view.is_schedulable,
                     view.penalty,
                     view.is_due_for_maintenance,
+                    view.has_crashed_recently,
                 ) = traits
                 if (
                     entry is None
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -7,6 +7,7 @@
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import planner
+from tarragoncleat.batch import worker_health
 from tarragoncleat.batch import worker_views
 from tests import batch_builders
 
@@ -57,6 +58,7 @@
         """Replaces the leader; only the replicated state is kept."""
         self._views = worker_views.ViewCache()
         self._planner = planner.Planner(self.state)
+        self._health = worker_health.WorkerHealth()
 
     def restart_from_snapshot(self) -> None:
         """Restarts all replicas from a snapshot."""
@@ -85,6 +87,10 @@
                         run.task, commands.Ending.BROKEN, run.run, worker_id
                     )
 
+    def busy_workers(self) -> list[str]:
+        """Returns the workers on which tasks run."""
+        return [name for name, runs in self._running.items() if runs]
+
     def worker_of(self, key: model.TaskKey) -> str:
         """Returns the worker on which a task runs, or an empty name."""
         for worker_id, runs in self._running.items():
@@ -112,6 +118,7 @@
                 del self._down[worker_id]
                 del self._running[worker_id]
                 self._register(instance)
+                self._health.record_crash(instance, self.now_ms / 1_000)
                 self.local.apply(
                     commands.MarkWorkersLost((worker_id,), is_final=True)
                 )
@@ -154,7 +161,14 @@
             for worker_id in self.state.workers
             if worker_id not in self._down
         }
-        views = self._views.refresh(self.state, schedulable, now_ms=self.now_ms)
+        views = self._views.refresh(
+            self.state,
+            schedulable,
+            now_ms=self.now_ms,
+            crashed_instances=self._health.crashed_instances(
+                self.now_ms / 1_000
+            ),
+        )
         plan = self._planner.plan(
             views,
             self._views.changed_services,
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -59,6 +59,23 @@
         self.local.end(key, _Ending.DONE, run=1, worker_id="w-1")
         self.assertIs(self._state_of(), jobs.JobState.RUNNING)
 
+    def test_job_whose_start_was_lost_waits_again(self) -> None:
+        """Its worker may crash or refuse before the task has begun."""
+        key = batch_builders.task_key()
+        self.local.submit()
+        self.local.start(key)
+        queue = batch_builders.QUEUE
+        self.assertEqual(self.state.waiting_count(queue), 0)
+        self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=True))
+        self.assertEqual(self.state.waiting_count(queue), 1)
+        self.local.start(key, 2, "w-2")
+        self.local.end(key, _Ending.REJECTED, 2, "w-2")
+        self.assertEqual(self.state.waiting_count(queue), 1)
+        self.local.start(key, 3, "w-2")
+        self.local.end(key, _Ending.FAILED, 3, "w-2")
+        self.state.restore(1, self.state.snapshot())
+        self.assertEqual(self.state.waiting_count(queue), 0)
+
     def test_only_failed_ends_count_as_attempts(self) -> None:
         """Stops and lost workers must not make a job fail."""
         key = batch_builders.task_key()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -121,6 +121,19 @@
         for name in names:
             self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
 
+    def test_suspects_of_a_power_loss_do_not_wait_for_each_other(self) -> None:
+        """Many workers crash at once, and all their tasks are innocent."""
+        step = batch_builders.build_step(5, cpu_millicores=200)
+        names = [f"job-{number:02d}" for number in range(24)]
+        for name in names:
+            self.fleet.local.submit(name, step)
+        self.fleet.advance(0.2)
+        for worker_id in self.fleet.busy_workers():
+            self.fleet.crash(worker_id)
+        self.fleet.advance(6)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
     def test_pool_whose_workers_all_have_lasting_tasks(self) -> None:
         """No worker becomes vacant there, and the suspect must not starve."""
         lasting = batch_builders.build_step(8, long_running=True)
@@ -155,6 +168,42 @@
         self._crash_until_done(lambda name: name.startswith("instance-00"))
         self.assertIs(self.fleet.job_state("job"), jobs.JobState.COMPLETED)
 
+    def test_instances_that_go_down_and_up_end_no_job(self) -> None:
+        """Workers that have just come back are vacant, and fail again.
+
+        Both have failed before: two instances that fail under one task for the
+        first time can't be told from a guilty task.
+        """
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self._run_beside_flapping_workers(seed)
+
+    def _run_beside_flapping_workers(self, seed: int) -> None:
+        fleet = crash_fleet.CrashFleet(10, seed)
+        flapping = ("instance-00", "instance-01")
+        for worker_id in list(fleet.state.workers):
+            if worker_id.startswith(flapping):
+                fleet.crash(worker_id)
+        names = []
+        for number in range(150):
+            if fleet.random.random() < 0.7:
+                names.append(f"job-{number:03d}")
+                step = batch_builders.build_step(fleet.random.randint(1, 6))
+                fleet.local.submit(names[-1], step)
+            fleet.advance(0.3)
+            for worker_id in fleet.busy_workers():
+                is_flapping = worker_id.startswith(
+                    ("instance-00", "instance-01")
+                )
+                if is_flapping and fleet.random.random() < 0.3:
+                    fleet.crash(worker_id)
+        failed = [
+            name
+            for name in names
+            if fleet.job_state(name) is jobs.JobState.FAILED
+        ]
+        self.assertEqual(failed, [])
+
     def test_long_runs_clear_a_task(self) -> None:
         """A task that lasts sees crashes of many workers in its life."""
         step = batch_builders.build_step(long_running=True)
