--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -25,6 +25,7 @@
 from tarragoncleat.batch import wave_controller
 from tarragoncleat.batch import worker_health
 from tarragoncleat.batch import worker_session
+from tarragoncleat.batch import worker_state
 from tarragoncleat.batch import worker_views
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
@@ -192,7 +193,7 @@
         worker = self._state.workers.get(session.record.worker_id)
         if worker is None:
             return
-        if worker.state is state_module.WorkerState.LEASE_EXPIRED:
+        if worker.state is worker_state.WorkerState.LEASE_EXPIRED:
             # The session's record has the capacity of the registration.
             self._start_soon(
                 self.commit, commands.RegisterWorker(worker.record)
@@ -216,7 +217,7 @@
             if other is None or other is session:
                 continue
             has_lease_expired = (
-                worker.state is state_module.WorkerState.LEASE_EXPIRED
+                worker.state is worker_state.WorkerState.LEASE_EXPIRED
                 or (other.has_lease_expired and not other.is_responsive)
             )
             if has_lease_expired or session.supersedes(other):
@@ -470,7 +471,7 @@
         worker = self._state.workers.get(worker_id)
         if worker is None:
             return False
-        is_up = worker.state is state_module.WorkerState.UP
+        is_up = worker.state is worker_state.WorkerState.UP
         return is_up or bool(worker.tasks)
 
     async def _open_due_occurrences(self) -> None:
@@ -495,7 +496,7 @@
             worker = self._state.workers.get(worker_id)
             if worker is None:
                 continue
-            if worker.state is not state_module.WorkerState.DRAINING:
+            if worker.state is not worker_state.WorkerState.DRAINING:
                 continue
             for run_id in self._departures.unfinishable_runs(
                 session, self._state, now_s
--- a/tarragoncleat/batch/heartbeats.py
+++ b/tarragoncleat/batch/heartbeats.py
@@ -10,6 +10,7 @@
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import ids
 
 __all__ = ["changes_nothing", "select_node"]
@@ -35,7 +36,7 @@
     worker = state.workers.get(heartbeat.worker.worker_id)
     return (
         worker is not None
-        and worker.state is state_module.WorkerState.UP
+        and worker.state is worker_state.WorkerState.UP
         and worker.record == heartbeat.worker
         and not heartbeat.is_draining
     )
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -13,6 +13,7 @@
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_state
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
@@ -156,7 +157,7 @@
             )
         if request.is_draining and request.remaining_ms is not None:
             self._record_departure(record.worker_id, request.remaining_ms)
-        draining = state_module.WorkerState.DRAINING
+        draining = worker_state.WorkerState.DRAINING
         is_active = worker is not None and worker.state is not draining
         if is_active and request.is_draining:
             return await self._drain(record)
--- a/tarragoncleat/batch/pool_rebalancer.py
+++ b/tarragoncleat/batch/pool_rebalancer.py
@@ -13,6 +13,7 @@
 from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_session
+from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
@@ -250,7 +251,7 @@
             worker = self._state.workers.get(session.record.worker_id)
             if (
                 worker is None
-                or worker.state is not state_module.WorkerState.UP
+                or worker.state is not worker_state.WorkerState.UP
                 or instance in busy
                 or is_reserved(instance)
             ):
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -3,8 +3,6 @@
 import collections
 import collections.abc
 from collections.abc import Iterator
-import dataclasses
-import enum
 import functools
 from typing import Any
 
@@ -14,11 +12,13 @@
 from tarragoncleat.batch import crashes
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
+from tarragoncleat.batch import queue_table
 from tarragoncleat.batch import waves
+from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 
-__all__ = ["BatchState", "Worker", "WorkerState"]
+__all__ = ["BatchState"]
 
 # Ended jobs stay readable for callers that poll for the result.
 _ENDED_JOB_RETENTION_MS = 180_000
@@ -31,76 +31,15 @@
 _CRASH_EVIDENCE = 8
 
 
-class WorkerState(enum.Enum):
-    """Replicated state of a worker."""
-
-    UP = "up"
-    DRAINING = "draining"
-    LEASE_EXPIRED = "lapsed"
-
-
-class Worker:
-    """A worker, and the tasks that run or may run on it.
-
-    `revision` increases with each change to the tasks. `lapsed_tasks` are those
-    that ran when the lease expired: the worker may have crashed under them.
-    """
-
-    __slots__ = ("_tasks", "lapsed_tasks", "record", "revision", "state")
-
-    def __init__(self, record: model.WorkerRecord) -> None:
-        """Creates a worker on which nothing runs."""
-        self.record = record
-        self.state = WorkerState.UP
-        self._tasks: set[model.TaskKey] = set()
-        self.lapsed_tasks: frozenset[model.TaskKey] = frozenset()
-        self.revision = 0
-
-    @property
-    def tasks(self) -> collections.abc.Set[model.TaskKey]:
-        """Tasks that run or may run on the worker."""
-        return self._tasks
-
-    def resize(self, capacity: model.Resources) -> None:
-        """Takes over a capacity, also one that is smaller than what runs."""
-        if capacity == self.record.capacity:
-            return
-        self.record = dataclasses.replace(
-            self.record,
-            cpu_millicores=capacity.cpu_millicores,
-            memory_mb=capacity.memory_mb,
-            accelerators=capacity.accelerators,
-        )
-        self.revision += 1
-
-    def add_task(self, key: model.TaskKey) -> None:
-        """Adds a task."""
-        self._tasks.add(key)
-        self.revision += 1
-
-    def discard_task(self, key: model.TaskKey) -> None:
-        """Removes a task if it is present."""
-        self._tasks.discard(key)
-        self.revision += 1
-
-    def clear_tasks(self) -> None:
-        """Removes all tasks."""
-        self._tasks.clear()
-        self.revision += 1
-
-
 class BatchState:
     """Replicated state; every replica applies the same commands in order."""
 
     def __init__(self) -> None:
         """Creates an empty state."""
-        self._configuration: model.FleetConfiguration | None = None
-        self._queues: dict[model.QueueKey, model.QueuePolicy] = {}
-        self._previous_queues: dict[model.QueueKey, model.QueuePolicy] = {}
-        self._services: dict[str, model.ServicePolicy] = {}
+        self._queues = queue_table.QueueTable()
         self._jobs: dict[str, jobs_module.Job] = {}
         self._active: dict[str, jobs_module.Job] = {}
-        self._workers: dict[str, Worker] = {}
+        self._workers: dict[str, worker_state.Worker] = {}
         self._workers_by_instance: dict[str, list[str]] = {}
         # A delayed heartbeat must not register an ended incarnation again. A
         # dict serves as an ordered set.
@@ -118,7 +57,7 @@
     @property
     def configuration(self) -> model.FleetConfiguration | None:
         """The configuration in force, or None before the first one."""
-        return self._configuration
+        return self._queues.configuration
 
     @property
     def active_jobs(self) -> dict[str, jobs_module.Job]:
@@ -126,7 +65,7 @@
         return self._active
 
     @property
-    def workers(self) -> dict[str, Worker]:
+    def workers(self) -> dict[str, worker_state.Worker]:
         """Workers whose incarnations have not ended."""
         return self._workers
 
@@ -152,7 +91,7 @@
         """Leader's wall clock time of the last applied record."""
         return self._time_ms
 
-    def workers_on(self, instance: str) -> list[Worker]:
+    def workers_on(self, instance: str) -> list[worker_state.Worker]:
         """Returns the workers on an instance.
 
         There can be several, because a heartbeat of an earlier incarnation may
@@ -171,33 +110,23 @@
 
     def queue(self, key: model.QueueKey) -> model.QueuePolicy | None:
         """Returns a queue of the current configuration, or None."""
-        return self._queues.get(key)
+        return self._queues.queue(key)
 
     def policy_of(self, job: jobs_module.Job) -> model.QueuePolicy | None:
         """Returns the policy of a job's queue, even if it was removed."""
-        return self._queues.get(job.queue) or self._previous_queues.get(
-            job.queue
-        )
+        return self._queues.policy(job.queue)
 
     def service(self, name: str) -> model.ServicePolicy | None:
         """Returns a service of the current configuration, or None."""
-        return self._services.get(name)
+        return self._queues.service(name)
 
     def route(self, host: str, path: str) -> model.QueuePolicy | None:
         """Returns the queue with the longest prefix of `path`, or None."""
-        best = None
-        for key, queue in self._queues.items():
-            if key.host != host or not path.startswith(key.path_prefix):
-                continue
-            if best is None or len(key.path_prefix) > len(best.path_prefix):
-                best = queue
-        return best
+        return self._queues.route(host, path)
 
     def job_at(self, host: str, path: str) -> jobs_module.Job | None:
         """Returns the job at a path, also if its queue was removed, or None."""
-        for key in {**self._previous_queues, **self._queues}:
-            if key.host != host or not path.startswith(key.path_prefix):
-                continue
+        for key in self._queues.keys_at(host, path):
             job = self._jobs.get(path[len(key.path_prefix) :])
             if job is not None and job.queue == key:
                 return job
@@ -251,26 +180,11 @@
 
     @_apply.register
     def _put_configuration(self, command: commands.PutConfiguration) -> object:
-        configuration = command.configuration
-        current = self._configuration
-        if current is not None and configuration.version <= current.version:
-            return False
-        self._previous_queues.update(self._queues)
-        self._set_configuration(configuration)
-        return True
-
-    def _set_configuration(
-        self, configuration: model.FleetConfiguration
-    ) -> None:
-        self._configuration = configuration
-        self._queues = {queue.key: queue for queue in configuration.queues}
-        self._services = {
-            service.name: service for service in configuration.services
-        }
+        return self._queues.put(command.configuration)
 
     @_apply.register
     def _submit_job(self, command: commands.SubmitJob) -> object:
-        if not self._leads_to_queue(command.queue, command.job_id):
+        if not self._queues.leads_to(command.queue, command.job_id):
             return commands.JobDecision.NO_QUEUE.value
         if command.job_id in self._jobs:
             return commands.JobDecision.ALREADY_STORED.value
@@ -286,16 +200,12 @@
         job = self._jobs.get(command.job_id)
         if job is None:
             return commands.JobDecision.UNKNOWN_JOB.value
-        if not self._leads_to_queue(job.queue, job.job_id):
+        if not self._queues.leads_to(job.queue, job.job_id):
             return commands.JobDecision.NO_QUEUE.value
         job.cancel(self._time_ms)
         self._deactivate_if_ended(job)
         return commands.JobDecision.STORED.value
 
-    def _leads_to_queue(self, key: model.QueueKey, job_id: str) -> bool:
-        queue = self.route(key.host, key.path_prefix + job_id)
-        return queue is not None and queue.key == key
-
     @_apply.register
     def _open_occurrence(self, command: commands.OpenOccurrence) -> object:
         job = self._jobs.get(command.job_id)
@@ -310,19 +220,19 @@
             return False
         existing = self._workers.get(record.worker_id)
         if existing is not None:
-            if existing.state is WorkerState.LEASE_EXPIRED:
-                existing.state = WorkerState.UP
+            if existing.state is worker_state.WorkerState.LEASE_EXPIRED:
+                existing.state = worker_state.WorkerState.UP
                 existing.lapsed_tasks = frozenset()
             existing.resize(record.capacity)
             return False
-        self._add_worker(Worker(record))
+        self._add_worker(worker_state.Worker(record))
         return True
 
     @_apply.register
     def _drain_worker(self, command: commands.DrainWorker) -> object:
         worker = self._workers.get(command.worker_id)
         if worker is not None:
-            worker.state = WorkerState.DRAINING
+            worker.state = worker_state.WorkerState.DRAINING
         return None
 
     @_apply.register
@@ -335,8 +245,8 @@
                 self._end_worker(worker_id)
             elif worker is not None:
                 # A draining worker gets no tasks when it is back either.
-                if worker.state is WorkerState.UP:
-                    worker.state = WorkerState.LEASE_EXPIRED
+                if worker.state is worker_state.WorkerState.UP:
+                    worker.state = worker_state.WorkerState.LEASE_EXPIRED
                 worker.lapsed_tasks |= worker.tasks
                 self._requeue_tasks(worker)
         return None
@@ -366,7 +276,11 @@
         """Whether a run may start, given all records before its own."""
         job = self._jobs.get(run_start.task.job_id)
         worker = self._workers.get(run_start.worker_id)
-        if job is None or worker is None or worker.state is not WorkerState.UP:
+        if (
+            job is None
+            or worker is None
+            or worker.state is not worker_state.WorkerState.UP
+        ):
             return False
         policy = self.policy_of(job)
         is_served = policy is None or policy.service == worker.record.service
@@ -428,7 +342,7 @@
             del self._active[job.job_id]
             self._ended_jobs.append(job)
 
-    def _add_worker(self, worker: Worker) -> None:
+    def _add_worker(self, worker: worker_state.Worker) -> None:
         record = worker.record
         self._workers[record.worker_id] = worker
         names = self._workers_by_instance.setdefault(record.instance, [])
@@ -443,9 +357,9 @@
         if len(self._ended_workers) > _MAX_ENDED_WORKERS:
             del self._ended_workers[next(iter(self._ended_workers))]
 
-    def _has_crashed(self, worker: Worker) -> bool:
+    def _has_crashed(self, worker: worker_state.Worker) -> bool:
         """Whether a worker that has ended did so unplanned, with tasks."""
-        if worker.state is WorkerState.DRAINING:
+        if worker.state is worker_state.WorkerState.DRAINING:
             return False
         record = worker.record
         is_maintained = any(
@@ -454,7 +368,7 @@
         )
         return not is_maintained and bool(worker.tasks or worker.lapsed_tasks)
 
-    def _record_crash(self, worker: Worker) -> None:
+    def _record_crash(self, worker: worker_state.Worker) -> None:
         """Counts a crash for the worker's tasks, and requeues them."""
         keys = sorted(worker.tasks | worker.lapsed_tasks)
         self._requeue_tasks(worker)
@@ -474,7 +388,7 @@
             if current is not None:
                 current.revision += 1
 
-    def _remove_worker(self, worker: Worker) -> None:
+    def _remove_worker(self, worker: worker_state.Worker) -> None:
         self._requeue_tasks(worker)
         record = worker.record
         del self._workers[record.worker_id]
@@ -482,7 +396,7 @@
         if not self._workers_by_instance[record.instance]:
             del self._workers_by_instance[record.instance]
 
-    def _requeue_tasks(self, worker: Worker) -> None:
+    def _requeue_tasks(self, worker: worker_state.Worker) -> None:
         for key in sorted(worker.tasks):
             located = self.task(key)
             if located is not None:
@@ -500,16 +414,13 @@
 
     def snapshot(self) -> bytes:
         """Serializes the state."""
-        configurations = [self._configuration] if self._configuration else []
+        configurations, previous_queues = self._queues.pack()
         return msgpack.packb(
             [
                 self._time_ms,
                 self._applied_count,
-                [codec.encode(item) for item in configurations],
-                [
-                    [list(key), queue.pack()]
-                    for key, queue in self._previous_queues.items()
-                ],
+                configurations,
+                previous_queues,
                 [
                     [codec.encode(job.definition), job.pack()]
                     for job in self._jobs.values()
@@ -560,14 +471,10 @@
             return
         values = msgpack.unpackb(data)
         self._time_ms, self._applied_count = values[0], values[1]
-        for encoded in values[2]:
-            self._set_configuration(codec.decode(encoded))
-        for key, packed in values[3]:
-            queue = model.QueuePolicy.unpack(packed)
-            self._previous_queues[model.QueueKey(*key)] = queue
+        self._queues.restore(values[2], values[3])
         for record, state in values[5]:
-            worker = Worker(model.WorkerRecord.unpack(record))
-            worker.state = WorkerState(state)
+            worker = worker_state.Worker(model.WorkerRecord.unpack(record))
+            worker.state = worker_state.WorkerState(state)
             self._add_worker(worker)
         for definition, packed in values[4]:
             self._restore_job(
@@ -603,7 +510,7 @@
             if worker is not None:
                 worker.add_task(task.key)
 
-    def free_on(self, worker: Worker) -> model.Resources:
+    def free_on(self, worker: worker_state.Worker) -> model.Resources:
         """Returns the capacity that no task reserves; negative if it shrank."""
         free = worker.record.capacity
         for key in worker.tasks:
@@ -612,7 +519,9 @@
                 free = free.minus(located[1].demand)
         return free
 
-    def tasks_on(self, worker: Worker) -> Iterator[jobs_module.Task]:
+    def tasks_on(
+        self, worker: worker_state.Worker
+    ) -> Iterator[jobs_module.Task]:
         """Yields the tasks that run or may run on a worker."""
         for key in worker.tasks:
             located = self.task(key)
--- a/tarragoncleat/batch/wave_controller.py
+++ b/tarragoncleat/batch/wave_controller.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import waves
 from tarragoncleat.batch import worker_session
+from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
@@ -312,7 +313,7 @@
         ]
         return not not_drained
 
-    def _drain_worker(self, worker: state_module.Worker) -> bool:
+    def _drain_worker(self, worker: worker_state.Worker) -> bool:
         if not worker.tasks:
             return True
         session = self._sessions.get(worker.record.worker_id)
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -15,6 +15,7 @@
 from tarragoncleat.batch import leases
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
 
@@ -417,7 +418,7 @@
             return False
         if self._paces or self._stopping:
             return True
-        if worker.state is state_module.WorkerState.DRAINING:
+        if worker.state is worker_state.WorkerState.DRAINING:
             return True
         steps = []
         for key in worker.tasks:
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -7,6 +7,7 @@
 from tarragoncleat.batch import crashes
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_state
 
 __all__ = ["ViewCache", "WorkerView", "build_views"]
 
@@ -110,7 +111,7 @@
     `valid_until_ms` is when a task's probation ends.
     """
 
-    worker: state_module.Worker
+    worker: worker_state.Worker
     revision: int
     view: WorkerView
     valid_until_ms: float
@@ -165,7 +166,7 @@
             entry = previous.pop(worker_id, None)
             is_schedulable = (
                 worker_id in schedulable_workers
-                and worker.state is state_module.WorkerState.UP
+                and worker.state is worker_state.WorkerState.UP
             )
             traits = (
                 is_schedulable,
@@ -219,7 +220,7 @@
 
 
 def _build_view(
-    state: state_module.BatchState, worker: state_module.Worker, now_ms: int
+    state: state_module.BatchState, worker: worker_state.Worker, now_ms: int
 ) -> tuple[WorkerView, float]:
     """Returns a view, and when the first probation on the worker ends."""
     view = WorkerView(worker.record, worker.record.capacity)
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -5,6 +5,7 @@
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch import worker_state
 from tests import batch_builders
 
 _Ending = commands.Ending
@@ -221,7 +222,7 @@
         self.local.register("w-1")
         self.local.start(batch_builders.task_key())
         self.assertIs(
-            self.state.workers["w-1"].state, state_module.WorkerState.DRAINING
+            self.state.workers["w-1"].state, worker_state.WorkerState.DRAINING
         )
         self.assertFalse(self.state.workers["w-1"].tasks)
 
@@ -239,7 +240,7 @@
         self.local.apply(commands.MarkWorkersLost(("w-1",), is_final=False))
         self.local.register("w-1")
         worker = self.state.workers["w-1"]
-        self.assertIs(worker.state, state_module.WorkerState.DRAINING)
+        self.assertIs(worker.state, worker_state.WorkerState.DRAINING)
         self.assertFalse(worker.tasks)
 
 
