Don't take a shrunk worker for the size of an instance

What callers saw: nothing yet; found by reading after workers may shrink. Cause: the shortage of a pool was counted in instances of the size of its first worker; one that told no room would make it lack thousands, and all spare instances would move there. Change: the pool's largest worker shows the size. Evidence: the new test fails on the code before (size 0 instead of 4,000).

--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -33,8 +33,8 @@
 class Suspicion(enum.Enum):
     """How likely a task crashes its worker.
 
-    POSSIBLE tasks run on a worker without suspects of other jobs, PROBABLE ones
-    on a worker without tasks of other jobs.
+    POSSIBLE tasks run beside few suspects of other jobs, PROBABLE ones without
+    tasks of other jobs.
     """
 
     NONE = "none"
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -113,10 +113,10 @@
         if not service_views and service not in self._index.services:
             self._demands.pop(service, None)
             return
-        if service_views:
-            instance_millicores = service_views[0].record.cpu_millicores
-        else:
-            instance_millicores = _largest_worker_millicores(views)
+        # A worker that has shrunk doesn't show the size of an instance.
+        instance_millicores = _largest_worker_millicores(
+            {service: service_views} if service_views else views
+        )
         demand = pool_sizing.Demand(instance_millicores=instance_millicores)
         placeable = self._placeable(steps.in_time, views)
         starts.extend(
--- a/tests/test_resized_workers.py
+++ b/tests/test_resized_workers.py
@@ -15,6 +15,7 @@
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import planner
+from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import worker_views
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
@@ -49,17 +50,20 @@
 
     def _plan(self) -> int:
         """Plans, applies the starts and returns their number."""
+        starts = self._make_plan().starts
+        self.local.apply(commands.StartRuns(tuple(starts)))
+        return len(starts)
+
+    def _make_plan(self) -> planner.Plan:
         views = self.views.refresh(
             self.state, dict.fromkeys(self.state.workers, 0.0)
         )
-        plan = self.planner.plan(
+        return self.planner.plan(
             views,
             self.views.changed_services,
             self.local.time_ms,
             self.views.has_other_workers,
         )
-        self.local.apply(commands.StartRuns(tuple(plan.starts)))
-        return len(plan.starts)
 
     def test_shrunk_worker_gets_no_start_beyond_its_room(self) -> None:
         """A worker that doesn't guard its capacity would be overloaded."""
@@ -109,6 +113,17 @@
         self._send_heartbeat(2, 8)
         self.assertEqual(self._plan(), 1)
 
+    def test_worker_without_room_does_not_show_the_size_of_instances(
+        self,
+    ) -> None:
+        """Its pool would seem to lack thousands of instances."""
+        self.local.register("w-2")
+        self.local.submit("job-1", batch_builders.build_step(10))
+        self._send_heartbeat(2, 0)
+        demand = self._make_plan().demands["bidding"]
+        self.assertEqual(demand.instance_millicores, 4_000)
+        self.assertLess(pool_sizing.instance_shortage(demand, 0), 3)
+
     def test_task_needs_no_room_of_what_it_does_not_use(self) -> None:
         """Too many tasks on the cores must not stop one that fills gaps."""
         self.local.submit("job-1", batch_builders.build_step(4))
