Don't hold the end of a silent worker against its tasks

Cause: workers of a service were cut off, and then a rack of them crashed. The tasks had ended with their leases; the later end of the workers counted as a crash under each of them, and the job was alone on one. Jobs that last are given up after three instances, not two. Evidence: two new tests, both fail on the code before.

--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -18,8 +18,8 @@
 # A run that lasted as long clears its task: it doesn't crash at its start.
 _CLEARING_RUN_MS = 60_000
 # Instances on which a task must have crashed a worker; one instance may fail
-# again and again by itself. The longer the run, the more likely the crash had
-# another cause.
+# again and again by itself. The longer a task runs, the more likely the crashes
+# had other causes.
 _MIN_INSTANCES_PROMPT = 2
 _MIN_INSTANCES = 3
 # Includes the time until a worker's successor answers.
@@ -74,6 +74,7 @@
     worker: model.WorkerRecord,
     tasks: Collection[tuple[jobs_module.Job, jobs_module.Task]],
     now_ms: int,
+    was_lapsed: bool,
 ) -> Crash:
     """Counts a crash for all tasks that ran on the worker.
 
@@ -83,9 +84,12 @@
         worker: The worker.
         tasks: The tasks with their jobs, also of jobs that have ended.
         now_ms: Time of the log record.
+        was_lapsed: Whether the worker's lease had expired before its end was
+            known. It may have been cut off, and have ended after its tasks, so
+            the crash is no proof against any of them.
     """
-    was_isolated = len({job.job_id for job, _ in tasks}) == 1
-    last_started = _last_started(tasks)
+    was_isolated = not was_lapsed and len({job.job_id for job, _ in tasks}) == 1
+    last_started = frozenset() if was_lapsed else _last_started(tasks)
     counts = []
     given_up = []
     for job, task in tasks:
@@ -96,7 +100,7 @@
             job.clear_crashes(task)
         job.add_crash(task, worker.instance, task.key in last_started)
         counts.append((task.key, len(task.crashed_instances)))
-        is_prompt = run_ms < _PROMPT_CRASH_MS
+        is_prompt = run_ms < _PROMPT_CRASH_MS and not job.is_long_running
         if _is_guilty(task, was_isolated, is_prompt) and not job.has_ended:
             job.give_up(now_ms)
             given_up.append(job.job_id)
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -379,7 +379,9 @@
         ]
         if not tasks:
             return
-        crash = crashes.record_crash(worker.record, tasks, self._time_ms)
+        crash = crashes.record_crash(
+            worker.record, tasks, self._time_ms, bool(worker.lapsed_tasks)
+        )
         self._crashes.append(crash)
         for job, task in tasks:
             self._deactivate_if_ended(job)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -267,6 +267,35 @@
         self.assertEqual(self._crashes(), 1)
         self.assertEqual(self.local.state.pop_crashes()[0].tasks[0][1], 1)
 
+    def test_ends_of_silent_workers_prove_nothing(self) -> None:
+        """Cut off, a task ends with its lease, and its worker may crash later.
+
+        Seen on kcc-grid, trouble-1 with seed 513469349403: workers of a service
+        were cut off and then crashed, and a job that lasts was given up.
+        """
+        for run, worker_id in enumerate(("w-1", "w-2", "w-3"), 1):
+            self.local.start(self.key, run, worker_id)
+            lost = (worker_id,)
+            self.local.apply(commands.MarkWorkersLost(lost, is_final=False))
+            self.local.apply(commands.MarkWorkersLost(lost, is_final=True))
+        job = self.local.state.job("job-1")
+        assert job is not None
+        self.assertIs(job.state, jobs.JobState.RUNNING)
+        self.assertFalse(self.local.state.pop_crashes()[0].was_isolated)
+
+    def test_job_that_lasts_outlives_two_crashes(self) -> None:
+        """It runs long enough to see crashes with other causes."""
+        step = batch_builders.build_step(long_running=True)
+        self.local.submit("job-2", step)
+        key = batch_builders.task_key("job-2")
+        for run, worker_id in enumerate(("w-1", "w-2"), 1):
+            self.local.start(key, run, worker_id)
+            lost = commands.MarkWorkersLost((worker_id,), is_final=True)
+            self.local.apply(lost)
+        job = self.local.state.job("job-2")
+        assert job is not None
+        self.assertIs(job.state, jobs.JobState.RUNNING)
+
     def test_snapshots_of_a_build_without_the_count_are_read(self) -> None:
         """An upgrade and a return to the old build must not stop a node."""
         self.local.start(self.key, 1, "w-1")
