--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -50,7 +50,7 @@
         worker: The worker.
         was_isolated: Whether only one job's tasks ran on it.
         tasks: The tasks, with the number of crashes of each.
-        given_up: Jobs that were given up.
+        given_up: Jobs of which a task was given up.
     """
 
     worker: model.WorkerRecord
@@ -78,7 +78,7 @@
 ) -> Crash:
     """Counts a crash for all tasks that ran on the worker.
 
-    Gives up the jobs whose tasks crash their workers.
+    Gives up the tasks that crash their workers.
 
     Args:
         worker: The worker.
@@ -101,8 +101,9 @@
         job.add_crash(task, worker.instance, task.key in last_started)
         counts.append((task.key, len(task.crashed_instances)))
         is_prompt = run_ms < _PROMPT_CRASH_MS and not job.is_long_running
-        if _is_guilty(task, was_isolated, is_prompt) and not job.has_ended:
-            job.give_up(now_ms)
+        if not _is_guilty(task, was_isolated, is_prompt):
+            continue
+        if job.give_up(task, now_ms):
             given_up.append(job.job_id)
     return Crash(worker, was_isolated, tuple(counts), tuple(given_up))
 
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -173,7 +173,8 @@
         instance: Its instance.
         was_isolated: Whether only tasks of one job ran on it.
         runs: Task, and number of workers that have crashed under it.
-        given_up: Jobs that failed because of it.
+        given_up: Jobs of which a task was given up. They failed, but for those
+            of which other tasks last.
     """
 
     worker: str
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -345,10 +345,27 @@
         task.was_last_started = False
         self._step_of(task).suspects.discard(task.key.position)
 
-    def give_up(self, now_ms: int) -> None:
-        """Fails the job, because a task of it crashes its workers."""
-        if not self.has_ended:
+    def give_up(self, task: Task, now_ms: int) -> bool:
+        """Gives up a waiting task that crashes its workers.
+
+        That fails the job. Only if other tasks of its step last do they go on,
+        since stopping them would harm those that they serve.
+
+        Returns:
+            Whether the task was given up.
+        """
+        if self.has_ended or task.state is not TaskState.WAITING:
+            return False
+        step = self._step_of(task)
+        step.waiting.discard(task.key.position)
+        task.state = TaskState.DROPPED
+        self.revision += 1
+        is_needed = step.definition.gang or not step.definition.long_running
+        if is_needed or all(
+            other.state is TaskState.DROPPED for other in step.tasks
+        ):
             self._finish(JobState.FAILED, now_ms)
+        return True
 
     def _step_of(self, task: Task) -> Step:
         return self.occurrences[task.key.occurrence].steps[task.key.step]
