Let suspects use vacant workers after late work has gone

Cause: whether late work of a service gave way to others is kept from the last plan that had such work; without any since, it still kept the tasks that must run alone off the vacant workers. Change: it concerns late steps only. Evidence: the new test fails on the code before (one of three suspects starts).

--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -183,12 +183,13 @@
     ) -> None:
         """Starts tasks that must run alone on workers that are still vacant."""
         steps = self._steps_of(service)
+        late = () if self._gave_way.get(service) else steps.late
         suspects = [
             ready_step
-            for ready_step in (*steps.in_time, *steps.late)
+            for ready_step in (*steps.in_time, *late)
             if ready_step.step.suspects
         ]
-        if not suspects or self._gave_way.get(service):
+        if not suspects:
             return
         service_views = views.get(service, [])
         starts.extend(
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -234,6 +234,59 @@
         return started
 
 
+class SuspectStepTest(unittest.TestCase):
+    """Guards against suspects that wait although workers are vacant."""
+
+    def test_late_work_of_before_does_not_hold_back_suspects(self) -> None:
+        """A service whose late work gave way once has none any more."""
+        services = ["bidding", "alerting", "closing"]
+        local = batch_builders.LocalState()
+        local.apply(_configuration(2, services))
+        names = [f"w-{number}" for number in range(6)]
+        local.register(*names)
+        cache = worker_views.ViewCache()
+        kept = planner.Planner(local.state)
+        late, other = (
+            model.QueueKey(batch_builders.QUEUE.host, f"/q{number}/")
+            for number in range(2)
+        )
+        step = batch_builders.build_step(1, estimated_ms=60_000)
+        large = batch_builders.build_step(40)
+        local.apply(
+            commands.SubmitJob("late", late, batch_builders.build_job(step))
+        )
+        local.time_ms += 1_000_000
+        local.apply(
+            commands.SubmitJob("lack", other, batch_builders.build_job(large))
+        )
+        self._plan(local, cache, kept)
+        local.apply(commands.CancelJob("late"))
+        local.apply(commands.CancelJob("lack"))
+        for number in range(3):
+            job_id = f"suspect-{number}"
+            local.apply(
+                commands.SubmitJob(job_id, late, batch_builders.build_job())
+            )
+            key = batch_builders.task_key(job_id)
+            local.start(key, 1, names[number])
+            lost = commands.MarkWorkersLost((names[number],), is_final=True)
+            local.apply(lost)
+        local.register("w-7", "w-8", "w-9")
+        starts = self._plan(local, cache, kept)
+        self.assertEqual(len({start.worker_id for start in starts}), 3)
+
+    def _plan(
+        self,
+        local: batch_builders.LocalState,
+        cache: worker_views.ViewCache,
+        kept: planner.Planner,
+    ) -> list[commands.RunStart]:
+        schedulable = dict.fromkeys(local.state.workers, 0.0)
+        views = cache.refresh(local.state, schedulable, now_ms=local.time_ms)
+        changed = cache.changed_services
+        return kept.plan(views, changed, local.time_ms).starts
+
+
 class PlainStepTest(unittest.TestCase):
     """Guards against another choice of workers for steps without conditions."""
 
