--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -47,8 +47,8 @@
         started_ms: When the latest run was recorded, in ms since the epoch; 0
             if it isn't known.
         crashed_instances: Instance of each worker that crashed under the task.
-        was_last_started: Whether no task on the worker that crashed last under
-            the task had been started later.
+        was_last_started: Whether, on the worker that crashed last under the
+            task, only tasks of its job had been started last.
     """
 
     __slots__ = (
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/worker_health.py
@@ -51,7 +51,7 @@
     def __init__(self) -> None:
         """Creates a tracker that considers every worker healthy."""
         self._stats: dict[str, _WorkerStats] = {}
-        # When a worker crashed last, by instance.
+        # When a worker ended last, by instance.
         self._crashes: dict[str, float] = {}
 
     def record_end(self, run_end: commands.RunEnd, now_s: float) -> None:
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/worker_views.py
@@ -25,8 +25,8 @@
         free: Resources that no task reserves.
         is_schedulable: Whether the worker may get tasks now.
         is_due_for_maintenance: Whether its instance awaits maintenance.
-        has_crashed_recently: Whether a worker on its instance crashed shortly
-            before.
+        has_crashed_recently: Whether an earlier worker on its instance ended
+            shortly before, without a notice.
         penalty: Rank penalty; 0 for none.
         tasks_by_step: Number of tasks by step (job, occurrence, step).
         latency_sensitive_tasks: Number of tasks with a latency target.
