Give configurations customers, and jobs the caller that submitted them

Change: the types that authentication, caps and shares build on. FleetConfiguration may hold customers with digests of their keys, weight and cap; a queue may let anonymous callers in; the replicated state decides at a command's place in the log who the caller is. New commands carry the digest, so that logs without customers stay as they were, and packed queues and jobs get fields only where they hold more than before.

Evidence: the type checker and the tests of state, leader service, crashes and adapter pass (68). Nothing decodes customers yet, so nothing changes for a deployment.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -8,6 +8,7 @@
 from tarragoncleat.kernel import codec
 
 __all__ = [
+    "CancelCustomerJob",
     "CancelJob",
     "Command",
     "Committer",
@@ -25,6 +26,7 @@
     "RunStart",
     "StartRuns",
     "StartWave",
+    "SubmitCustomerJob",
     "SubmitJob",
 ]
 
@@ -56,6 +58,7 @@
     ALREADY_STORED = "already_stored"
     UNKNOWN_JOB = "unknown_job"
     NO_QUEUE = "no_queue"
+    UNAUTHORIZED = "unauthorized"
 
 
 class RunStart(NamedTuple):
@@ -108,6 +111,33 @@
     job_id: str
 
 
+@codec.message("batch_submit_customer_job", compact=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitCustomerJob:
+    """Accepts a job of the caller with a key; idempotent.
+
+    The customer is decided by the configuration in force when the command is
+    applied. The result is the value of a `JobDecision`.
+    """
+
+    job_id: str
+    queue: model.QueueKey
+    definition: model.JobDefinition
+    key: model.KeyDigest
+
+
+@codec.message("batch_cancel_customer_job", compact=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelCustomerJob:
+    """Cancels a job for the caller with a key, like `CancelJob`.
+
+    A job of another customer is not known to the caller.
+    """
+
+    job_id: str
+    key: model.KeyDigest
+
+
 @codec.message("batch_open_occurrence", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenOccurrence:
@@ -208,7 +238,9 @@
 Command = (
     PutConfiguration
     | SubmitJob
+    | SubmitCustomerJob
     | CancelJob
+    | CancelCustomerJob
     | OpenOccurrence
     | RegisterWorker
     | DrainWorker
--- /dev/null
+++ b/tarragoncleat/batch/customers.py
@@ -0,0 +1,77 @@
+"""The customers of a configuration, and who a caller is.
+
+A key is a secret: what compares, stores or logs callers sees only its digest.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import hashlib
+
+from tarragoncleat.batch import model
+
+__all__ = ["NO_KEY", "Caller", "CustomerTable", "digest_key"]
+
+# Digest of callers that present no key.
+NO_KEY = model.KeyDigest(b"")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """A caller that may use a queue.
+
+    `customer` is empty for an anonymous one.
+    """
+
+    customer: model.CustomerName
+    key: model.KeyDigest
+
+    def may_see(self, submitter: "Caller") -> bool:
+        """Whether the caller may see and cancel the jobs of another caller.
+
+        A key that has moved to another customer still leads to its jobs.
+        """
+        return self.customer == submitter.customer or (
+            bool(self.key) and self.key == submitter.key
+        )
+
+
+def digest_key(key: bytes) -> model.KeyDigest:
+    """Returns the digest by which a key is known."""
+    return model.KeyDigest(hashlib.sha256(key).digest())
+
+
+class CustomerTable:
+    """The customers of one configuration."""
+
+    def __init__(
+        self, customers: Iterable[model.CustomerPolicy] | None = None
+    ) -> None:
+        """Creates a table; without customers, callers need no key."""
+        self._is_configured = customers is not None
+        self._customers = {item.name: item for item in customers or ()}
+        # A lookup reveals by its timing no more than digests, not keys.
+        self._by_key = {
+            digest: customer
+            for customer in self._customers.values()
+            for digest in customer.key_digests
+        }
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether callers need keys."""
+        return self._is_configured
+
+    def get(self, name: model.CustomerName) -> model.CustomerPolicy | None:
+        """Returns a customer, or None if it isn't configured."""
+        return self._customers.get(name)
+
+    def authenticate(
+        self, queue: model.QueuePolicy, key: model.KeyDigest
+    ) -> Caller | None:
+        """Returns who calls a queue, or None if the caller may not."""
+        customer = self._by_key.get(key)
+        if customer is not None:
+            return Caller(customer.name, key)
+        if not self._is_configured or queue.allows_anonymous:
+            return Caller(model.CustomerName(""), NO_KEY)
+        return None
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import model
 
 __all__ = ["Job", "JobState", "Occurrence", "Step", "Task", "TaskState"]
@@ -29,6 +30,9 @@
     CANCELLED = "cancelled"
 
 
+# Index in a packed job.
+_PACKED_CALLER = 8
+_ANONYMOUS = customers.Caller(model.CustomerName(""), customers.NO_KEY)
 _ENDED_STATES = frozenset(
     {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
 )
@@ -147,13 +151,15 @@
 class Job:
     """An accepted job.
 
-    `revision` increases with each change to the states of its tasks.
+    `revision` increases with each change to the states of its tasks. `caller`
+    submitted it.
     """
 
     __slots__ = (
         "_has_begun",
         "_has_started",
         "accepted_ms",
+        "caller",
         "chain_ms",
         "definition",
         "ended_ms",
@@ -171,9 +177,11 @@
         queue: model.QueueKey,
         definition: model.JobDefinition,
         accepted_ms: int,
+        caller: customers.Caller = _ANONYMOUS,
     ) -> None:
         """Creates a queued job, accepted at the leader's time `accepted_ms`."""
         self.job_id = job_id
+        self.caller = caller
         self.queue = queue
         self.definition = definition
         self.chain_ms = definition.chain_ms()
@@ -430,6 +438,9 @@
 
     def pack(self) -> list:
         """Returns the job without its definition, for a snapshot."""
+        # Builds without customers read the fields before the caller.
+        caller = self.caller
+        packed_caller = [[caller.customer, caller.key]]
         return [
             self.job_id,
             list(self.queue),
@@ -442,6 +453,7 @@
                 [number, [_pack_step(step) for step in occurrence.steps]]
                 for number, occurrence in self.occurrences.items()
             ],
+            *(packed_caller if caller != _ANONYMOUS else ()),
         ]
 
     @classmethod
@@ -452,6 +464,8 @@
         job.ended_ms = fields[4]
         job._has_started = fields[5]
         job.next_occurrence = fields[6]
+        if len(fields) > _PACKED_CALLER:
+            job.caller = customers.Caller(*fields[_PACKED_CALLER])
         job.occurrences = {}
         for number, packed_steps in fields[7]:
             occurrence = Occurrence(job.job_id, number, definition)
--- a/tarragoncleat/batch/messages.py
+++ b/tarragoncleat/batch/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import model
 from tarragoncleat.kernel import codec
@@ -32,6 +33,7 @@
     host: str
     path: str
     definition: model.JobDefinition
+    key: model.KeyDigest = customers.NO_KEY
 
 
 @codec.message("batch_read_request")
@@ -41,6 +43,7 @@
 
     host: str
     path: str
+    key: model.KeyDigest = customers.NO_KEY
 
 
 @codec.message("batch_cancel_request")
@@ -50,6 +53,7 @@
 
     host: str
     path: str
+    key: model.KeyDigest = customers.NO_KEY
 
 
 @codec.message("batch_put_request")
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -1,14 +1,17 @@
 """Definitions of jobs, queues, services and workers."""
 
 import dataclasses
-from typing import NamedTuple
+from typing import NamedTuple, NewType
 
 from tarragoncleat.kernel import codec
 
 __all__ = [
     "Advice",
+    "CustomerName",
+    "CustomerPolicy",
     "FleetConfiguration",
     "JobDefinition",
+    "KeyDigest",
     "QueueKey",
     "QueuePolicy",
     "Resources",
@@ -18,6 +21,10 @@
     "WorkerRecord",
 ]
 
+CustomerName = NewType("CustomerName", str)
+# SHA-256 of a key that a caller presents.
+KeyDigest = NewType("KeyDigest", bytes)
+
 
 class TaskKey(NamedTuple):
     """Identifies a task by job, occurrence, step and position in the step."""
@@ -160,7 +167,8 @@
     """Settings and objective of a queue.
 
     A job should end within `stretch` times the duration of its critical path
-    plus `latency_ms`. Priority 0 is the highest.
+    plus `latency_ms`. Priority 0 is the highest. Where customers are
+    configured, `allows_anonymous` lets callers without a key in.
     """
 
     name: str
@@ -173,6 +181,7 @@
     max_attempts: int
     stretch: float
     advice: Advice | None = None
+    allows_anonymous: bool = False
 
     @property
     def key(self) -> QueueKey:
@@ -181,13 +190,15 @@
 
     def pack(self) -> list:
         """Returns the policy for a snapshot."""
-        return list(dataclasses.astuple(self))
+        fields = list(dataclasses.astuple(self))
+        # Builds without customers read a list that ends with the advice.
+        return fields if self.allows_anonymous else fields[:-1]
 
     @classmethod
     def unpack(cls, fields: list) -> "QueuePolicy":
         """Restores a policy from the result of `pack`."""
         names = [field.name for field in dataclasses.fields(cls)]
-        values = dict(zip(names, fields, strict=True))
+        values = dict(zip(names, fields, strict=False))
         if values["advice"] is not None:
             values["advice"] = Advice(*values["advice"])
         return cls(**values)
@@ -206,15 +217,40 @@
     is_spare: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CustomerPolicy:
+    """A customer, and what it is owed and allowed.
+
+    Attributes:
+        name: Name of the customer.
+        key_digests: Digests of the keys that its callers present.
+        weight: Its share of the capacity while that doesn't suffice for all,
+            relative to the other customers; also the number of jobs a second
+            that it may expect to be served.
+        cap: Resources that its running tasks may reserve in the whole fleet; 0
+            for no limit.
+    """
+
+    name: CustomerName
+    key_digests: tuple[KeyDigest, ...]
+    weight: float
+    cap: Resources
+
+
 @codec.message("fleet_configuration")
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetConfiguration:
-    """The operator's configuration; `source` is the text as it was sent."""
+    """The operator's configuration.
+
+    `source` is the text as it was sent. Without `customers` callers need no
+    key.
+    """
 
     version: int
     source: bytes
     queues: tuple[QueuePolicy, ...]
     services: tuple[ServicePolicy, ...]
+    customers: tuple[CustomerPolicy, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tarragoncleat/batch/queue_table.py
+++ b/tarragoncleat/batch/queue_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import model
 from tarragoncleat.kernel import codec
 
@@ -20,12 +21,18 @@
         self._queues: dict[model.QueueKey, model.QueuePolicy] = {}
         self._previous_queues: dict[model.QueueKey, model.QueuePolicy] = {}
         self._services: dict[str, model.ServicePolicy] = {}
+        self._customers = customers.CustomerTable()
 
     @property
     def configuration(self) -> model.FleetConfiguration | None:
         """The configuration in force, or None before the first one."""
         return self._configuration
 
+    @property
+    def customers(self) -> customers.CustomerTable:
+        """The customers of the configuration in force."""
+        return self._customers
+
     def put(self, configuration: model.FleetConfiguration) -> bool:
         """Applies a configuration; returns False if it isn't newer."""
         current = self._configuration
@@ -41,6 +48,7 @@
         self._services = {
             service.name: service for service in configuration.services
         }
+        self._customers = customers.CustomerTable(configuration.customers)
 
     def queue(self, key: model.QueueKey) -> model.QueuePolicy | None:
         """Returns a queue of the configuration in force, or None."""
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -10,6 +10,7 @@
 
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import crashes
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import queue_table
@@ -59,6 +60,11 @@
         """The configuration in force, or None before the first one."""
         return self._queues.configuration
 
+    @property
+    def customers(self) -> customers.CustomerTable:
+        """The customers of the configuration in force."""
+        return self._queues.customers
+
     @property
     def active_jobs(self) -> dict[str, jobs_module.Job]:
         """Jobs that have not ended, in order of acceptance."""
@@ -184,27 +190,65 @@
 
     @_apply.register
     def _submit_job(self, command: commands.SubmitJob) -> object:
-        if not self._queues.leads_to(command.queue, command.job_id):
-            return commands.JobDecision.NO_QUEUE.value
-        if command.job_id in self._jobs:
-            return commands.JobDecision.ALREADY_STORED.value
-        job = jobs_module.Job(
-            command.job_id, command.queue, command.definition, self._time_ms
-        )
-        self._jobs[job.job_id] = job
-        self._active[job.job_id] = job
-        return commands.JobDecision.STORED.value
+        return self._accept(
+            command.job_id, command.queue, command.definition, customers.NO_KEY
+        ).value
+
+    @_apply.register
+    def _submit_customer_job(
+        self, command: commands.SubmitCustomerJob
+    ) -> object:
+        return self._accept(
+            command.job_id, command.queue, command.definition, command.key
+        ).value
+
+    def _accept(
+        self,
+        job_id: str,
+        key: model.QueueKey,
+        definition: model.JobDefinition,
+        caller_key: model.KeyDigest,
+    ) -> commands.JobDecision:
+        queue = self._queues.queue(key)
+        if queue is None or not self._queues.leads_to(key, job_id):
+            return commands.JobDecision.NO_QUEUE
+        caller = self.customers.authenticate(queue, caller_key)
+        if caller is None:
+            return commands.JobDecision.UNAUTHORIZED
+        if job_id in self._jobs:
+            return commands.JobDecision.ALREADY_STORED
+        job = jobs_module.Job(job_id, key, definition, self._time_ms, caller)
+        self._jobs[job_id] = job
+        self._active[job_id] = job
+        return commands.JobDecision.STORED
 
     @_apply.register
     def _cancel_job(self, command: commands.CancelJob) -> object:
-        job = self._jobs.get(command.job_id)
+        return self._cancel(command.job_id, customers.NO_KEY).value
+
+    @_apply.register
+    def _cancel_customer_job(
+        self, command: commands.CancelCustomerJob
+    ) -> object:
+        return self._cancel(command.job_id, command.key).value
+
+    def _cancel(
+        self, job_id: str, caller_key: model.KeyDigest
+    ) -> commands.JobDecision:
+        job = self._jobs.get(job_id)
         if job is None:
-            return commands.JobDecision.UNKNOWN_JOB.value
-        if not self._queues.leads_to(job.queue, job.job_id):
-            return commands.JobDecision.NO_QUEUE.value
+            return commands.JobDecision.UNKNOWN_JOB
+        queue = self._queues.queue(job.queue)
+        if queue is None or not self._queues.leads_to(job.queue, job.job_id):
+            return commands.JobDecision.NO_QUEUE
+        caller = self.customers.authenticate(queue, caller_key)
+        if caller is None:
+            return commands.JobDecision.UNAUTHORIZED
+        if not caller.may_see(job.caller):
+            return commands.JobDecision.UNKNOWN_JOB
         job.cancel(self._time_ms)
         self._deactivate_if_ended(job)
-        return commands.JobDecision.STORED.value
+        return commands.JobDecision.STORED
 
     @_apply.register
     def _open_occurrence(self, command: commands.OpenOccurrence) -> object:
