Split sessions and ends of runs out of the dispatcher

Cause: dispatcher.py had 589 lines and three jobs: deciding, keeping a session with each worker, and batching the ends that sessions report.

Change: SessionRegistry opens, restarts and closes sessions; RunEndCommitter stores ends in batches. No behaviour changes.

Conclusion: dispatcher.py has 504 lines and two jobs fewer.

--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-import loguru
 
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
@@ -21,6 +20,8 @@
 from tarragoncleat.batch import planner
 from tarragoncleat.batch import pool_rebalancer
 from tarragoncleat.batch import pool_sizing
+from tarragoncleat.batch import run_ends
+from tarragoncleat.batch import session_registry
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import wave_controller
 from tarragoncleat.batch import worker_health
@@ -47,11 +48,8 @@
 _WAVE_INTERVAL_S = 0.2
 _REBALANCE_INTERVAL_S = 0.1
 _LOAD_LOG_INTERVAL_S = 1.0
-_SESSION_RESTART_DELAY_S = 1.0
 _MS_PER_S = 1000
 
-WorkerClientFactory = Callable[[model.WorkerRecord], clients.WorkerClient]
-
 
 class Dispatcher:
     """Schedules tasks and manages workers during one leader's term."""
@@ -62,7 +60,7 @@
         state: state_module.BatchState,
         timer: timer_module.TimerService,
         bounds: bounds_module.Bounds,
-        worker_client_factory: WorkerClientFactory,
+        worker_client_factory: session_registry.WorkerClientFactory,
         instance_client: clients.InstanceClient,
         advisor_client: advice.AdvisorClient,
         holder: str,
@@ -83,16 +81,21 @@
         self._state = state
         self._timer = timer
         self._bounds = bounds
-        self._worker_client_factory = worker_client_factory
         self._fence = node.term
-        self._sessions: dict[str, worker_session.WorkerSession] = {}
-        self._unusable_workers: set[str] = set()
+        self._sessions = session_registry.SessionRegistry(
+            state,
+            timer,
+            bounds,
+            worker_client_factory,
+            self,
+            self._fence,
+            self.notify_state_changed,
+        )
         self._departures = departures.Departures()
         self._health = worker_health.WorkerHealth()
-        self._pending_ends: list[commands.RunEnd] = []
-        self._ends_stored = anyio.Event()
-        self._ends_available = anyio.Event()
-        self._ends_committed = True
+        self._run_ends = run_ends.RunEndCommitter(
+            self, self._health, timer, self.notify_state_changed
+        )
         self._state_changed = anyio.Event()
         state.pop_ended_jobs()
         state.pop_crashes()
@@ -110,9 +113,9 @@
         )
 
     @property
-    def sessions(self) -> dict[str, worker_session.WorkerSession]:
+    def sessions(self) -> worker_session.Sessions:
         """Sessions by worker."""
-        return self._sessions
+        return self._sessions.by_worker
 
     @property
     def term(self) -> int:
@@ -128,7 +131,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._run_placement)
-            tasks.start_soon(self._run_end_commits)
+            tasks.start_soon(self._run_ends.run)
             tasks.start_soon(self._run_periodic_checks)
             tasks.start_soon(self._approval_cache.run)
             tasks.start_soon(self._run_wave_controller)
@@ -162,31 +165,8 @@
         return await self._node.read_barrier()
 
     async def on_runs_ended(self, ends: list[commands.RunEnd]) -> bool:
-        """Commits ended runs, batched with those of other sessions."""
-        self._pending_ends.extend(ends)
-        unsuccessful = [
-            end for end in ends if end.ending is not commands.Ending.DONE
-        ]
-        if unsuccessful:
-            event_log.emit(
-                events.RunsEnded(
-                    tuple(
-                        (
-                            str(end.task),
-                            end.run,
-                            end.worker_id,
-                            end.ending.value,
-                        )
-                        for end in unsuccessful
-                    )
-                )
-            )
-        for end in ends:
-            self._health.record_end(end, self._timer.monotonic_s())
-        stored = self._ends_stored
-        self._ends_available.set()
-        await stored.wait()
-        return self._ends_committed
+        """Commits ended runs; returns whether they are stored."""
+        return await self._run_ends.store(ends)
 
     def on_report(self, session: worker_session.WorkerSession) -> None:
         """Processes a report: worker states, health and pacing."""
@@ -213,7 +193,7 @@
         """Marks earlier incarnations on the session's instance as lost."""
         for worker in self._state.workers_on(session.record.instance):
             worker_id = worker.record.worker_id
-            other = self._sessions.get(worker_id)
+            other = self.sessions.get(worker_id)
             if other is None or other is session:
                 continue
             has_lease_expired = (
@@ -274,6 +254,11 @@
             await self._state_changed.wait()
             await self._timer.sleep_s(_round_gap_s(plan_s))
 
+    def _sync_sessions(self) -> None:
+        """Opens and closes sessions as workers come and go."""
+        if self._tasks is not None:
+            self._sessions.sync(self._tasks)
+
     def _plan(self) -> planner.Plan:
         schedulable_workers = self._schedulable_workers()
         due_for_maintenance = self._wave_controller.due_instances()
@@ -300,7 +285,7 @@
         is_draining = self._wave_controller.is_draining
         has_pending_move = self._rebalancer.has_pending_move
         penalties = {}
-        for worker_id, session in self._sessions.items():
+        for worker_id, session in self.sessions.items():
             instance = session.record.instance
             if (
                 session.is_responsive_at(now_s)
@@ -313,7 +298,7 @@
 
     def _send_starts(self, starts: list[commands.RunStart]) -> None:
         for start in starts:
-            session = self._sessions.get(start.worker_id)
+            session = self.sessions.get(start.worker_id)
             is_current = self._state.is_current(
                 start.task, start.run, start.worker_id
             )
@@ -342,68 +327,11 @@
             )
         )
 
-    def _sync_sessions(self) -> None:
-        """Opens sessions for new workers and closes those of ended workers."""
-        workers = self._state.workers
-        for worker_id in list(self._sessions):
-            if worker_id not in workers:
-                self._sessions.pop(worker_id).close()
-        for worker_id, worker in workers.items():
-            if self._tasks is None or worker_id in self._unusable_workers:
-                continue
-            if worker_id not in self._sessions:
-                self._open_session(worker.record, self._tasks)
-
-    def _open_session(
-        self, record: model.WorkerRecord, tasks: anyio.abc.TaskGroup
-    ) -> None:
-        try:
-            client = self._worker_client_factory(record)
-        except ValueError as error:
-            # Stored by a version that didn't check addresses.
-            loguru.logger.error(
-                "worker {} can't be called: {}", record.worker_id, error
-            )
-            self._unusable_workers.add(record.worker_id)
-            tasks.start_soon(self._end_unusable_worker, record.worker_id)
-            return
-        session = worker_session.WorkerSession(
-            record,
-            self._state,
-            client,
-            self,
-            self._timer,
-            self._bounds,
-            self._fence,
-        )
-        self._sessions[record.worker_id] = session
-        tasks.start_soon(self._run_session, session)
-
-    async def _end_unusable_worker(self, worker_id: str) -> None:
-        """Marks a worker that no task can have reached as lost."""
-        await self.commit(commands.MarkWorkersLost((worker_id,), is_final=True))
-
-    async def _run_session(self, session: worker_session.WorkerSession) -> None:
-        """Runs a session, and opens another one if it fails.
-
-        An unforeseen error that concerns one worker must not end the process:
-        it would end the next leader's as well.
-        """
-        worker_id = session.record.worker_id
-        try:
-            await session.run()
-        except Exception:  # noqa: BLE001
-            loguru.logger.exception("the session of {} failed", worker_id)
-            await self._timer.sleep_s(_SESSION_RESTART_DELAY_S)
-            if self._sessions.get(worker_id) is session:
-                del self._sessions[worker_id]
-            self.notify_state_changed()
-
     def _stop_ended_jobs(self) -> None:
         for job in self._state.pop_ended_jobs():
             self._log_job_ended(job)
             for task in job.running_tasks():
-                session = self._sessions.get(task.worker_id)
+                session = self.sessions.get(task.worker_id)
                 if session is not None:
                     session.stop(task.key, task.run)
 
@@ -433,19 +361,6 @@
             )
         )
 
-    async def _run_end_commits(self) -> None:
-        while True:
-            await self._ends_available.wait()
-            self._ends_available = anyio.Event()
-            ends, self._pending_ends = self._pending_ends, []
-            stored, self._ends_stored = self._ends_stored, anyio.Event()
-            result = await self.commit(commands.EndRuns(tuple(ends)))
-            self._ends_committed = isinstance(
-                result, applier_module.AppliedProposal
-            )
-            stored.set()
-            self.notify_state_changed()
-
     async def _run_periodic_checks(self) -> None:
         async for _ in self._timer.subscribe(_CHECK_INTERVAL_S):
             await self._release_expired_leases()
@@ -457,7 +372,7 @@
     async def _release_expired_leases(self) -> None:
         expired = tuple(
             worker_id
-            for worker_id, session in self._sessions.items()
+            for worker_id, session in self.sessions.items()
             if session.has_lease_expired
             and not session.is_responsive
             and self._may_hold_tasks(worker_id)
@@ -492,7 +407,7 @@
         """Stops runs that draining workers won't finish, to move them."""
         self._departures.forget_ended(self._state)
         now_s = self._timer.monotonic_s()
-        for worker_id, session in self._sessions.items():
+        for worker_id, session in self.sessions.items():
             worker = self._state.workers.get(worker_id)
             if worker is None:
                 continue
@@ -507,7 +422,7 @@
 
     def _stop_stuck_runs(self) -> None:
         """Stops tasks without progress; they restart elsewhere."""
-        for worker_id, session in self._sessions.items():
+        for worker_id, session in self.sessions.items():
             for run_id in self._health.stuck_runs(worker_id):
                 if run_id not in session.stopping:
                     self._log_worker_change(worker_id, "stuck_task")
@@ -516,13 +431,13 @@
     async def _run_wave_controller(self) -> None:
         async for _ in self._timer.subscribe(_WAVE_INTERVAL_S):
             await self._wave_controller.step(
-                self._sessions, self._demands, self._rebalancer.is_moving
+                self.sessions, self._demands, self._rebalancer.is_moving
             )
 
     async def _run_rebalancer(self) -> None:
         async for _ in self._timer.subscribe(_REBALANCE_INTERVAL_S):
             await self._rebalancer.step(
-                self._sessions,
+                self.sessions,
                 self._demands,
                 self._is_healthy,
                 self._wave_controller.is_reserved,
@@ -556,7 +471,7 @@
 
     def _log_lost_worker(self, worker_id: str, change: str) -> None:
         """Logs a loss with the runs that it ends."""
-        session = self._sessions.get(worker_id)
+        session = self.sessions.get(worker_id)
         if session is not None and change != "lapsed":
             self._health.record_crash(
                 session.record.instance, self._timer.monotonic_s()
@@ -571,7 +486,7 @@
         event_log.emit(events.RunsLost(worker_id, change, tuple(runs)))
 
     def _log_worker_change(self, worker_id: str, change: str) -> None:
-        session = self._sessions.get(worker_id)
+        session = self.sessions.get(worker_id)
         worker = self._state.workers.get(worker_id)
         event_log.emit(
             events.WorkerChanged(
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -16,6 +16,7 @@
 from tarragoncleat.batch import leader_service
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
+from tarragoncleat.batch import session_registry
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links as links_module
@@ -104,7 +105,7 @@
         tolerated_losses: int,
         timer: timer_module.TimerService,
         bounds: bounds_module.Bounds,
-        worker_client_factory: dispatcher_module.WorkerClientFactory,
+        worker_client_factory: session_registry.WorkerClientFactory,
         instance_client: clients.InstanceClient,
         advisor_client: advice.AdvisorClient,
         holder: str,
