Decode the operator's configuration in its own module

Cause: wire.py held three jobs: reading JSON fields, the configuration, and the bodies of jobs and heartbeats. Customers add to the second.

No behaviour changes.

Evidence: the type checker and the 16 tests of the adapter pass.

Conclusion: only moved.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 
 from fleet_adapter import caller_app
+from fleet_adapter import configuration_body
 from fleet_adapter import control_app
 from fleet_adapter import http_messages
 from fleet_adapter import settings_file
@@ -88,7 +89,9 @@
 
 
 def _is_refused(body: bytes) -> bool:
-    return isinstance(wire.decode_configuration(body), errors.Failure)
+    return isinstance(
+        configuration_body.decode_configuration(body), errors.Failure
+    )
 
 
 class WireTest(unittest.TestCase):
@@ -137,12 +140,12 @@
             body = json.dumps(
                 batch_builders.build_configuration_fields(**fields)
             ).encode()
-            decoded = wire.decode_configuration(body)
+            decoded = configuration_body.decode_configuration(body)
             self.assertIsInstance(decoded, errors.Failure, fields)
         whole = json.dumps(batch_builders.build_configuration_fields()).encode()
-        cut = wire.decode_configuration(whole[:-5])
+        cut = configuration_body.decode_configuration(whole[:-5])
         self.assertIsInstance(cut, errors.Failure)
-        decoded = wire.decode_configuration(whole)
+        decoded = configuration_body.decode_configuration(whole)
         assert isinstance(decoded, model.FleetConfiguration)
         self.assertEqual(decoded.source, whole)
 
@@ -202,7 +205,7 @@
         body = json.dumps(value).encode()
         for decode in (
             wire.decode_job,
-            wire.decode_configuration,
+            configuration_body.decode_configuration,
             wire.decode_wave,
             lambda data: wire.decode_heartbeat("i-1", data),
         ):
