Keep the bytes of messages without customers as they were

Cause: the fields for customers were encoded also at their defaults.

Change: a field with the metadata OMIT_DEFAULT is left out while it has its default; a compact message can't have one.

Conclusion: deployments without customers write and send what they did.

--- a/tarragoncleat/batch/messages.py
+++ b/tarragoncleat/batch/messages.py
@@ -33,7 +33,9 @@
     host: str
     path: str
     definition: model.JobDefinition
-    key: model.KeyDigest = customers.NO_KEY
+    key: model.KeyDigest = dataclasses.field(
+        default=customers.NO_KEY, metadata=codec.OMIT_DEFAULT
+    )
 
 
 @codec.message("batch_read_request")
@@ -43,7 +45,9 @@
 
     host: str
     path: str
-    key: model.KeyDigest = customers.NO_KEY
+    key: model.KeyDigest = dataclasses.field(
+        default=customers.NO_KEY, metadata=codec.OMIT_DEFAULT
+    )
 
 
 @codec.message("batch_cancel_request")
@@ -53,7 +57,9 @@
 
     host: str
     path: str
-    key: model.KeyDigest = customers.NO_KEY
+    key: model.KeyDigest = dataclasses.field(
+        default=customers.NO_KEY, metadata=codec.OMIT_DEFAULT
+    )
 
 
 @codec.message("batch_put_request")
@@ -140,9 +146,9 @@
 @codec.message("batch_configuration_reply")
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationReply:
-    """The current configuration, as the operator sent it."""
+    """The current configuration, as the operator sent it, with its keys."""
 
-    source: bytes
+    source: bytes = dataclasses.field(repr=False)
 
 
 @codec.message("batch_wave_reply")
--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -181,7 +181,9 @@
     max_attempts: int
     stretch: float
     advice: Advice | None = None
-    allows_anonymous: bool = False
+    allows_anonymous: bool = dataclasses.field(
+        default=False, metadata=codec.OMIT_DEFAULT
+    )
 
     @property
     def key(self) -> QueueKey:
@@ -247,10 +249,13 @@
     """
 
     version: int
-    source: bytes
+    # Holds the customers' keys in clear text.
+    source: bytes = dataclasses.field(repr=False)
     queues: tuple[QueuePolicy, ...]
     services: tuple[ServicePolicy, ...]
-    customers: tuple[CustomerPolicy, ...] | None = None
+    customers: tuple[CustomerPolicy, ...] | None = dataclasses.field(
+        default=None, metadata=codec.OMIT_DEFAULT
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tarragoncleat/kernel/codec.py
+++ b/tarragoncleat/kernel/codec.py
@@ -4,12 +4,16 @@
 list `[name, version, fields]`; pydantic validates the fields on decoding. The
 fields are a map by name. For a compact message they are the list of values in
 order, because names would be most of the bytes of a small message.
+
+A field with the metadata `OMIT_DEFAULT` is left out while it has its default,
+so that a message without it keeps the bytes that earlier builds gave it.
 """
 
 from collections.abc import Callable
 import dataclasses
 import enum
 import functools
+import types
 from typing import Any, TypeVar
 
 import msgpack
@@ -17,9 +21,12 @@
 
 from tarragoncleat.kernel import errors
 
-__all__ = ["decode", "encode", "message"]
+__all__ = ["OMIT_DEFAULT", "decode", "encode", "message"]
 
 _Class = TypeVar("_Class", bound=type)
+_OMITTED = "omit_default"
+# Metadata of a field; its default must be a plain value.
+OMIT_DEFAULT = types.MappingProxyType({_OMITTED: True})
 _PLAIN_TYPES = frozenset({bool, bytes, float, int, str, type(None)})
 
 
@@ -63,6 +70,8 @@
     def register(cls: _Class) -> _Class:
         if name in _TYPES_BY_NAME:
             raise ValueError(f"message name {name!r} is registered already")
+        if compact and _find_omitted_defaults(cls):
+            raise ValueError(f"compact message {name!r} can't omit a field")
         message_type = _MessageType(name, version, cls, compact)
         _TYPES_BY_NAME[name] = message_type
         _TYPES_BY_CLASS[cls] = message_type
@@ -128,7 +137,11 @@
         return value.value  # type: ignore[attr-defined]
     names = _field_names(cls)
     if names is not None:
-        return {name: _to_plain(getattr(value, name)) for name in names}
+        fields = {name: _to_plain(getattr(value, name)) for name in names}
+        for name, default in _find_omitted_defaults(cls):
+            if fields[name] == default:
+                del fields[name]
+        return fields
     if isinstance(value, (list, tuple, set, frozenset)):
         return [_to_plain(item) for item in value]
     if isinstance(value, dict):
@@ -142,3 +155,13 @@
     if not dataclasses.is_dataclass(cls):
         return None
     return tuple(field.name for field in dataclasses.fields(cls))
+
+
+@functools.cache
+def _find_omitted_defaults(cls: type) -> tuple[tuple[str, object], ...]:
+    """Returns the fields that are left out at their default, and these."""
+    return tuple(
+        (field.name, field.default)
+        for field in dataclasses.fields(cls)
+        if _OMITTED in field.metadata
+    )
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -34,6 +34,13 @@
     missing: str | None = None
 
 
+@codec.message("test.later")
+@dataclasses.dataclass(frozen=True)
+class _Later:
+    name: str
+    added: bytes = dataclasses.field(default=b"", metadata=codec.OMIT_DEFAULT)
+
+
 class CodecTest(unittest.TestCase):
     """Guards against messages that are altered or that crash the decoder."""
 
@@ -53,6 +60,21 @@
         data = codec.encode(_Outer((), {})).replace(b"names", b"namez")
         self.assertIsInstance(codec.decode(data), errors.Failure)
 
+    def test_field_is_left_out_only_at_its_default(self) -> None:
+        """Guards against bytes of an added field, and against its loss."""
+        for sent, has_field in (
+            (_Later("a"), False),
+            (_Later("a", b"x"), True),
+        ):
+            data = codec.encode(sent)
+            self.assertEqual(b"added" in data, has_field)
+            self.assertEqual(codec.decode(data), sent)
+
+    def test_compact_message_has_no_field_that_is_left_out(self) -> None:
+        """Guards against values that are decoded as other fields."""
+        with self.assertRaises(ValueError):
+            codec.message("test.compact", compact=True)(_Later)
+
 
 class ErrorTableTest(unittest.TestCase):
     """Guards against an error kind without an HTTP response."""
