Decide on the leader who calls, by the configuration in force

Cause: a request with an unknown key, or none, ran; state._accept took a repeat for stored before it compared the callers.

Change: submissions and cancellations are decided when their command is applied, reads at the end of the leader's log, and every refusal by such a read, so that an older state never refuses a new key. No queue is told before a bad key. A job of another customer is unknown; its id gets 409. A repeat of a stored job by the key that submitted it and was withdrawn since gets 504. Routing moves into its own module.

Conclusion: a withdrawn key runs nothing from the confirmation on.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -15,6 +15,11 @@
 _CONTEXT_EVENTS = frozenset(
     {"leadership", "members", "leader_contact", "worker_changed", "process"}
 )
+_CALLER_CAUSES = {
+    "none": "the caller presented no key, and the queue needs one",
+    "unknown": "no customer had the caller's key",
+    "other_customer": "a job of another customer has the id",
+}
 _HEAD_FIELDS = ("time_ms", "node", "level", "event")
 
 
@@ -143,6 +148,8 @@
             f"{line.get('node')} answered {line.get('status')} after "
             f"{line.get('waited_ms')} ms: {line.get('reason')}"
         )
+    if event == "caller_refused":
+        return _CALLER_CAUSES.get(str(line.get("key")))
     if event == "job_ended" and line.get("state") == "failed":
         return "a task used up the attempts that its queue allows"
     if event == "job_ended" and _is_late(line):
--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -28,11 +28,17 @@
     def may_see(self, submitter: "Caller") -> bool:
         """Whether the caller may see and cancel the jobs of another caller.
 
-        A key that has moved to another customer still leads to its jobs.
+        A key that has moved to another customer still leads to its jobs. Jobs
+        of anonymous callers belong to none; and where callers need no key, a
+        job is protected by its id alone.
         """
-        return self.customer == submitter.customer or (
-            bool(self.key) and self.key == submitter.key
-        )
+        if not self.customer or not submitter.customer:
+            return True
+        return self.customer == submitter.customer or self.key == submitter.key
+
+    def may_be(self, key: model.KeyDigest) -> bool:
+        """Whether a caller with a key may be this one."""
+        return not self.customer or self.key == key
 
 
 def digest_key(key: bytes) -> model.KeyDigest:
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "AdviceMissing",
+    "CallerRefused",
     "ConfigurationAnswered",
     "ConfigurationInForce",
     "InstanceMoved",
@@ -89,6 +90,7 @@
         is_new: Whether the job was not stored before.
         routed_version: Configuration in force when the queue was chosen.
         waited_ms: Time from the request's arrival at the leader.
+        customer: Name of the caller's customer; empty for an anonymous caller.
     """
 
     job: str
@@ -99,6 +101,7 @@
     is_new: bool
     routed_version: int
     waited_ms: int
+    customer: str
 
 
 @event_log.event("job_cancelled", _HIGH)
@@ -277,6 +280,29 @@
     waited_ms: int
 
 
+@event_log.event("caller_refused", _HIGH)
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRefused:
+    """The leader refused a request because of its key.
+
+    Attributes:
+        job: Id of the job; empty for a request about a queue.
+        queue: Name of the queue.
+        version: The configuration that decided.
+        term: Term of the leader.
+        key: "none" or "unknown"; "other_customer" if a job of another customer
+            has the id.
+        waited_ms: Time from the request's arrival at the leader.
+    """
+
+    job: str
+    queue: str
+    version: int
+    term: int
+    key: str
+    waited_ms: int
+
+
 @event_log.event("queue_answered", _LOW)
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueAnswered:
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -1,19 +1,16 @@
 """Handles the requests of callers on the leader: submit, read and cancel jobs.
 
-The queue of a request is decided at its place in the log. What was decided by
-the state before the commit would be wrong when a configuration is committed
-between the two.
+The queue and the caller of a request are decided at its place in the log. What
+was decided by the state before the commit would be wrong when a configuration
+is committed between the two.
 """
 
-import dataclasses
-
 import msgpack
 
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
-from tarragoncleat.batch import jobs as jobs_module
+from tarragoncleat.batch import job_routing
 from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
@@ -25,23 +22,13 @@
 
 _COMMIT_TIMEOUT_S = 2.5
 _MS_PER_S = 1000
-# Each further attempt needs a configuration that moved the path meanwhile.
+# Each further attempt needs a configuration that moved the path or the caller's
+# key meanwhile.
 _MAX_ROUTINGS = 4
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Target:
-    """What a path leads to.
-
-    Attributes:
-        version: Version of the configuration that decided; 0 if there is none.
-        queue: The queue, or None.
-        job: The job at the path, also if its queue was removed, or None.
-    """
-
-    version: int
-    queue: model.QueuePolicy | None
-    job: jobs_module.Job | None
+# Decisions of commands behind such a configuration.
+_OVERTAKEN = frozenset(
+    {commands.JobDecision.NO_QUEUE, commands.JobDecision.UNAUTHORIZED}
+)
 
 
 class JobService:
@@ -64,6 +51,7 @@
             timer: Clock.
         """
         self._node = node
+        self._router = job_routing.JobRouter(node, state)
         self._state = state
         self._timer = timer
 
@@ -73,18 +61,18 @@
         """Stores a job, unless it is stored already."""
         arrived_s = self._timer.monotonic_s()
         for _ in range(_MAX_ROUTINGS):
-            target = await self._locate(request.host, request.path)
+            target = await self._router.locate(request)
             if isinstance(target, errors.Failure):
                 return target
-            if target.queue is None:
+            if target.queue is None or target.caller is None:
                 return self._refuse_submission(request, target, arrived_s)
-            decision = await self._store(request, target.queue, target.job)
+            decision = await self._store(request, target)
             if isinstance(decision, errors.Failure):
                 return decision
-            if decision is not commands.JobDecision.NO_QUEUE:
-                self._log_accepted(
-                    request, target.queue, target.version, decision, arrived_s
-                )
+            if decision is commands.JobDecision.ID_TAKEN:
+                return self._refuse_id(request, target, arrived_s)
+            if decision not in _OVERTAKEN:
+                self._log_accepted(request, target, decision, arrived_s)
                 return messages.Done()
         return _unstable_route()
 
@@ -97,10 +85,10 @@
         if isinstance(reply, errors.Failure):
             return reply
         target, answer = reply
-        if target.queue is None:
-            return self._no_queue(request.host, request.path, target, arrived_s)
+        if target.caller is None:
+            return self._refuse(request, target, arrived_s)
         if isinstance(answer, messages.QueueReply):
-            self._log_queue(request.host, request.path, target, arrived_s)
+            self._log_queue(request, target, arrived_s)
         return answer
 
     async def cancel(
@@ -109,72 +97,67 @@
         """Cancels a job; replies without a state if it is not known."""
         arrived_s = self._timer.monotonic_s()
         for _ in range(_MAX_ROUTINGS):
-            target = await self._locate(request.host, request.path)
+            target = await self._router.locate(request)
             if isinstance(target, errors.Failure):
                 return target
-            if target.queue is None:
-                return self._no_queue(
-                    request.host, request.path, target, arrived_s
-                )
-            job_id = _job_id(target.queue, request.path)
-            decision = await self._commit(commands.CancelJob(job_id))
+            if target.queue is None or target.caller is None:
+                return self._refuse(request, target, arrived_s)
+            job_id = job_routing.job_id_of(target.queue, request.path)
+            decision = await self._commit(self._cancel_command(request, job_id))
             if isinstance(decision, errors.Failure):
                 return decision
             if decision is commands.JobDecision.STORED:
                 self._log_cancelled(job_id, True, arrived_s)
                 return messages.Done()
             # A job that is not known has no queue that the state could check.
-            found = self._find_target(request.host, request.path)
-            if _is_same_queue(found.queue, target.queue):
+            found = self._router.find(request)
+            if found.has_queue(target.queue) and found.caller is not None:
                 self._log_cancelled(job_id, False, arrived_s)
                 return messages.JobReply(None)
         return _unstable_route()
 
-    async def _locate(self, host: str, path: str) -> _Target | errors.Failure:
-        """Returns what a path leads to; that there is no queue is certain."""
-        target = self._find_target(host, path)
-        if target.queue is not None:
-            return target
-        return await self._read_target(host, path)
+    def _cancel_command(
+        self, request: messages.CancelRequest, job_id: str
+    ) -> commands.CancelJob | commands.CancelCustomerJob:
+        if self._state.customers.is_configured:
+            return commands.CancelCustomerJob(job_id, request.key)
+        return commands.CancelJob(job_id)
 
     async def _store(
-        self,
-        request: messages.SubmitRequest,
-        queue: model.QueuePolicy,
-        job: jobs_module.Job | None,
+        self, request: messages.SubmitRequest, target: job_routing.Target
     ) -> commands.JobDecision | errors.Failure:
-        """Stores a job in a queue unless it is `job`, which is stored."""
-        if job is None:
-            job_id = _job_id(queue, request.path)
-            return await self._commit(
-                commands.SubmitJob(job_id, queue.key, request.definition)
-            )
-        target = await self._read_target(request.host, request.path)
-        if isinstance(target, errors.Failure):
-            return target
-        if _is_same_queue(target.queue, queue):
+        """Stores the job of a target that was located, if it isn't stored."""
+        if target.job is None:
+            return await self._commit(self._submit_command(request, target))
+        latest = await self._router.read(request)
+        if isinstance(latest, errors.Failure):
+            return latest
+        if not latest.has_queue(target.queue):
+            return commands.JobDecision.NO_QUEUE
+        if latest.caller is None:
+            return commands.JobDecision.UNAUTHORIZED
+        if latest.caller.may_see(target.job.caller):
             return commands.JobDecision.ALREADY_STORED
-        return commands.JobDecision.NO_QUEUE
-
-    def _find_target(self, host: str, path: str) -> _Target:
-        queue = self._state.route(host, path)
-        if queue is not None:
-            job = self._state.job(_job_id(queue, path))
-        else:
-            job = self._state.job_at(host, path)
-        return _Target(self._version(), queue, job)
-
-    async def _read_target(
-        self, host: str, path: str
-    ) -> _Target | errors.Failure:
-        return await self._node.read(lambda: self._find_target(host, path))
+        return commands.JobDecision.ID_TAKEN
+
+    def _submit_command(
+        self, request: messages.SubmitRequest, target: job_routing.Target
+    ) -> commands.SubmitJob | commands.SubmitCustomerJob:
+        assert target.queue is not None
+        job_id = job_routing.job_id_of(target.queue, request.path)
+        key, definition = target.queue.key, request.definition
+        if self._state.customers.is_configured:
+            return commands.SubmitCustomerJob(
+                job_id, key, definition, request.key
+            )
+        return commands.SubmitJob(job_id, key, definition)
 
     def _evaluate_read(
         self, request: messages.ReadRequest
-    ) -> tuple[_Target, messages.QueueReply | messages.JobReply]:
-        target = self._find_target(request.host, request.path)
-        queue, job = target.queue, target.job
-        if queue is not None and not _job_id(queue, request.path):
+    ) -> tuple[job_routing.Target, messages.QueueReply | messages.JobReply]:
+        target = self._router.find(request)
+        queue, job = target.queue, target.visible_job
+        if queue is not None and request.path == queue.path_prefix:
             waiting = self._state.waiting_count(queue.key)
             return target, messages.QueueReply(waiting)
         return target, messages.JobReply(job.state if job else None)
@@ -182,27 +165,56 @@
     def _refuse_submission(
         self,
         request: messages.SubmitRequest,
-        target: _Target,
+        target: job_routing.Target,
         arrived_s: float,
     ) -> errors.Failure:
-        if target.job is not None:
-            # A refusal would say that the job never runs.
+        # The refusal of a stored job would say that it never runs.
+        if target.job is not None and target.queue is None:
             return errors.Failure(
                 errors.ErrorKind.UNDECIDED,
                 "the job was stored before its queue was removed",
             )
-        return self._no_queue(request.host, request.path, target, arrived_s)
+        if target.job is not None and target.job.caller.may_be(request.key):
+            return errors.Failure(
+                errors.ErrorKind.UNDECIDED,
+                "the job was stored before its key was withdrawn",
+            )
+        return self._refuse(request, target, arrived_s)
 
-    def _no_queue(
-        self, host: str, path: str, target: _Target, arrived_s: float
+    def _refuse_id(
+        self,
+        request: messages.SubmitRequest,
+        target: job_routing.Target,
+        arrived_s: float,
+    ) -> errors.Failure:
+        self._log_refused_caller(request, target, "other_customer", arrived_s)
+        return errors.Failure(
+            errors.ErrorKind.CONFLICT, "the id belongs to another job"
+        )
+
+    def _refuse(
+        self,
+        request: job_routing.JobRequest,
+        target: job_routing.Target,
+        arrived_s: float,
     ) -> errors.Failure:
         if not target.version:
             return errors.Failure(
                 errors.ErrorKind.NO_UPSTREAM, "there is no configuration yet"
             )
-        self._log_queue(host, path, target, arrived_s)
+        if target.queue is None:
+            self._log_queue(request, target, arrived_s)
+            return errors.Failure(
+                errors.ErrorKind.NOT_FOUND,
+                f"no queue at {request.host}{request.path}",
+            )
+        key = "unknown" if request.key else "none"
+        self._log_refused_caller(request, target, key, arrived_s)
         return errors.Failure(
-            errors.ErrorKind.NOT_FOUND, f"no queue at {host}{path}"
+            errors.ErrorKind.UNAUTHORIZED,
+            f"no customer has this key in configuration {target.version}"
+            if request.key
+            else f"queue {target.queue.name} needs a customer's key",
         )
 
     def _version(self) -> int:
@@ -212,21 +224,22 @@
     def _log_accepted(
         self,
         request: messages.SubmitRequest,
-        queue: model.QueuePolicy,
-        routed_version: int,
+        target: job_routing.Target,
         decision: commands.JobDecision,
         arrived_s: float,
     ) -> None:
+        assert target.queue is not None and target.caller is not None
         event_log.emit(
             events.JobAccepted(
-                _job_id(queue, request.path),
-                queue.name,
+                job_routing.job_id_of(target.queue, request.path),
+                target.queue.name,
                 self._version(),
                 self._node.term,
                 sum(step.task_count for step in request.definition.steps),
                 decision is commands.JobDecision.STORED,
-                routed_version,
+                target.version,
                 self._waited_ms(arrived_s),
+                target.caller.customer,
             )
         )
 
@@ -237,12 +250,15 @@
         event_log.emit(events.JobCancelled(job_id, was_known, waited_ms))
 
     def _log_queue(
-        self, host: str, path: str, target: _Target, arrived_s: float
+        self,
+        request: job_routing.JobRequest,
+        target: job_routing.Target,
+        arrived_s: float,
     ) -> None:
         event_log.emit(
             events.QueueAnswered(
-                host,
-                path,
+                request.host,
+                request.path,
                 target.queue.name if target.queue is not None else None,
                 target.version,
                 self._node.term,
@@ -250,12 +266,31 @@
             )
         )
 
+    def _log_refused_caller(
+        self,
+        request: job_routing.JobRequest,
+        target: job_routing.Target,
+        key: str,
+        arrived_s: float,
+    ) -> None:
+        assert target.queue is not None
+        event_log.emit(
+            events.CallerRefused(
+                job_routing.job_id_of(target.queue, request.path),
+                target.queue.name,
+                target.version,
+                self._node.term,
+                key,
+                self._waited_ms(arrived_s),
+            )
+        )
+
     def _waited_ms(self, arrived_s: float) -> int:
         waited_s = self._timer.monotonic_s() - arrived_s
         return int(waited_s * _MS_PER_S)
 
     async def _commit(
-        self, command: commands.SubmitJob | commands.CancelJob
+        self, command: commands.Command
     ) -> commands.JobDecision | errors.Failure:
         result = await self._node.propose(
             codec.encode(command), _COMMIT_TIMEOUT_S
@@ -265,18 +300,8 @@
         return commands.JobDecision(msgpack.unpackb(result.result))
 
 
-def _job_id(queue: model.QueuePolicy, path: str) -> str:
-    """Returns the part of a path after the queue's prefix."""
-    return path[len(queue.path_prefix) :]
-
-
-def _is_same_queue(
-    queue: model.QueuePolicy | None, other: model.QueuePolicy | None
-) -> bool:
-    return queue is not None and other is not None and queue.key == other.key
-
-
 def _unstable_route() -> errors.Failure:
     return errors.Failure(
-        errors.ErrorKind.OVERLOADED, "the path's queue changes too often"
+        errors.ErrorKind.OVERLOADED,
+        "the path's queue or its callers change too often",
     )
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -215,8 +215,11 @@
         caller = self.customers.authenticate(queue, caller_key)
         if caller is None:
             return commands.JobDecision.UNAUTHORIZED
-        if job_id in self._jobs:
-            return commands.JobDecision.ALREADY_STORED
+        stored = self._jobs.get(job_id)
+        if stored is not None:
+            if caller.may_see(stored.caller):
+                return commands.JobDecision.ALREADY_STORED
+            return commands.JobDecision.ID_TAKEN
         job = jobs_module.Job(job_id, key, definition, self._time_ms, caller)
         self._jobs[job_id] = job
         self._active[job_id] = job
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import dispatcher
 from tarragoncleat.batch import model
 from tarragoncleat.batch import state as state_module
@@ -30,6 +31,8 @@
     "FakeWorker",
     "LocalState",
     "build_configuration",
+    "build_customer",
+    "build_customer_configuration",
     "build_heartbeat_body",
     "build_job",
     "build_configuration_fields",
@@ -95,6 +98,23 @@
     return model.FleetConfiguration(version, b"{}", (queue,), (service,))
 
 
+def build_customer(name: str, *keys: str) -> model.CustomerPolicy:
+    """Returns a customer without a cap."""
+    digests = [customers.digest_key(key.encode()) for key in keys]
+    return model.CustomerPolicy(
+        model.CustomerName(name), tuple(digests), 1.0, model.Resources(0, 0, 0)
+    )
+
+
+def build_customer_configuration(
+    version: int, *owned: model.CustomerPolicy, **queue_fields: Any
+) -> model.FleetConfiguration:
+    """Returns a configuration with one queue and these customers."""
+    return dataclasses.replace(
+        build_configuration(version, **queue_fields), customers=owned
+    )
+
+
 def task_key(job_id: str = "job-1", position: int = 0) -> model.TaskKey:
     """Returns a task of a job's first step."""
     return model.TaskKey(job_id, 0, 0, position)
