--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -133,7 +133,9 @@
             {"routes": [route, {**route, "name": "other"}]},
             {"routes": [{**route, "timeout-ms": 0}]},
             {"routes": None},
+            {"routes": [{**route, "timeout-ms": 1e300}]},
             {"version": "7"},
+            {"version": 2**64},
             {"services": [{"rejects-overload": True}]},
         )
         for fields in invalid:
