Decode customers, and the key that a caller presents

Cause: the adapter ignored the customers of a configuration and the header with the key.

Change: customers with name, keys, weight and cap, and whether a queue lets anonymous callers in. Keys become digests at decoding. Two customers that share a key or a name, keys that no header can hold, and weights that aren't above 0 are refused with the customer's name, never with the key. An entry sends the digest of the key in Authorization; a malformed header, or a key of more than 512 bytes, counts as none. A customer's priority is checked and not kept: the order of work is that of its queue.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,11 +11,13 @@
 from hypothesis import strategies
 
 from fleet_adapter import caller_app
+from fleet_adapter import caller_keys
 from fleet_adapter import configuration_body
 from fleet_adapter import control_app
 from fleet_adapter import http_messages
 from fleet_adapter import settings_file
 from fleet_adapter import wire
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import messages
@@ -24,6 +26,7 @@
 from tarragoncleat.kernel import event_log
 from tests import batch_builders
 
+_KEY = "pqk8v1x6pw90"
 _SETTINGS = """\
 node-name=core-1
 ip-address=10.1.0.11
@@ -94,6 +97,15 @@
     )
 
 
+def _decode_customers(
+    customers_list: object, **fields: object
+) -> model.FleetConfiguration | errors.Failure:
+    body = batch_builders.build_configuration_fields(
+        tenants=customers_list, **fields
+    )
+    return configuration_body.decode_configuration(json.dumps(body).encode())
+
+
 class WireTest(unittest.TestCase):
     """Guards against bodies that are misread instead of rejected."""
 
@@ -172,6 +184,76 @@
             with self.subTest(body=body[:400]):
                 self.assertTrue(_is_refused(body))
 
+    def test_customers_are_decoded_with_digests_of_their_keys(self) -> None:
+        """Guards against a customer without its keys, weight or cap."""
+        cap = {"cpu": 4191666, "mem-mb": 5057408, "gpu": 0}
+        customer = {
+            "name": "cugo130",
+            "api-keys": ["k1", "k2", "k1"],
+            "priority": 1,
+            "weight": 88,
+            "cap": cap,
+        }
+        route = batch_builders.build_configuration_fields()["routes"][0]
+        decoded = _decode_customers(
+            [customer, {"name": "b"}],
+            routes=[{**route, "allow-anonymous": True}],
+        )
+        assert isinstance(decoded, model.FleetConfiguration)
+        self.assertTrue(decoded.queues[0].allows_anonymous)
+        self.assertEqual(
+            decoded.customers,
+            (
+                model.CustomerPolicy(
+                    model.CustomerName("cugo130"),
+                    (
+                        customers.digest_key(b"k1"),
+                        customers.digest_key(b"k2"),
+                    ),
+                    88.0,
+                    model.Resources(4_191_666, 5_057_408, 0),
+                ),
+                batch_builders.build_customer("b"),
+            ),
+        )
+
+    def test_only_a_list_of_customers_asks_for_keys(self) -> None:
+        """Guards against an empty list that counts as none."""
+        fields = batch_builders.build_configuration_fields()
+        without = configuration_body.decode_configuration(
+            json.dumps(fields).encode()
+        )
+        assert isinstance(without, model.FleetConfiguration)
+        self.assertIsNone(without.customers)
+        empty = _decode_customers([])
+        assert isinstance(empty, model.FleetConfiguration)
+        self.assertEqual(empty.customers, ())
+
+    def test_invalid_customers_are_refused_without_their_keys(self) -> None:
+        """Guards against a key with two owners, and keys in error messages."""
+        valid = {"name": "a", "api-keys": [_KEY], "weight": 1}
+        for invalid in (
+            [valid, {"name": "b", "api-keys": ["k1", _KEY]}],
+            [valid, {"name": "a", "api-keys": ["k1"]}],
+            [{**valid, "name": ""}],
+            [{**valid, "name": None}],
+            [{**valid, "api-keys": _KEY}],
+            [{**valid, "api-keys": [_KEY, 7]}],
+            [{**valid, "api-keys": [f"{_KEY} {_KEY}"]}],
+            [{**valid, "api-keys": [_KEY * 100]}],
+            [{**valid, "weight": "88"}],
+            [{**valid, "weight": -1}],
+            [{**valid, "weight": 10**400}],
+            [{**valid, "cap": 7}],
+            [{**valid, "cap": {"cpu": -1}}],
+            [{**valid, "cap": {"cpu": 1e300}}],
+            {"a": valid},
+            None,
+        ):
+            decoded = _decode_customers(invalid)
+            assert isinstance(decoded, errors.Failure), invalid
+            self.assertNotIn(_KEY, decoded.reason)
+
     def test_duration_of_a_wave_must_be_a_number(self) -> None:
         """Guards against an exception in place of an answer."""
         for duration in ("NaN", "Infinity", "1e999"):
@@ -279,6 +361,21 @@
         reply = self._call(messages.JobReply(jobs.JobState.RUNNING), "GET")
         self.assertEqual(reply.body, {"state": "running"})
 
+    def test_key_is_taken_only_from_a_valid_header(self) -> None:
+        """Guards against keys that are misread, and against no upper limit."""
+        digest = customers.digest_key(_KEY.encode())
+        for value, expected in (
+            (b"Token " + _KEY.encode(), digest),
+            (b" token  " + _KEY.encode() + b" ", digest),
+            (b"Bearer " + _KEY.encode(), customers.NO_KEY),
+            (_KEY.encode(), customers.NO_KEY),
+            (b"Token ", customers.NO_KEY),
+            (b"Token", customers.NO_KEY),
+            (b"", customers.NO_KEY),
+            (b"Token " + b"x" * 513, customers.NO_KEY),
+        ):
+            self.assertEqual(caller_keys.digest_header(value), expected, value)
+
     def test_invalid_configuration_is_never_acknowledged(self) -> None:
         """Guards against a success status for a body that can't be decoded."""
         response = self._call(messages.Done(), "PUT", "/config")
