--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -8,7 +8,7 @@
 
 from tarragoncleat.kernel import errors
 
-__all__ = ["Explanation", "explain", "read_lines"]
+__all__ = ["Explanation", "explain", "parse_lines", "read_lines"]
 
 _CONTEXT_MS = 3_000
 # Events that may have caused the failure of a request.
@@ -61,7 +61,7 @@
     for file in files:
         try:
             with file.open(encoding="utf-8", errors="replace") as stream:
-                lines.extend(_parse_lines(stream))
+                lines.extend(parse_lines(stream))
         except OSError as error:
             return errors.Failure(
                 errors.ErrorKind.BAD_REQUEST, f"{file}: {error.strerror}"
@@ -69,7 +69,8 @@
     return sorted(lines, key=lambda line: line["time_ms"])
 
 
-def _parse_lines(log_lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+def parse_lines(log_lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the events of log lines."""
     for text in log_lines:
         start = text.find("{")
         if start < 0:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -14,6 +14,7 @@
 import threading
 import time
 from typing import Any
+import urllib.request
 
 from tests import batch_builders
 from tests import builders
@@ -30,6 +31,7 @@
 _CONTROL_PORT = 8623
 _ENTRY_PORT = 8624
 _READY_PORT = 8622
+_METRICS_PORT = 9464
 _CALL_TIMEOUT_S = 10.0
 _WAIT_S = 40.0
 _POLL_S = 0.05
@@ -127,10 +129,9 @@
             if name in self.control_names:
                 extra = (
                     f"bind-addresses.control={host}:{_CONTROL_PORT}\n"
-                    f"data-dir={self._folder / name}"
+                    f"data-dir={self.data_folder(name)}"
                 )
-            path = self._folder / f"{name}.conf"
-            path.write_text(
+            self._settings_path(name).write_text(
                 _SETTINGS.format(
                     name=name,
                     host=host,
@@ -140,11 +141,22 @@
                 ),
                 encoding="utf-8",
             )
-            self._start_process(name, path)
+            self.start_process(name)
 
-    def _start_process(self, name: str, settings: pathlib.Path) -> None:
+    def _settings_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.conf"
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Returns the folder on the disk of a control node."""
+        return self._folder / name
+
+    def start_process(self, name: str) -> None:
+        """Starts a process whose settings are written."""
         role = "control" if name in self.control_names else "entry"
-        environment = {**os.environ, "TARRAGONCLEAT_NODE_FILE": str(settings)}
+        environment = {
+            **os.environ,
+            "TARRAGONCLEAT_NODE_FILE": str(self._settings_path(name)),
+        }
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "platform/serve.py", role],
@@ -159,11 +171,15 @@
         for name in names:
             self._processes[name].send_signal(number)
 
+    def kill(self, name: str) -> None:
+        """Kills a process, and waits for its end."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
     def close(self) -> None:
         """Kills all processes."""
-        for process in self._processes.values():
-            process.kill()
-            process.wait()
+        for name in self._processes:
+            self.kill(name)
 
     def events(self, name: str, event: str) -> list[dict[str, Any]]:
         """Returns the logged events of one kind of a process."""
@@ -204,6 +220,7 @@
         method: str,
         path: str,
         body: Mapping[str, Any] | None = None,
+        key: str = "",
     ) -> Answer:
         """Sends a request on a new connection."""
         is_control = name in self.control_names
@@ -212,6 +229,8 @@
             self._hosts[name], port, timeout=_CALL_TIMEOUT_S
         )
         headers = {"Host": batch_builders.QUEUE.host}
+        if key:
+            headers["Authorization"] = f"Token {key}"
         content = None if body is None else json.dumps(body)
         try:
             connection.request(method, path, content, headers)
@@ -260,6 +279,19 @@
             time.sleep(_POLL_S)
         raise AssertionError("the entry found no leader")
 
+    def read_logs(self) -> str:
+        """Returns what all processes have logged."""
+        return "".join(
+            path.read_text(encoding="utf-8")
+            for path in sorted(self._folder.glob("*.log"))
+        )
+
+    def read_metrics(self, name: str) -> str:
+        """Returns the metrics of a process."""
+        address = f"{self._hosts[name]}:{_METRICS_PORT}"
+        with urllib.request.urlopen(f"http://{address}/metrics") as answer:
+            return answer.read().decode()
+
     def print_logs(self) -> None:
         """Prints the end of each log after a failed test."""
         for name in self._hosts:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -217,6 +217,20 @@
             ),
         )
 
+    def test_representations_hold_no_key(self) -> None:
+        """Guards against keys in the logged text of an exception."""
+        decoded = _decode_customers([{"name": "a", "api-keys": [_KEY]}])
+        assert isinstance(decoded, model.FleetConfiguration)
+        self.assertIn(_KEY.encode(), decoded.source)
+        headers = {b"authorization": _KEY.encode()}
+        for value in (
+            messages.PutRequest(decoded),
+            messages.ConfigurationReply(decoded.source),
+            http_messages.Request("PUT", "h", "/", headers, decoded.source),
+            http_messages.Response(200, decoded.source),
+        ):
+            self.assertNotIn(_KEY, repr(value))
+
     def test_only_a_list_of_customers_asks_for_keys(self) -> None:
         """Guards against an empty list that counts as none."""
         fields = batch_builders.build_configuration_fields()
--- a/tests/test_refusals_explained.py
+++ b/tests/test_refusals_explained.py
@@ -10,10 +10,12 @@
 import loguru
 
 from fleet_adapter import caller_app
+from fleet_adapter import configuration_body
 from fleet_adapter import http_messages
 from tarragoncleat.administration import explain
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import messages
+from tarragoncleat.batch import model
 from tarragoncleat.batch import nodes
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import errors
@@ -26,6 +28,8 @@
 _ADDRESS = (f"{builders.LOOPBACK}.78.1", 9_482)
 _ZONE = ids.AvailabilityZone("fukuoka-a")
 _SECRET = "the-submitter's-own-payload"
+# Keys of two customers, and one that nobody has.
+_KEYS = ("own1key8v1x6pw", "other2key8v1x6", "unknown3key8v1")
 _JOB = {
     "spec": _SECRET,
     "steps": [{"count": 1, "cpu": 500, "mem-mb": 64, "estimated-ms": 900}],
@@ -74,6 +78,7 @@
         job_id: str,
         body: object = None,
         queue: str = batch_builders.QUEUE.path_prefix,
+        key: str = "",
     ) -> int:
         """Sends a request and returns the status of its answer."""
         content = json.dumps(body).encode() if body is not None else b""
@@ -81,22 +86,33 @@
             method,
             batch_builders.QUEUE.host,
             f"{queue}{job_id}",
-            {b"deadline-ms": b"1000"},
+            {
+                b"deadline-ms": b"1000",
+                b"authorization": f"Token {key}".encode(),
+            },
             content,
         )
         response = await self.app.handle(request)
         self.answers.setdefault(job_id, []).append(response.status)
         return response.status
 
-    async def configure(self) -> None:
+    async def configure(self, **fields: object) -> None:
         """Puts a configuration in force."""
-        request = messages.PutRequest(batch_builders.build_configuration())
+        body = batch_builders.build_configuration_fields(**fields)
+        configuration = configuration_body.decode_configuration(
+            json.dumps(body).encode()
+        )
+        assert isinstance(configuration, model.FleetConfiguration)
+        request = messages.PutRequest(configuration)
         while isinstance(await self.control.call(request, 1.0), errors.Failure):
             await anyio.sleep(0.02)
 
 
 class RefusalsExplainedTest(unittest.TestCase):
-    """Guards against refused requests whose logs show no cause."""
+    """Guards against refused requests whose logs show no cause.
+
+    Also guards against keys in logs and state dumps.
+    """
 
     def setUp(self) -> None:
         self.lines: list[dict] = []
@@ -164,6 +180,9 @@
                     prefix = queue or batch_builders.QUEUE.path_prefix
                     found = await system.send(method, job_id, body, prefix)
                     self.assertEqual(found, status, job_id)
+                await self._send_with_keys(system)
+                dump = system.control.dump(), system.entry.dump()
+                self.lines.append({"time_ms": 0, "dump": str(dump)})
                 tasks.cancel_scope.cancel()
 
         system = self._run_scenario(scenario)
@@ -173,7 +192,28 @@
                 self.assertIsNotNone(explanation.cause, (job_id, statuses))
             else:
                 self.assertIsNone(explanation.cause, job_id)
-        self.assertNotIn(_SECRET, json.dumps(self.lines))
+        for secret in (_SECRET, *_KEYS):
+            self.assertNotIn(secret, json.dumps(self.lines))
+
+    async def _send_with_keys(self, system: _System) -> None:
+        """Sends requests with good and bad keys."""
+        own, other, unknown = _KEYS
+        customers = [
+            {"name": "a", "api-keys": [own]},
+            {"name": "b", "api-keys": [other]},
+        ]
+        await system.configure(version=8, tenants=customers)
+        for job_id, key, status in (
+            ("own-job", own, 200),
+            ("job-without-key", "", 401),
+            ("job-with-unknown-key", unknown, 401),
+        ):
+            found = await system.send("POST", job_id, _JOB, key=key)
+            self.assertEqual(found, status, job_id)
+        found = await system.send("GET", "own-job", key=other)
+        self.assertEqual(found, 410)
+        found = await system.send("POST", "own-job", _JOB, key=other)
+        self.assertEqual(found, 409)
 
 
 if __name__ == "__main__":
