Create the callers of a configuration once

Cause: each look-up of a key made a new Caller, twice for a submission.

Change: the table holds the callers.

--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -41,6 +41,9 @@
         return not self.customer or self.key == key
 
 
+_ANONYMOUS = Caller(model.CustomerName(""), NO_KEY)
+
+
 def digest_key(key: bytes) -> model.KeyDigest:
     """Returns the digest by which a key is known."""
     return model.KeyDigest(hashlib.sha256(key).digest())
@@ -56,8 +59,8 @@
         self._is_configured = customers is not None
         self._customers = {item.name: item for item in customers or ()}
         # A lookup reveals by its timing no more than digests, not keys.
-        self._by_key = {
-            digest: customer
+        self._callers = {
+            digest: Caller(customer.name, digest)
             for customer in self._customers.values()
             for digest in customer.key_digests
         }
@@ -75,9 +78,10 @@
         self, queue: model.QueuePolicy, key: model.KeyDigest
     ) -> Caller | None:
         """Returns who calls a queue, or None if the caller may not."""
-        customer = self._by_key.get(key)
-        if customer is not None:
-            return Caller(customer.name, key)
-        if not self._is_configured or queue.allows_anonymous:
-            return Caller(model.CustomerName(""), NO_KEY)
-        return None
+        caller = self._callers.get(key)
+        if caller is None and self._allows_anonymous(queue):
+            return _ANONYMOUS
+        return caller
+
+    def _allows_anonymous(self, queue: model.QueuePolicy) -> bool:
+        return not self._is_configured or queue.allows_anonymous
