--- a/tests/test_refusals_explained.py
+++ b/tests/test_refusals_explained.py
@@ -192,6 +192,16 @@
                 self.assertIsNotNone(explanation.cause, (job_id, statuses))
             else:
                 self.assertIsNone(explanation.cause, job_id)
+        refused = [
+            line for line in self.lines if line.get("event") == "caller_refused"
+        ]
+        for job_id, cause in (
+            ("job-without-key", "presented no key"),
+            ("job-with-unknown-key", "no customer had the caller's key"),
+            ("own-job", "a job of another customer"),
+        ):
+            explanation = explain.explain(job_id, refused)
+            self.assertIn(cause, explanation.cause or "")
         for secret in (_SECRET, *_KEYS):
             self.assertNotIn(secret, json.dumps(self.lines))
 
