Ask a leader that woke, and one without a majority, with an old key

Cause: the entry had found the new leader before the frozen one woke, so the old one was never asked; and no test failed when LogNode.read was left without its confirmation.

Change: the entry is suspended with the leader and gets ten requests before both wake. The test of a leader that lost its majority also reads a value.

Conclusion: the confirmation of reads is now tested by itself.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -247,9 +247,10 @@
         method: str,
         path: str,
         body: Mapping[str, Any] | None = None,
+        key: str = "",
     ) -> PendingAnswer:
         """Sends a request in the background."""
-        return PendingAnswer(lambda: self.call(name, method, path, body))
+        return PendingAnswer(lambda: self.call(name, method, path, body, key))
 
     def put_routes(self, name: str, version: int, *routes: str) -> None:
         """Puts a configuration with these routes, until it is acknowledged."""
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -311,6 +311,8 @@
             for number in list(self.nodes):
                 if self.nodes[number] is not leader:
                     await self._stop(number)
+            read = await leader.node.read(lambda: b"one")
+            self.assertIsInstance(read, errors.Failure)
             self.assertFalse(await leader.node.read_barrier())
 
         self._run_scenario(scenario)
--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -76,19 +76,27 @@
     def test_frozen_leader_that_wakes_takes_no_withdrawn_key(self) -> None:
         """Guards against the old version of a leader that was suspended.
 
-        Also against keys in logs and metrics, and against an entry without a
-        leader that answers by what it knew.
+        The entry is suspended with it, so that it still sends to this leader
+        when both wake. Also guards against keys in logs and metrics, and
+        against an entry without a leader that answers by what it knew.
         """
         with platform_rig.run_group(44) as group:
             leader, _ = group.wait_leader()
             self._put(group, leader, 2, _OLD)
             self._wait_status(group, _OLD, _OK)
-            self.assertEqual(self._submit(group, ""), _UNAUTHORIZED)
-            group.signal(signal.SIGSTOP, leader)
+            path = f"/first/{self.job_count:016x}"
+            group.signal(signal.SIGSTOP, leader, _ENTRY)
             followers = [name for name in group.control_names if name != leader]
             self._put(group, followers[0], 3, _NEW)
-            group.signal(signal.SIGCONT, leader)
+            pending = [
+                group.send(_ENTRY, method, path, body, _OLD)
+                for method, body in (("GET", None), ("POST", _JOB)) * 5
+            ]
+            group.signal(signal.SIGCONT, leader, _ENTRY)
+            for answer in pending:
+                self.assertNotEqual(answer.wait().status, _OK)
             self._assert_never_accepted(group)
+            self.assertEqual(self._submit(group, ""), _UNAUTHORIZED)
             self.assertEqual(self._submit(group, _UNKNOWN), _UNAUTHORIZED)
             self._assert_secret(group)
             group.signal(signal.SIGSTOP, *group.control_names)
