Repeat a cancellation whose key or queue was away only for a moment

Cause: a command that was refused at its place in the log, because a record ahead had removed the queue or the key, was told as "no such job" (410) if a record behind it had brought both back: the caller takes its job for ended, and the job goes on.

Change: such a decision starts a new attempt, as for submissions.

Evidence: the new test failed with 410 for the key before; with the change it passes for key and queue, with the 36 tests of both modules.

Conclusion: 410 is told only for jobs that aren't known.

--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -109,6 +109,8 @@
             if decision is commands.JobDecision.STORED:
                 self._log_cancelled(job_id, True, arrived_s)
                 return messages.Done()
+            if decision in _OVERTAKEN:
+                continue
             # A job that is not known has no queue that the state could check.
             found = self._router.find(request)
             if found.has_queue(target.queue) and found.caller is not None:
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -204,6 +204,23 @@
         assert job is not None
         self.assertFalse(job.has_ended)
 
+    def test_cancellation_is_repeated_when_its_key_is_back(self) -> None:
+        """Guards against "no such job" for a job that goes on.
+
+        Its key, or its queue, is removed ahead of the command and added again
+        behind it.
+        """
+        again = commands.PutConfiguration(_configuration(4, {"a": "k1"}))
+        for removed in (
+            _configuration(3, {"b": "k2"}),
+            _configuration(3, {"a": "k1"}, path_prefix="/other/"),
+        ):
+            self.setUp()
+            self._submit("k1")
+            self.log.ahead.append(commands.PutConfiguration(removed))
+            self.log.on_commit.append(lambda: self.local.apply(again))
+            self.assertIsInstance(self._cancel("k1"), messages.Done)
+
     def test_stalled_commit_is_decided_when_it_is_applied(self) -> None:
         """Guards against a proposal from before the withdrawal.
 
