--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -8,13 +8,18 @@
 
 from tarragoncleat.kernel import errors
 
-__all__ = ["Explanation", "explain", "read_lines"]
+__all__ = ["Explanation", "explain", "parse_lines", "read_lines"]
 
 _CONTEXT_MS = 3_000
 # Events that may have caused the failure of a request.
 _CONTEXT_EVENTS = frozenset(
     {"leadership", "members", "leader_contact", "worker_changed", "process"}
 )
+_CALLER_CAUSES = {
+    "none": "the caller presented no key, and the queue needs one",
+    "unknown": "no customer had the caller's key",
+    "other_customer": "a job of another customer has the id",
+}
 _HEAD_FIELDS = ("time_ms", "node", "level", "event")
 
 
@@ -56,7 +61,7 @@
     for file in files:
         try:
             with file.open(encoding="utf-8", errors="replace") as stream:
-                lines.extend(_parse_lines(stream))
+                lines.extend(parse_lines(stream))
         except OSError as error:
             return errors.Failure(
                 errors.ErrorKind.BAD_REQUEST, f"{file}: {error.strerror}"
@@ -64,7 +69,8 @@
     return sorted(lines, key=lambda line: line["time_ms"])
 
 
-def _parse_lines(log_lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+def parse_lines(log_lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the events of log lines."""
     for text in log_lines:
         start = text.find("{")
         if start < 0:
@@ -143,6 +149,8 @@
             f"{line.get('node')} answered {line.get('status')} after "
             f"{line.get('waited_ms')} ms: {line.get('reason')}"
         )
+    if event == "caller_refused":
+        return _CALLER_CAUSES.get(str(line.get("key")))
     if event == "job_ended" and line.get("state") == "failed":
         return "a task used up the attempts that its queue allows"
     if event == "job_ended" and _is_late(line):
