Hold only confirmed runs against the tasks of a crashed worker

Cause: a start is stored before it is sent, and a crash counted for each stored run. A crash after an expired lease, when the run may have ended, was a first crash, too.

Change: the leader's session knows which runs a worker has accepted or listed in a report. EndWorker, a new command, carries those of the worker that has ended; no start gets a record of its own. Only the former are proof. The others still count towards the five crashes after which a task is given up in any case: a worker may crash before it answers. MarkWorkersLost stays, and older logs are applied as without confirmations.

The simulated fleet gives up a guilty task whose starts are never confirmed within five.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -11,9 +11,11 @@
     "CancelJob",
     "Command",
     "Committer",
+    "ConfirmedRun",
     "DrainWorker",
     "Ending",
     "EndRuns",
+    "EndWorker",
     "MaintenancePhase",
     "MarkWorkersLost",
     "OpenOccurrence",
@@ -76,6 +78,13 @@
     checkpoint: str
 
 
+class ConfirmedRun(NamedTuple):
+    """A run that its worker has confirmed to have begun."""
+
+    task: model.TaskKey
+    run: int
+
+
 @codec.message("batch_put_configuration", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class PutConfiguration:
@@ -150,6 +159,19 @@
     is_final: bool
 
 
+@codec.message("batch_end_worker", compact=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndWorker:
+    """Marks a worker as lost whose incarnation has ended unplanned.
+
+    `confirmed_runs` are those that its leader knows to have begun. Other runs
+    may have been stored and not have reached the worker before its end.
+    """
+
+    worker_id: str
+    confirmed_runs: tuple[ConfirmedRun, ...]
+
+
 @codec.message("batch_start_runs", compact=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRuns:
@@ -213,6 +235,7 @@
     | RegisterWorker
     | DrainWorker
     | MarkWorkersLost
+    | EndWorker
     | StartRuns
     | EndRuns
     | StartWave
--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -3,10 +3,11 @@
 A task may crash each worker that starts it, and takes all tasks beside it down.
 The number of crashes alone doesn't tell it from those that were beside it more
 than once, so suspects are kept apart, and a task is given up after a crash of a
-worker that its job had to itself.
+worker that its job had to itself. A run counts as proof only if its worker has
+confirmed it: one that is stored may not have reached the worker before the end.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence, Set
 import dataclasses
 import enum
 
@@ -24,11 +25,13 @@
 _MIN_INSTANCES = 3
 # Includes the time until a worker's successor answers.
 _PROMPT_CRASH_MS = 10_000
-# A task in company is given up before the users' limit of three more starts
-# after three crashes.
+# A task in company, or one whose runs are never confirmed, is given up before
+# the users' limit of three more starts after three crashes.
 _MAX_CRASHES = 5
 _PROBABLE_CRASHES = 2
 
+_JobTask = tuple[jobs_module.Job, jobs_module.Task]
+
 
 class Suspicion(enum.Enum):
     """How likely a task crashes its worker.
@@ -50,12 +53,14 @@
         worker: The worker.
         was_isolated: Whether only one job's tasks ran on it.
         tasks: The tasks, with the number of crashes of each.
+        unconfirmed: Those of them that may not have begun before the crash.
         given_up: Jobs of which a task was given up.
     """
 
     worker: model.WorkerRecord
     was_isolated: bool
     tasks: tuple[tuple[model.TaskKey, int], ...]
+    unconfirmed: tuple[model.TaskKey, ...]
     given_up: tuple[str, ...]
 
 
@@ -72,7 +77,8 @@
 
 def record_crash(
     worker: model.WorkerRecord,
-    tasks: Collection[tuple[jobs_module.Job, jobs_module.Task]],
+    tasks: Collection[_JobTask],
+    confirmed: Set[model.TaskKey],
     now_ms: int,
     was_lapsed: bool,
 ) -> Crash:
@@ -83,6 +89,7 @@
     Args:
         worker: The worker.
         tasks: The tasks with their jobs, also of jobs that have ended.
+        confirmed: The tasks that ran there for certain.
         now_ms: Time of the log record.
         was_lapsed: Whether the worker's lease had expired before its end was
             known. It may have been cut off, and have ended after its tasks, so
@@ -90,26 +97,37 @@
     """
     was_isolated = not was_lapsed and len({job.job_id for job, _ in tasks}) == 1
     last_started = frozenset() if was_lapsed else _last_started(tasks)
-    counts = []
-    given_up = []
-    for job, task in tasks:
-        if task.state is jobs_module.TaskState.DONE:
-            continue
-        run_ms = now_ms - task.started_ms
-        if task.started_ms and run_ms >= _CLEARING_RUN_MS:
+    unfinished = [
+        (job, task)
+        for job, task in tasks
+        if task.state is not jobs_module.TaskState.DONE
+    ]
+    for job, task in unfinished:
+        if task.started_ms and now_ms - task.started_ms >= _CLEARING_RUN_MS:
             job.clear_crashes(task)
         job.add_crash(task, worker.instance, task.key in last_started)
-        counts.append((task.key, len(task.crashed_instances)))
-        is_prompt = run_ms < _PROMPT_CRASH_MS and not job.is_long_running
-        if not _is_guilty(task, was_isolated, is_prompt):
-            continue
-        if job.give_up(task, now_ms):
-            given_up.append(job.job_id)
-    return Crash(worker, was_isolated, tuple(counts), tuple(given_up))
+        if task.key in confirmed and not was_lapsed:
+            job.confirm_crash(task, worker.instance)
+    guilty: Sequence[_JobTask] = [
+        (job, task)
+        for job, task in unfinished
+        if len(task.crashed_instances) >= _MAX_CRASHES
+    ]
+    if was_isolated and not guilty:
+        guilty = _proven(unfinished, confirmed, now_ms)
+    return Crash(
+        worker,
+        was_isolated,
+        tuple(
+            (task.key, len(task.crashed_instances)) for _, task in unfinished
+        ),
+        tuple(task.key for _, task in unfinished if task.key not in confirmed),
+        tuple(job.job_id for job, task in guilty if job.give_up(task, now_ms)),
+    )
 
 
 def _last_started(
-    tasks: Collection[tuple[jobs_module.Job, jobs_module.Task]],
+    tasks: Collection[_JobTask],
 ) -> frozenset[model.TaskKey]:
     """Returns the tasks that were started last, if they are of one job."""
     last_ms = max(task.started_ms for _, task in tasks)
@@ -119,14 +137,25 @@
     return frozenset(last)
 
 
-def _is_guilty(
-    task: jobs_module.Task, was_isolated: bool, is_prompt: bool
+def _proven(
+    tasks: Sequence[_JobTask], confirmed: Set[model.TaskKey], now_ms: int
+) -> Sequence[_JobTask]:
+    """Returns the tasks of one job that a crash proves guilty."""
+    return [
+        (job, task)
+        for job, task in tasks
+        if task.key in confirmed and _has_crashed_enough(job, task, now_ms)
+    ]
+
+
+def _has_crashed_enough(
+    job: jobs_module.Job, task: jobs_module.Task, now_ms: int
 ) -> bool:
-    needed = _MIN_INSTANCES_PROMPT if is_prompt else _MIN_INSTANCES
-    instances = len(set(task.crashed_instances))
-    return (was_isolated and instances >= needed) or (
-        len(task.crashed_instances) >= _MAX_CRASHES
+    is_prompt = (
+        now_ms - task.started_ms < _PROMPT_CRASH_MS and not job.is_long_running
     )
+    needed = _MIN_INSTANCES_PROMPT if is_prompt else _MIN_INSTANCES
+    return len(set(task.confirmed_crashes)) >= needed
 
 
 def suspects(step: jobs_module.Step, level: Suspicion) -> list[int]:
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -222,18 +222,13 @@
             )
             if has_lease_expired or session.supersedes(other):
                 self._log_lost_worker(worker_id, "followed")
-                self._start_soon(
-                    self.commit,
-                    commands.MarkWorkersLost((worker_id,), is_final=True),
-                )
+                self._start_soon(self.commit, other.end_command())
 
     def on_worker_ended(self, session: worker_session.WorkerSession) -> None:
         """Marks a worker whose incarnation has ended as lost."""
         worker_id = session.record.worker_id
         self._log_lost_worker(worker_id, "gone")
-        self._start_soon(
-            self.commit, commands.MarkWorkersLost((worker_id,), is_final=True)
-        )
+        self._start_soon(self.commit, session.end_command())
 
     def on_start_refused(
         self,
@@ -416,6 +411,7 @@
                     crash.was_isolated,
                     tuple((str(key), count) for key, count in crash.tasks),
                     crash.given_up,
+                    tuple(map(str, crash.unconfirmed)),
                 )
             )
 
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -175,6 +175,7 @@
         runs: Task, and number of workers that have crashed under it.
         given_up: Jobs of which a task was given up. They failed, but for those
             of which other tasks last.
+        unconfirmed: Tasks that may not have begun before the crash.
     """
 
     worker: str
@@ -182,6 +183,7 @@
     was_isolated: bool
     runs: tuple[tuple[str, int], ...]
     given_up: tuple[str, ...]
+    unconfirmed: tuple[str, ...] = ()
 
 
 @event_log.event("start_refused")
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -47,12 +47,14 @@
         started_ms: When the latest run was recorded, in ms since the epoch; 0
             if it isn't known.
         crashed_instances: Instance of each worker that crashed under the task.
+        confirmed_crashes: Those of them on which the task is known to have run.
         was_last_started: Whether, on the worker that crashed last under the
             task, only tasks of its job had been started last.
     """
 
     __slots__ = (
         "checkpoint",
+        "confirmed_crashes",
         "crashed_instances",
         "failures",
         "key",
@@ -73,6 +75,7 @@
         self.checkpoint = ""
         self.started_ms = 0
         self.crashed_instances: tuple[str, ...] = ()
+        self.confirmed_crashes: tuple[str, ...] = ()
         self.was_last_started = False
 
 
@@ -338,10 +341,15 @@
         task.was_last_started = was_last_started
         self._step_of(task).suspects.add(task.key.position)
 
+    def confirm_crash(self, task: Task, instance: str) -> None:
+        """Records that a crash happened while the task ran there."""
+        task.confirmed_crashes += (instance,)
+
     def clear_crashes(self, task: Task) -> None:
         """Forgets the crashes under a task."""
         self.revision += 1
         task.crashed_instances = ()
+        task.confirmed_crashes = ()
         task.was_last_started = False
         self._step_of(task).suspects.discard(task.key.position)
 
@@ -360,13 +368,17 @@
         step.waiting.discard(task.key.position)
         task.state = TaskState.DROPPED
         self.revision += 1
-        is_needed = step.definition.gang or not step.definition.long_running
-        if is_needed or all(
+        if self.needs(task) or all(
             other.state is TaskState.DROPPED for other in step.tasks
         ):
             self._finish(JobState.FAILED, now_ms)
         return True
 
+    def needs(self, task: Task) -> bool:
+        """Whether the job fails if the task is given up."""
+        definition = self._step_of(task).definition
+        return definition.gang or not definition.long_running
+
     def _step_of(self, task: Task) -> Step:
         return self.occurrences[task.key.occurrence].steps[task.key.step]
 
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -155,6 +155,11 @@
             and task.worker_id == worker_id
         )
 
+    def is_latest(self, key: model.TaskKey, run: int) -> bool:
+        """Whether the run is the task's latest one."""
+        located = self.task(key)
+        return located is not None and located[2].run == run
+
     def waiting_count(self, key: model.QueueKey) -> int:
         """Returns the number of a queue's jobs of which no task has begun."""
         return sum(
@@ -240,9 +245,7 @@
         for worker_id in command.worker_ids:
             worker = self._workers.get(worker_id)
             if command.is_final:
-                if worker is not None and self._has_crashed(worker):
-                    self._record_crash(worker)
-                self._end_worker(worker_id)
+                self._end_unplanned(worker_id)
             elif worker is not None:
                 # A draining worker gets no tasks when it is back either.
                 if worker.state is worker_state.WorkerState.UP:
@@ -251,6 +254,27 @@
                 self._requeue_tasks(worker)
         return None
 
+    @_apply.register
+    def _end_lost_worker(self, command: commands.EndWorker) -> object:
+        self._end_unplanned(command.worker_id, command.confirmed_runs)
+        return None
+
+    def _end_unplanned(
+        self,
+        worker_id: str,
+        confirmed_runs: collections.abc.Iterable[commands.ConfirmedRun] = (),
+    ) -> None:
+        """Ends an incarnation, and counts a crash if it wasn't expected."""
+        worker = self._workers.get(worker_id)
+        if worker is not None and self._has_crashed(worker):
+            confirmed = frozenset(
+                key
+                for key, run in confirmed_runs
+                if key in worker.tasks and self.is_latest(key, run)
+            )
+            self._record_crash(worker, confirmed)
+        self._end_worker(worker_id)
+
     @_apply.register
     def _start_runs(self, command: commands.StartRuns) -> object:
         refused = {run for run in command.runs if not self._can_start(run)}
@@ -368,7 +392,11 @@
         )
         return not is_maintained and bool(worker.tasks or worker.lapsed_tasks)
 
-    def _record_crash(self, worker: worker_state.Worker) -> None:
+    def _record_crash(
+        self,
+        worker: worker_state.Worker,
+        confirmed: collections.abc.Set[model.TaskKey],
+    ) -> None:
         """Counts a crash for the worker's tasks, and requeues them."""
         keys = sorted(worker.tasks | worker.lapsed_tasks)
         self._requeue_tasks(worker)
@@ -380,7 +408,11 @@
         if not tasks:
             return
         crash = crashes.record_crash(
-            worker.record, tasks, self._time_ms, bool(worker.lapsed_tasks)
+            worker.record,
+            tasks,
+            confirmed,
+            self._time_ms,
+            bool(worker.lapsed_tasks),
         )
         self._crashes.append(crash)
         for job, task in tasks:
@@ -459,6 +491,13 @@
                 ]
                 for key, task in tasks.items()
             ],
+            # Apart from "tasks", of which an earlier build reads just these
+            # four values.
+            "confirmed": [
+                [list(key), list(task.confirmed_crashes)]
+                for key, task in tasks.items()
+                if task.confirmed_crashes
+            ],
             "lapsed": [
                 [worker_id, sorted(map(list, worker.lapsed_tasks))]
                 for worker_id, worker in self._workers.items()
@@ -498,6 +537,11 @@
             task.started_ms = started_ms
             for instance in instances:
                 job.add_crash(task, instance, was_last_started)
+        for key, instances in packed.get("confirmed", ()):
+            located = self.task(model.TaskKey(*key))
+            if located is not None:
+                for instance in instances:
+                    located[0].confirm_crash(located[2], instance)
         for worker_id, keys in packed["lapsed"]:
             self._workers[worker_id].lapsed_tasks = frozenset(
                 model.TaskKey(*key) for key in keys
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -115,6 +115,8 @@
         # When the worker answered the latest order for a run. If a report that
         # was requested later doesn't list the run, it is not on the worker.
         self._answered_s: dict[_RunId, float] = {}
+        # Runs that the worker has accepted or listed in this term.
+        self._confirmed: set[_RunId] = set()
         self._ordered: set[_RunId] = set()
         self._stopping: set[_RunId] = set()
         self._paces: dict[_RunId, int] = {}
@@ -175,6 +177,17 @@
         """Whether no task can run on the worker, as every lease has expired."""
         return self._leases.is_expired(self._timer.monotonic_s())
 
+    def end_command(self) -> commands.EndWorker:
+        """Returns the command that records the end of the incarnation."""
+        return commands.EndWorker(
+            self.record.worker_id,
+            tuple(
+                commands.ConfirmedRun(task, run)
+                for task, run in sorted(self._committed_runs())
+                if (task, run) in self._confirmed
+            ),
+        )
+
     def close(self) -> None:
         """Cancels the session."""
         self._has_ended = True
@@ -279,6 +292,8 @@
     async def _process_start_reply(
         self, order: _StartOrder, outcome: _Outcome, was_unanswered: bool
     ) -> None:
+        if outcome is _Outcome.ACCEPTED:
+            self._confirmed.add((order.task, order.run))
         if outcome in (_Outcome.ACCEPTED, _Outcome.SUPERSEDED):
             self._answered_s[(order.task, order.run)] = (
                 self._timer.monotonic_s()
@@ -436,6 +451,7 @@
         self._report_requested_s = sent_s
         self._report_received_s = self._timer.monotonic_s()
         self._running = {(row.task, row.run): row for row in report.running}
+        self._confirmed.update(self._running)
         ends = [
             commands.RunEnd(
                 row.task,
@@ -482,6 +498,7 @@
 
     def _discard_run(self, run_id: _RunId) -> None:
         self._answered_s.pop(run_id, None)
+        self._confirmed.discard(run_id)
         self._ordered.discard(run_id)
         self._stopping.discard(run_id)
         self._paces.pop(run_id, None)
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -30,7 +30,8 @@
 
     A run of a task in `deadly` crashes its worker after `crash_after_ms`;
     members of a gang only do so once all of them run. Every other run is done
-    after `task_ms`, unless it is long-running.
+    after `task_ms`, unless it is long-running. With `loses_answers` the leader
+    doesn't learn that a run has begun.
     """
 
     def __init__(self, worker_count: int, seed: int = 1) -> None:
@@ -39,12 +40,13 @@
         self.deadly: set[model.TaskKey] = set()
         self.crash_after_ms = 0
         self.task_ms = 1_000
+        self.loses_answers = False
         self.crashes: list[tuple[int, str]] = []
         self.runs: dict[model.TaskKey, int] = {}
         self.random = random.Random(seed)
         self._incarnations = 0
         self._running: dict[str, list[_Run]] = {}
-        self._down: dict[str, tuple[str, int]] = {}
+        self._down: dict[str, tuple[str, int, list[_Run]]] = {}
         self.start_leader()
         for number in range(worker_count):
             self._register(f"instance-{number:02d}")
@@ -69,8 +71,8 @@
         """Ends a worker, all that runs on it, and the gangs of those runs."""
         self.crashes.append((self.now_ms, worker_id))
         instance = self.state.workers[worker_id].record.instance
-        self._down[worker_id] = (instance, self.now_ms + _RESTART_MS)
         lost = list(self._running[worker_id])
+        self._down[worker_id] = (instance, self.now_ms + _RESTART_MS, lost)
         self._running[worker_id].clear()
         for run in lost:
             located = self.state.task(run.task)
@@ -113,14 +115,21 @@
         self._running[worker_id] = []
 
     def _notice_crashes(self) -> None:
-        for worker_id, (instance, back_ms) in list(self._down.items()):
+        for worker_id, (instance, back_ms, lost) in list(self._down.items()):
             if self.now_ms >= back_ms:
                 del self._down[worker_id]
                 del self._running[worker_id]
                 self._register(instance)
                 self._health.record_crash(instance, self.now_ms / 1_000)
+                confirmed = () if self.loses_answers else lost
                 self.local.apply(
-                    commands.MarkWorkersLost((worker_id,), is_final=True)
+                    commands.EndWorker(
+                        worker_id,
+                        tuple(
+                            commands.ConfirmedRun(run.task, run.run)
+                            for run in confirmed
+                        ),
+                    )
                 )
 
     def _end_runs(self) -> None:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -69,6 +69,16 @@
             )
         )
 
+    def test_task_whose_starts_are_never_confirmed_is_given_up(self) -> None:
+        """Its workers crash before they answer, so nothing proves its guilt."""
+        self.fleet.loses_answers = True
+        names = self._submit_bystanders()
+        self.fleet.local.submit("guilty")
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
     def test_crashes_long_after_the_start_end_too(self) -> None:
         """Without company the start of the crash tells nothing apart."""
         self.fleet.crash_after_ms = 2_500
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -145,6 +145,45 @@
         ended = commands.MarkWorkersLost(("w-bad",), is_final=True)
         self.assertEqual(self.log.committed.count(ended), 1)
 
+    def test_end_of_a_worker_names_the_runs_that_it_confirmed(self) -> None:
+        """A crash is no proof against a task that may not have begun."""
+        for outcome, confirmed in (
+            (None, (commands.ConfirmedRun(self.key, 1),)),
+            (clients.OrderOutcome.UNANSWERED, ()),
+        ):
+            with self.subTest(outcome=outcome):
+                self.setUp()
+                self.local.submit()
+                self.worker.start_outcome = outcome
+                self._run_scenario(self._end_started_worker)
+                ended = commands.EndWorker("w-1", confirmed)
+                self.assertIn(ended, self.log.committed)
+
+    async def _end_started_worker(self) -> None:
+        await self._wait_until(lambda: self.worker.starts)
+        await anyio.sleep(0.05)
+        self.worker.has_ended = True
+        await self._wait_until(lambda: self.local.state.has_worker_ended("w-1"))
+
+    def test_run_that_a_report_lists_is_confirmed(self) -> None:
+        """The leader that has sent its start may have been another one."""
+        self.local.submit()
+        self.local.start(self.key)
+        self.worker.running[(self.key, 1)] = batch_builders.FakeRun()
+        self.worker.start_outcome = clients.OrderOutcome.UNANSWERED
+
+        async def scenario() -> None:
+            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await anyio.sleep(0.1)
+            self.worker.has_ended = True
+            await self._wait_until(
+                lambda: self.local.state.has_worker_ended("w-1")
+            )
+
+        self._run_scenario(scenario)
+        confirmed = (commands.ConfirmedRun(self.key, 1),)
+        self.assertIn(commands.EndWorker("w-1", confirmed), self.log.committed)
+
     def test_late_heartbeat_of_ended_incarnation_moves_no_task(self) -> None:
         """Guards against a second run beside one that is still running.
 
