Don't give up a task for the crash of another one of its job

Cause: only tasks of one job are on an isolated worker, and its crash was held against each of them. A task that had crashed once beside strangers was given up together with a sibling that crashed for the first time; tasks that last, which are given up one by one, fell with a guilty one that was beside them each time.

Change: each task that began on the worker must have crashed there as often as is needed, so that it holds whichever of them is guilty. A task that lasts must be alone, and after its second crash it is placed alone.

Evidence: three tests, each of which fails on the code before.

--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -140,22 +140,35 @@
 def _proven(
     tasks: Sequence[_JobTask], confirmed: Set[model.TaskKey], now_ms: int
 ) -> Sequence[_JobTask]:
-    """Returns the tasks of one job that a crash proves guilty."""
+    """Returns the tasks of one job that a crash proves guilty.
+
+    Only one of them need have caused it, so each that began must have crashed
+    as often. Unless the job fails with any of them, a task must be alone.
+    """
+    culprits = [(job, task) for job, task in tasks if task.key in confirmed]
+    is_alone = len(tasks) == 1
+    if not is_alone and not all(job.needs(task) for job, task in tasks):
+        return ()
+    if any(
+        len(set(task.crashed_instances)) < _needed_instances(job, task, now_ms)
+        for job, task in culprits
+    ):
+        return ()
     return [
         (job, task)
-        for job, task in tasks
-        if task.key in confirmed and _has_crashed_enough(job, task, now_ms)
+        for job, task in culprits
+        if len(set(task.confirmed_crashes))
+        >= _needed_instances(job, task, now_ms)
     ]
 
 
-def _has_crashed_enough(
+def _needed_instances(
     job: jobs_module.Job, task: jobs_module.Task, now_ms: int
-) -> bool:
+) -> int:
     is_prompt = (
         now_ms - task.started_ms < _PROMPT_CRASH_MS and not job.is_long_running
     )
-    needed = _MIN_INSTANCES_PROMPT if is_prompt else _MIN_INSTANCES
-    return len(set(task.confirmed_crashes)) >= needed
+    return _MIN_INSTANCES_PROMPT if is_prompt else _MIN_INSTANCES
 
 
 def suspects(step: jobs_module.Step, level: Suspicion) -> list[int]:
--- a/tarragoncleat/batch/isolation.py
+++ b/tarragoncleat/batch/isolation.py
@@ -56,7 +56,9 @@
     """
     starts = []
     for position in positions:
-        view = _worker_of_own(step, position, workers)
+        view = None
+        if not _must_be_single(step, position):
+            view = _worker_of_own(step, position, workers)
         if view is None and is_first:
             view = _worker_to_isolate(step, position, workers)
         elif view is None:
@@ -100,6 +102,16 @@
     ]
 
 
+def _must_be_single(step: jobs_module.Step, position: int) -> bool:
+    """Whether a task is kept apart from those of its own job, too.
+
+    Tasks that last are given up one by one, so that a crash must tell which of
+    them is guilty.
+    """
+    is_probable = len(step.tasks[position].crashed_instances) > 1
+    return is_probable and step.definition.long_running
+
+
 def _worker_of_own(
     step: jobs_module.Step, position: int, workers: _Views
 ) -> worker_views.WorkerView | None:
--- a/tests/test_confirmed_runs.py
+++ b/tests/test_confirmed_runs.py
@@ -96,6 +96,34 @@
             self.local.apply(commands.EndWorker(worker_id, confirmed))
         self.assertIs(self._job_state("job"), jobs.JobState.RUNNING)
 
+    def test_task_that_crashed_beside_another_is_not_enough(self) -> None:
+        """Either may have caused the last crash, and one is new to it.
+
+        Both are of one job and had a worker to themselves.
+        """
+        self._submit("job", 2)
+        keys = [batch_builders.task_key("job", number) for number in range(2)]
+        self._crash(1, keys[0])
+        self._crash(2, *keys)
+        self.assertIs(self._job_state("job"), jobs.JobState.RUNNING)
+        self._crash(3, *keys)
+        self.assertIs(self._job_state("job"), _FAILED)
+
+    def test_lasting_tasks_are_not_given_up_for_each_other(self) -> None:
+        """Of two that crashed together each time, one goes on serving."""
+        self._submit("job", 2, long_running=True)
+        keys = [batch_builders.task_key("job", number) for number in range(2)]
+        for run in (1, 2, 3):
+            self._crash(run, *keys)
+        self.assertEqual(self._waiting(), {0, 1})
+        self._crash(4, keys[0])
+        self.assertEqual(self._waiting(), {1})
+
+    def _waiting(self) -> set[int]:
+        job = self.local.state.job("job")
+        assert job is not None
+        return job.occurrences[0].steps[0].waiting
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -116,6 +116,22 @@
             sibling = batch_builders.task_key(job_id, 1)
             self.assertTrue(self.fleet.worker_of(sibling))
 
+    def test_lasting_task_beside_a_guilty_one_of_its_job_goes_on(self) -> None:
+        """Two that are kept apart together crash as often as each other."""
+        self.fleet = crash_fleet.CrashFleet(3)
+        step = batch_builders.build_step(4, long_running=True)
+        self.fleet.deadly.add(self.guilty)
+        self.fleet.local.submit("guilty", step)
+        self.fleet.advance(60)
+        self.assertLessEqual(self.fleet.runs[self.guilty], _MAX_RUNS)
+        running = [
+            bool(
+                self.fleet.worker_of(batch_builders.task_key("guilty", number))
+            )
+            for number in range(4)
+        ]
+        self.assertEqual(running, [False, True, True, True])
+
     def test_job_whose_lasting_tasks_all_crash_workers_fails(self) -> None:
         """Nothing of it is left to run."""
         step = batch_builders.build_step(2, long_running=True)
