Suspect the last start that began beside later ones that may not have

Cause: the tasks started last on a crashed worker are the first suspects and get workers of their own.

Change: the last ones that began and the last ones that may not have begun are suspected alike, as a worker may crash before its answer.

Evidence: test_last_start_that_began_is_the_first_suspect failed before.

--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/crashes.py
@@ -96,7 +96,9 @@
             the crash is no proof against any of them.
     """
     was_isolated = not was_lapsed and len({job.job_id for job, _ in tasks}) == 1
-    last_started = frozenset() if was_lapsed else _last_started(tasks)
+    last_started: Set[model.TaskKey] = frozenset()
+    if not was_lapsed:
+        last_started = _first_suspects(tasks, confirmed)
     unfinished = [
         (job, task)
         for job, task in tasks
@@ -126,15 +128,26 @@
     )
 
 
-def _last_started(
-    tasks: Collection[_JobTask],
-) -> frozenset[model.TaskKey]:
+def _first_suspects(
+    tasks: Collection[_JobTask], confirmed: Set[model.TaskKey]
+) -> Set[model.TaskKey]:
+    """Returns the tasks that were started last, and so are the most suspicious.
+
+    These are the last ones that began, and the last ones that may not have
+    begun: their worker may have crashed before it answered.
+    """
+    began = [task for _, task in tasks if task.key in confirmed]
+    others = [task for _, task in tasks if task.key not in confirmed]
+    return _last_started(began) | _last_started(others)
+
+
+def _last_started(tasks: Collection[jobs_module.Task]) -> Set[model.TaskKey]:
     """Returns the tasks that were started last, if they are of one job."""
-    last_ms = max(task.started_ms for _, task in tasks)
-    last = [task.key for _, task in tasks if task.started_ms == last_ms]
+    last_ms = max((task.started_ms for task in tasks), default=0)
+    last = {task.key for task in tasks if task.started_ms == last_ms}
     if not last_ms or len({key.job_id for key in last}) > 1:
         return frozenset()
-    return frozenset(last)
+    return last
 
 
 def _proven(
--- a/tests/test_confirmed_runs.py
+++ b/tests/test_confirmed_runs.py
@@ -7,6 +7,7 @@
 import unittest
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import crashes
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import model
 from tests import batch_builders
@@ -63,6 +64,31 @@
         self._crash(3, *keys)
         self.assertIs(self._job_state("job"), _FAILED)
 
+    def test_last_start_that_began_is_the_first_suspect(self) -> None:
+        """One stored after it, and not begun, drew the suspicion from it."""
+        keys = []
+        for job_id in ("early", "guilty", "late"):
+            self._submit(job_id)
+            keys.append(batch_builders.task_key(job_id))
+            self.local.start(keys[-1], 1, "w-1")
+            self.local.time_ms += 10
+        confirmed = tuple(commands.ConfirmedRun(key, 1) for key in keys[:2])
+        self.local.apply(commands.EndWorker("w-1", confirmed))
+        self.assertEqual(
+            [self._suspicion(key) for key in keys],
+            [
+                crashes.Suspicion.POSSIBLE,
+                crashes.Suspicion.PROBABLE,
+                # Its answer may have been lost with the worker.
+                crashes.Suspicion.PROBABLE,
+            ],
+        )
+
+    def _suspicion(self, key: model.TaskKey) -> crashes.Suspicion:
+        located = self.local.state.task(key)
+        assert located is not None
+        return crashes.suspicion(located[2])
+
     def test_lost_answers_dont_keep_a_guilty_task(self) -> None:
         """Its worker may always crash before the answer to the start."""
         self._submit("job")
