Count the instances lost under a job, and end one that takes them down

Cause: the jobs of a lost instance were queued again uncounted, so one that crashes its worker took down an instance after the other, with the jobs beside.

Change: the state counts, beside the stored job, crashes of workers that had reported to run it, those that it had to itself, and other losses. Suspects get a vacant instance to themselves, at most a quarter of a pool's. A job ends as failed after three crashes of instances of its own, or eight losses.

Evidence: with the code before, test_job_that_crashes_its_workers_is_given_up runs out of its 25 s, for jobs that crash late and for those that do so before they report that they run; now both end as failed and the jobs beside complete.

--- a/tarragoncleat/decisions/fleet_view.py
+++ b/tarragoncleat/decisions/fleet_view.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from tarragoncleat.kernel import ids
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs
 from tarragoncleat.state import pools
 from tarragoncleat.state import profiles
@@ -41,6 +42,7 @@
 _Instances = Mapping[ids.InstanceId, pools.Instance]
 _Waves = Mapping[ids.WaveId, waves.Wave]
 _Jobs = Mapping[ids.JobId, jobs.Job]
+_Losses = Mapping[ids.JobId, job_losses.JobLosses]
 _Profile = profiles.Profile
 
 
@@ -75,6 +77,10 @@
     def jobs(self) -> _Jobs:
         """Jobs by id."""
 
+    @property
+    def losses(self) -> _Losses:
+        """Losses of instances under live jobs, by job."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class PoolView:
@@ -118,6 +124,7 @@
         profiles: Every profile by id.
         teams: Every team by id.
         lost: Ids of the lost instances.
+        suspects: Live jobs that may crash the worker that runs them.
     """
 
     pools: Mapping[ids.PoolId, PoolView]
@@ -127,6 +134,7 @@
     profiles: _Profiles
     teams: _Teams
     lost: tuple[ids.InstanceId, ...]
+    suspects: _Jobs
 
     def profile_of_service(self, service_id: ids.ServiceId) -> _Profile | None:
         """Returns the profile of a service, or None."""
@@ -212,6 +220,11 @@
             fleet.profiles,
             fleet.teams,
             tuple(self._lost),
+            {
+                job_id: fleet.jobs[job_id]
+                for job_id, losses in fleet.losses.items()
+                if losses.is_suspect
+            },
         )
 
     def _group_instances(self, fleet: FleetReader) -> set[ids.PoolId]:
--- a/tarragoncleat/decisions/placer.py
+++ b/tarragoncleat/decisions/placer.py
@@ -181,6 +181,7 @@
                 capacity = pool_capacity.PoolCapacity(self._model)
                 self._capacities[pool_id] = capacity
             capacity.update(pool, ready, now_ms)
+            capacity.isolate(view.suspects, now_ms)
             rounds[pool_id] = _PoolRound(pool, capacity)
         return rounds
 
--- a/tarragoncleat/decisions/pool_capacity.py
+++ b/tarragoncleat/decisions/pool_capacity.py
@@ -3,11 +3,12 @@
 Job sizes are the learned ones. A job goes to the availability zone, and in it
 to the rack, with the fewest jobs per instance (with the most if the placement
 doesn't spread), and there to the instance with the least free capacity that is
-sufficient (best fit).
+sufficient (best fit). A job that may crash its worker gets an instance to
+itself if one is vacant.
 """
 
 import collections
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 import dataclasses
 
 from tarragoncleat.decisions import fleet_view
@@ -23,6 +24,10 @@
 _REBUILD_INTERVAL_MS = 5_000
 # Sums of fractional cores carry rounding errors of this order.
 _EPSILON = 1e-9
+# A suspect that has run as long shares its instance again.
+_PROBATION_MS = 60_000
+# Limits the capacity that other jobs lack for suspects.
+_MAX_ISOLATED_SHARE = 0.25
 
 _Rack = tuple[str, str]
 
@@ -107,6 +112,8 @@
         self._modified_hosts: set[ids.InstanceId] = set()
         self._instance_sizes: set[jobs.Demand] = set()
         self._largest = jobs.Demand(0, 0)
+        self._suspects: Collection[ids.JobId] = ()
+        self._isolated: set[ids.InstanceId] = set()
 
     def update(
         self,
@@ -140,6 +147,19 @@
                 self._load_jobs(host, active)
         self._modified_hosts.clear()
 
+    def isolate(
+        self, suspects: Mapping[ids.JobId, jobs.Job], now_ms: int
+    ) -> None:
+        """Keeps other jobs apart from those that may crash their workers."""
+        self._suspects = suspects.keys()
+        self._isolated = {
+            job.instance_id
+            for job in suspects.values()
+            if job.instance_id in self._hosts
+            and now_ms - (job.started_at_ms or now_ms) < _PROBATION_MS
+            and len(self._hosts[job.instance_id].active) == 1
+        }
+
     def _rebuild(self, pool: fleet_view.PoolView) -> None:
         self._placement = _placement_of(pool)
         self._zone_jobs.clear()
@@ -211,6 +231,26 @@
         self, job: jobs.Job, excluded: ids.InstanceId | None
     ) -> ids.InstanceId | None:
         """Returns the best host with sufficient capacity for a job, if any."""
+        if job.job_id in self._suspects:
+            alone = self._best_host(job, excluded, self._is_isolable)
+            if alone is not None:
+                return alone
+        return self._best_host(job, excluded, self._is_shared)
+
+    def _is_shared(self, host: Host) -> bool:
+        return host.instance.instance_id not in self._isolated
+
+    def _is_isolable(self, host: Host) -> bool:
+        """Whether a suspect may have a host to itself."""
+        limit = max(1, int(_MAX_ISOLATED_SHARE * len(self._hosts)))
+        return not host.active and len(self._isolated) < limit
+
+    def _best_host(
+        self,
+        job: jobs.Job,
+        excluded: ids.InstanceId | None,
+        is_allowed: Callable[[Host], bool],
+    ) -> ids.InstanceId | None:
         demand = self.demand(job)
         best: tuple[tuple[float, float], Host] | None = None
         for group in self._racks.values():
@@ -219,7 +259,7 @@
             order = self._rack_order(group)
             if best is not None and order >= best[0]:
                 continue
-            host = _best_fit(group.hosts, demand, excluded)
+            host = _best_fit(group.hosts, demand, excluded, is_allowed)
             if host is not None:
                 best = (order, host)
         return None if best is None else best[1].instance.instance_id
@@ -228,6 +268,8 @@
         """Reserves capacity for a job that is placed now."""
         host = self._hosts[instance_id]
         self._modified_hosts.add(instance_id)
+        if job.job_id in self._suspects and not host.active:
+            self._isolated.add(instance_id)
         host.add_job(job, self.demand(job))
         self._count_job(host, 1)
 
@@ -399,12 +441,14 @@
     hosts: Collection[Host],
     demand: jobs.Demand,
     excluded: ids.InstanceId | None,
+    is_allowed: Callable[[Host], bool],
 ) -> Host | None:
     fitting = [
         host
         for host in hosts
         if host.ready
         and host.fits(demand)
+        and is_allowed(host)
         and host.instance.instance_id != excluded
     ]
     return min(
--- a/tarragoncleat/decisions/state_transitions.py
+++ b/tarragoncleat/decisions/state_transitions.py
@@ -114,6 +114,7 @@
     active: Collection[jobs.Job],
     jobs_at_request: Collection[jobs.Job],
     report: worker_messages.Report,
+    has_restarted: bool,
 ) -> Iterator[commands.JobChange]:
     """Yields the changes of job states that a report shows.
 
@@ -122,6 +123,7 @@
         jobs_at_request: Jobs that were placed there when the report was
             requested.
         report: The report.
+        has_restarted: Whether the worker restarted since the report before.
     """
     tasks = {task.task_id: task for task in report.tasks}
     for job in active:
@@ -129,8 +131,12 @@
         if task is not None:
             change = _change_from_task(job, task)
         elif job.state is not jobs.JobState.PLACED and job in jobs_at_request:
-            change = _job_change_to(
-                job, jobs.JobState.QUEUED, "task disappeared"
+            change = commands.JobChange(
+                job.job_id,
+                job.attempt,
+                jobs.JobState.QUEUED,
+                "task disappeared",
+                worker_crashed=has_restarted,
             )
         else:
             change = None
--- a/tarragoncleat/decisions/worker_monitor.py
+++ b/tarragoncleat/decisions/worker_monitor.py
@@ -113,6 +113,7 @@
                     )
                 )
                 status.is_unprocessed = False
+                status.has_restarted = False
         instance_changes.extend(
             commands.RecordInstanceState(
                 instance.instance_id,
@@ -189,7 +190,7 @@
         changes = {
             change.job_id: change
             for change in state_transitions.job_changes(
-                active, status.active, status.report
+                active, status.active, status.report, status.has_restarted
             )
         }
         self._record_results(instance, active, changes)
--- a/tarragoncleat/decisions/worker_reconciler.py
+++ b/tarragoncleat/decisions/worker_reconciler.py
@@ -58,6 +58,8 @@
         due_s: When the next pass is due.
         is_reconciling: Whether a pass is running.
         is_unprocessed: Whether the last report is still to be evaluated.
+        has_restarted: Whether the worker restarted since the last report that
+            was evaluated.
     """
 
     instance: pools.Instance | None = None
@@ -69,6 +71,7 @@
     due_s: float = 0.0
     is_reconciling: bool = False
     is_unprocessed: bool = False
+    has_restarted: bool = False
 
     def active_tasks(self) -> Iterator[str]:
         """Yields the ids of tasks that may occupy capacity of the worker."""
@@ -202,6 +205,8 @@
         if worker_actions.needs_lease(instance, report):
             await self._renew_lease(instance, report, requested_s, received_s)
         is_changed = _has_changed(status.report, report)
+        if status.report is not None:
+            status.has_restarted |= status.report.boot_id != report.boot_id
         status.started_tasks = ()
         status.instance = instance
         status.active = active
--- a/tarragoncleat/state/commands.py
+++ b/tarragoncleat/state/commands.py
@@ -78,13 +78,15 @@
     """An observed state of a job.
 
     A change whose `attempt` is not the current attempt of the job is refused,
-    because it belongs to an earlier placement.
+    because it belongs to an earlier placement. `worker_crashed` tells that
+    the worker restarted after it had reported to run the job.
     """
 
     job_id: ids.JobId
     attempt: int
     state: jobs.JobState
     reason: str = ""
+    worker_crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tarragoncleat/state/fleet.py
+++ b/tarragoncleat/state/fleet.py
@@ -22,6 +22,7 @@
 from tarragoncleat.state import fleet_state
 from tarragoncleat.state import instance_handlers  # noqa: F401  (registers its handlers)
 from tarragoncleat.state import job_handlers  # noqa: F401  (registers its handlers)
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs as job_types
 from tarragoncleat.state import ledger as ledger_types
 from tarragoncleat.state import move_handlers  # noqa: F401  (registers its handlers)
@@ -120,6 +121,11 @@
         """Jobs by id; only a limited number of finished jobs is kept."""
         return types.MappingProxyType(self._state.jobs)
 
+    @property
+    def losses(self) -> Mapping[ids.JobId, job_losses.JobLosses]:
+        """Losses of instances under live jobs, by job."""
+        return types.MappingProxyType(self._state.losses)
+
     @property
     def claims(self) -> Mapping[bytes, fleet_state.ClaimRecord]:
         """Claimed idempotency keys by digest."""
--- a/tarragoncleat/state/fleet_snapshot.py
+++ b/tarragoncleat/state/fleet_snapshot.py
@@ -16,6 +16,7 @@
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tarragoncleat.state import fleet_state
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs
 from tarragoncleat.state import ledger
 from tarragoncleat.state import pools
@@ -109,6 +110,13 @@
     tables["claims"] = msgpack.packb(claims)
     tables["results"] = _encode_results(state.results)
     tables["system_results"] = _encode_results(state.system_results)
+    if state.losses:
+        tables["losses"] = msgpack.packb(
+            [
+                (job_id, *dataclasses.astuple(losses))
+                for job_id, losses in state.losses.items()
+            ]
+        )
     tables["finished_jobs"] = msgpack.packb(list(state.finished_jobs))
     tables["ended_waves"] = msgpack.packb(list(state.ended_waves))
     return codec.encode(
@@ -162,6 +170,14 @@
         state.waves[wave.wave_id] = fleet_state.WaveRecord(wave)
     for job in rows["jobs"]:
         state.put_job(job)
+    # Snapshots of earlier builds don't have it.
+    if "losses" in raw:
+        for job_id, crashed_on, alone_on, count in msgpack.unpackb(
+            raw["losses"]
+        ):
+            state.losses[job_id] = job_losses.JobLosses(
+                tuple(crashed_on), tuple(alone_on), count
+            )
     state.ledger.restore(
         _decode_ledger(raw["ledger"]),
         snapshot.next_sequence,
--- a/tarragoncleat/state/fleet_state.py
+++ b/tarragoncleat/state/fleet_state.py
@@ -15,6 +15,7 @@
 from typing import Generic, TypeVar
 
 from tarragoncleat.kernel import ids
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs
 from tarragoncleat.state import ledger
 from tarragoncleat.state import pools
@@ -237,6 +238,8 @@
         self.instances: dict[ids.InstanceId, pools.Instance] = {}
         self.waves: dict[ids.WaveId, WaveRecord] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
+        # Apart from the jobs, whose records earlier builds read strictly.
+        self.losses: dict[ids.JobId, job_losses.JobLosses] = {}
         self.claims: dict[bytes, ClaimRecord] = {}
         # The results of the controller's commands are stored separately,
         # because the burst of commands after the loss of an availability zone
@@ -337,6 +340,7 @@
         self.jobs_by_state.add(job.state, job.job_id)
         self._jobs_by_service.add(job.service_id, job.job_id)
         if job.state.is_final:
+            self.losses.pop(job.job_id, None)
             self._finished_jobs[job.job_id] = None
             if len(self._finished_jobs) > _MAX_FINISHED_JOBS:
                 self._remove_job(next(iter(self._finished_jobs)))
@@ -433,6 +437,7 @@
         job = self.jobs[job_id]
         self._unindex_job(job)
         self._jobs_by_service.discard(job.service_id, job_id)
+        self.losses.pop(job_id, None)
         del self.jobs[job_id]
 
     def _add_usage(self, job: jobs.Job, sign: int) -> None:
--- a/tarragoncleat/state/instance_handlers.py
+++ b/tarragoncleat/state/instance_handlers.py
@@ -163,9 +163,7 @@
         # higher fence.
         updated = dataclasses.replace(updated, fence=instance.fence + 1)
     if state is _STATE.LOST:
-        job_handlers.requeue_instance_jobs(
-            context, instance.instance_id, "instance lost"
-        )
+        job_handlers.requeue_lost_jobs(context, instance.instance_id)
         updated = wave_handlers.detach_lost(context, updated)
     elif instance.state is _STATE.DRAINING and state in _RETURNED_STATES:
         updated = wave_handlers.detach_skipped(
--- a/tarragoncleat/state/job_handlers.py
+++ b/tarragoncleat/state/job_handlers.py
@@ -7,12 +7,13 @@
 from tarragoncleat.state import command_context
 from tarragoncleat.state import commands
 from tarragoncleat.state import fleet_state
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs
 from tarragoncleat.state import ledger
 from tarragoncleat.state import pools
 from tarragoncleat.state import profiles
 
-__all__ = ["not_idle", "requeue_instance_jobs"]
+__all__ = ["not_idle", "requeue_instance_jobs", "requeue_lost_jobs"]
 
 # Keeps a log record well below the frame limit of 8 MiB.
 _MAX_JOBS_PER_COMMAND = 5_000
@@ -34,6 +35,19 @@
         _requeue_job(context, job, _STATE.QUEUED, cause)
 
 
+def requeue_lost_jobs(
+    context: command_context.CommandContext, instance_id: ids.InstanceId
+) -> None:
+    """Puts the jobs of a lost instance back into the queue.
+
+    Ends those under which too many instances were lost.
+    """
+    for job_id in sorted(context.state.jobs_by_instance[instance_id]):
+        job = context.state.jobs[job_id]
+        losses = _earlier_losses(context, job).with_silent_loss()
+        _requeue_or_give_up(context, job, losses, "instance lost")
+
+
 def not_idle(
     context: command_context.CommandContext, instance: pools.Instance
 ) -> errors.Failure:
@@ -133,13 +147,17 @@
 ) -> dict | errors.Failure:
     recorded: list[ids.JobId] = []
     refused: list[dict] = []
+    alone = _jobs_alone(context, command)
     for change in command.changes:
         job = _find_job(context, change.job_id)
         reason = _why_state_refused(context, job, change)
         if job is None or reason is not None:
             refused.append({"job_id": change.job_id, "reason": reason})
             continue
-        _record_state(context, job, change)
+        if change.worker_crashed:
+            _record_crash(context, job, change, job.job_id in alone)
+        else:
+            _record_state(context, job, change)
         recorded.append(job.job_id)
     return {"recorded": recorded, "refused": refused}
 
@@ -166,6 +184,55 @@
     return {"recorded": recorded}
 
 
+def _jobs_alone(
+    context: command_context.CommandContext, command: commands.RecordJobStates
+) -> frozenset[ids.JobId]:
+    """Returns the jobs that have their instance to themselves."""
+    state = context.state
+    return frozenset(
+        change.job_id
+        for change in command.changes
+        if (job := state.jobs.get(change.job_id)) is not None
+        and job.instance_id is not None
+        and len(state.jobs_by_instance[job.instance_id]) == 1
+    )
+
+
+def _record_crash(
+    context: command_context.CommandContext,
+    job: jobs.Job,
+    change: commands.JobChange,
+    was_alone: bool,
+) -> None:
+    """Counts the crash of the worker that ran a job."""
+    assert job.instance_id is not None
+    losses = _earlier_losses(context, job)
+    losses = losses.with_crash(job.instance_id, was_alone)
+    _requeue_or_give_up(context, job, losses, change.reason)
+
+
+def _earlier_losses(
+    context: command_context.CommandContext, job: jobs.Job
+) -> job_losses.JobLosses:
+    if job_losses.is_cleared(job, context.now_ms):
+        return job_losses.NO_LOSSES
+    return context.state.losses.get(job.job_id, job_losses.NO_LOSSES)
+
+
+def _requeue_or_give_up(
+    context: command_context.CommandContext,
+    job: jobs.Job,
+    losses: job_losses.JobLosses,
+    cause: str,
+) -> None:
+    if losses.is_guilty:
+        _end_job(context, job, _STATE.FAILED, losses.reason)
+        return
+    context.state.losses[job.job_id] = losses
+    context.add_job_ledger_entry(job, ledger.LedgerKind.INTERRUPTION, cause)
+    _requeue_job(context, job, _STATE.QUEUED, cause)
+
+
 def _too_many_jobs(count: int) -> errors.Failure:
     return command_context.bad_request(
         f"{count} jobs in one command; at most {_MAX_JOBS_PER_COMMAND}"
--- a/tarragoncleat_bench/planning_fleet.py
+++ b/tarragoncleat_bench/planning_fleet.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tarragoncleat.kernel import ids
+from tarragoncleat.state import job_losses
 from tarragoncleat.state import jobs
 from tarragoncleat.state import pools
 from tarragoncleat.state import profiles
@@ -22,6 +23,7 @@
 _Pools = dict[ids.PoolId, pools.Pool]
 _Waves = dict[ids.WaveId, waves.Wave]
 _Jobs = dict[ids.JobId, jobs.Job]
+_Losses = dict[ids.JobId, job_losses.JobLosses]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
     instances: _Instances
     waves: _Waves
     jobs: _Jobs
+    losses: _Losses = dataclasses.field(default_factory=dict)
 
     def set_instance(self, name: ids.InstanceId, **changes: Any) -> None:
         """Changes fields of an instance."""
--- a/tests/standin_worker.py
+++ b/tests/standin_worker.py
@@ -34,6 +34,7 @@
     run_s: float
     exit_status: int
     started_s: float
+    crashes: bool = False
     state: str = "running"
     exit: int | None = None
     ends_s: float = 0.0
@@ -70,6 +71,12 @@
     def advance(self) -> None:
         """Ends tasks whose run time is over, and all after lease expiry."""
         now_s = self._clock.monotonic()
+        if any(
+            task.crashes and now_s >= task.ends_s
+            for task in self._tasks.values()
+        ):
+            self._log_event("crash")
+            self._restart()
         for task in self._tasks.values():
             if task.state in ("running", "throttled") and now_s >= task.ends_s:
                 task.state, task.exit = "exited", task.exit_status
@@ -127,6 +134,7 @@
             0.0 if fails else overrides.get("run_s", 1.0),
             1 if fails else overrides.get("exit", 0),
             now_s,
+            overrides.get("crashes", False),
         )
         task.ends_s = now_s + task.run_s
         self._tasks[task_id] = task
@@ -158,17 +166,18 @@
     def reboot(self, action_id: str) -> dict:
         if action_id not in self._reboot_ends_s:
             self._log_event("reboot", action_id=action_id)
-            self._down_until_s = (
-                self._clock.monotonic() + self._options.reboot_s
-            )
+            self._restart()
             self._reboot_ends_s[action_id] = self._down_until_s
-            self._boot_id = uuid.uuid4().hex
-            self._lease_until_ms = 0
-            self._ended_task_ids.update(self._tasks)
-            self._tasks.clear()
         done = self._clock.monotonic() >= self._reboot_ends_s[action_id]
         return {"action_id": action_id, "done": done}
 
+    def _restart(self) -> None:
+        self._down_until_s = self._clock.monotonic() + self._options.reboot_s
+        self._boot_id = uuid.uuid4().hex
+        self._lease_until_ms = 0
+        self._ended_task_ids.update(self._tasks)
+        self._tasks.clear()
+
     def _describe(self, task: _Task, lag_s: float) -> dict:
         is_reported = self._clock.monotonic() - task.started_s >= lag_s
         return {
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -323,6 +323,36 @@
         self.assertEqual(len(failed), 3)
         self.assertIs(cluster.instance("w0").state, _STATE.QUARANTINED)
 
+    def test_job_that_crashes_its_workers_is_given_up(self) -> None:
+        """Guards against one that takes down a worker after the other.
+
+        It crashes them after a while, or before they report that it runs. The
+        jobs beside it complete.
+        """
+        for run_s in (0.2, 0.0):
+            with self.subTest(run_s=run_s):
+                self._run_beside_a_crashing_job(run_s)
+
+    def _run_beside_a_crashing_job(self, run_s: float) -> None:
+        cluster = _Cluster([], [], [], [], [])
+        names = [f"job{number}" for number in range(6)]
+
+        async def scenario() -> None:
+            cluster.submit(*names, run_s=4.0)
+            cluster.submit("guilty", run_s=run_s, crashes=True)
+            await cluster.wait(
+                lambda: all(
+                    job.state.is_final for job in cluster.fleet.jobs.values()
+                ),
+                "all jobs ended",
+            )
+
+        cluster.run(scenario)
+        self.assertIs(cluster.job("guilty").state, jobs.JobState.FAILED)
+        self.assertIn("given up", cluster.job("guilty").reason)
+        for name in names:
+            self.assertIs(cluster.job(name).state, jobs.JobState.SUCCEEDED)
+
     def test_quarantine_survives_the_loss_of_the_worker(self) -> None:
         """Guards against a broken worker in service after a short silence.
 
