--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -69,6 +69,16 @@
             )
         )
 
+    def test_task_whose_starts_are_never_confirmed_is_given_up(self) -> None:
+        """Its workers crash before they answer, so nothing proves its guilt."""
+        self.fleet.loses_answers = True
+        names = self._submit_bystanders()
+        self.fleet.local.submit("guilty")
+        self.fleet.advance(60)
+        self._check_guilty_is_given_up(self.guilty)
+        for name in names:
+            self.assertIs(self.fleet.job_state(name), jobs.JobState.COMPLETED)
+
     def test_crashes_long_after_the_start_end_too(self) -> None:
         """Without company the start of the crash tells nothing apart."""
         self.fleet.crash_after_ms = 2_500
@@ -106,6 +116,22 @@
             sibling = batch_builders.task_key(job_id, 1)
             self.assertTrue(self.fleet.worker_of(sibling))
 
+    def test_lasting_task_beside_a_guilty_one_of_its_job_goes_on(self) -> None:
+        """Two that are kept apart together crash as often as each other."""
+        self.fleet = crash_fleet.CrashFleet(3)
+        step = batch_builders.build_step(4, long_running=True)
+        self.fleet.deadly.add(self.guilty)
+        self.fleet.local.submit("guilty", step)
+        self.fleet.advance(60)
+        self.assertLessEqual(self.fleet.runs[self.guilty], _MAX_RUNS)
+        running = [
+            bool(
+                self.fleet.worker_of(batch_builders.task_key("guilty", number))
+            )
+            for number in range(4)
+        ]
+        self.assertEqual(running, [False, True, True, True])
+
     def test_job_whose_lasting_tasks_all_crash_workers_fails(self) -> None:
         """Nothing of it is left to run."""
         step = batch_builders.build_step(2, long_running=True)
