Limit the instances that suspects have to themselves in every case

Cause: a suspect that found no place among the limited ones was placed as other jobs are, and if that instance was vacant it was isolated as well. After a power loss, which makes suspects of all running jobs, others would have waited a minute.

Evidence: test_suspects_of_a_power_loss_do_not_fill_the_pool failed before.

--- a/tarragoncleat/decisions/pool_capacity.py
+++ b/tarragoncleat/decisions/pool_capacity.py
@@ -152,13 +152,14 @@
     ) -> None:
         """Keeps other jobs apart from those that may crash their workers."""
         self._suspects = suspects.keys()
-        self._isolated = {
+        alone = {
             job.instance_id
             for job in suspects.values()
             if job.instance_id in self._hosts
             and now_ms - (job.started_at_ms or now_ms) < _PROBATION_MS
             and len(self._hosts[job.instance_id].active) == 1
         }
+        self._isolated = set(sorted(alone)[: self._max_isolated])
 
     def _rebuild(self, pool: fleet_view.PoolView) -> None:
         self._placement = _placement_of(pool)
@@ -242,8 +243,11 @@
 
     def _is_isolable(self, host: Host) -> bool:
         """Whether a suspect may have a host to itself."""
-        limit = max(1, int(_MAX_ISOLATED_SHARE * len(self._hosts)))
-        return not host.active and len(self._isolated) < limit
+        return not host.active and len(self._isolated) < self._max_isolated
+
+    @property
+    def _max_isolated(self) -> int:
+        return max(1, int(_MAX_ISOLATED_SHARE * len(self._hosts)))
 
     def _best_host(
         self,
@@ -268,7 +272,7 @@
         """Reserves capacity for a job that is placed now."""
         host = self._hosts[instance_id]
         self._modified_hosts.add(instance_id)
-        if job.job_id in self._suspects and not host.active:
+        if job.job_id in self._suspects and self._is_isolable(host):
             self._isolated.add(instance_id)
         host.add_job(job, self.demand(job))
         self._count_job(host, 1)
--- a/tests/test_job_losses.py
+++ b/tests/test_job_losses.py
@@ -133,6 +133,16 @@
         self.assertEqual(list(self.fleet.jobs_on(instance)), ["job"])
         self.assertIs(self.job("new").state, _STATE.PLACED)
 
+    def test_suspects_of_a_power_loss_do_not_fill_the_pool(self) -> None:
+        """With an instance for each, most jobs would wait for a minute."""
+        names = [f"job-{number:02d}" for number in range(10)]
+        for number, name in enumerate(names):
+            self.submit(name, 8.0)
+            self.crash(f"i{number % 6}", name)
+        self._place_all()
+        for name in names:
+            self.assertIs(self.job(name).state, _STATE.PLACED)
+
     def test_suspect_is_placed_where_no_instance_is_vacant(self) -> None:
         """It must not wait for ever in a pool that is always in use."""
         self.crash("i0", "job")
