Carry a Retry-After that depends on the load to the caller

Cause: the time after which a refused caller should come back was a constant of the error's kind, and a refusal lost everything but kind and reason on its way from the leader. A refusal with such a time that follows an attempt which may be carried out becomes UNDECIDED, because the earlier attempt may have stored the job. No refusal has such a time yet.

--- a/tarragoncleat/cluster/leader_finder.py
+++ b/tarragoncleat/cluster/leader_finder.py
@@ -102,9 +102,16 @@
             return _OBSERVER_ANNOUNCE_INTERVAL_S
         return _ANNOUNCE_INTERVAL_S
 
-    async def call(self, message: object, timeout_s: float) -> Any:
+    async def call(
+        self, message: object, timeout_s: float, is_undecided: bool = False
+    ) -> Any:
         """Sends a request to the leader, with retries; it must be idempotent.
 
+        Args:
+            message: The request.
+            timeout_s: Time for all attempts.
+            is_undecided: Whether an earlier attempt may be carried out.
+
         Returns:
             The leader's reply, or a `Failure`: NO_LEADER if no leader received
             the request, UNDECIDED if it may have been carried out.
@@ -130,13 +137,14 @@
             elif isinstance(reply, errors.Failure):
                 if reply.kind is errors.ErrorKind.UNDECIDED:
                     failure = reply
+                    is_undecided = True
                 if self._leader in (None, leader):
                     self._clear_leader(leader)
                     # Other nodes may still name a leader that this one can't
                     # reach.
                     await self._timer.sleep_s(min(_RETRY_DELAY_S, remaining_s))
             elif isinstance(reply, messages.Refusal):
-                return errors.Failure(reply.kind, reply.reason)
+                return _decode_refusal(reply, is_undecided)
             else:
                 return reply
 
@@ -257,3 +265,21 @@
             if oldest is None:
                 return
             del self._known_addresses[oldest]
+
+
+def _decode_refusal(
+    refusal: messages.Refusal, is_undecided: bool
+) -> errors.Failure:
+    """Returns the failure of a refused request.
+
+    A refusal that depends on the load says nothing about an earlier attempt
+    that may be carried out.
+    """
+    if refusal.retry_after_s is not None and is_undecided:
+        return errors.Failure(
+            errors.ErrorKind.UNDECIDED,
+            f"an earlier attempt may be carried out; {refusal.reason}",
+        )
+    return errors.Failure(
+        refusal.kind, refusal.reason, retry_after_s=refusal.retry_after_s
+    )
--- a/tarragoncleat/cluster/messages.py
+++ b/tarragoncleat/cluster/messages.py
@@ -46,3 +46,4 @@
 
     kind: errors.ErrorKind
     reason: str
+    retry_after_s: int | None = None
--- a/tarragoncleat/kernel/errors.py
+++ b/tarragoncleat/kernel/errors.py
@@ -66,6 +66,7 @@
         kind: Kind of the error.
         reason: One sentence for people who read the response or the log.
         detail: Further values by name, such as the current revision.
+        retry_after_s: When a retry may succeed, instead of the kind's value.
     """
 
     kind: ErrorKind
@@ -73,6 +74,7 @@
     detail: Mapping[str, object] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
+    retry_after_s: int | None = None
 
     def __bool__(self) -> bool:
         return False
--- a/tests/test_leader_finder.py
+++ b/tests/test_leader_finder.py
@@ -32,6 +32,7 @@
         self.lost: set[tuple[str, int]] = set()
         self.received: list[tuple[tuple[str, int], object]] = []
         self.expired: list[object] = []
+        self.reply: object = "done"
 
     async def request(
         self, address: tuple[str, int], message: object, timeout_s: float
@@ -48,7 +49,7 @@
             await anyio.sleep(timeout_s)
             self.expired.append(message)
             return errors.Failure(errors.ErrorKind.UNDECIDED, "no reply")
-        return "done"
+        return self.reply
 
     def _announce(self, address: tuple[str, int]) -> Any:
         if address in self.lost or address == self.named:
@@ -129,6 +130,35 @@
 
         self._run(scenario)
 
+    def test_refusal_by_load_says_nothing_about_an_earlier_attempt(
+        self,
+    ) -> None:
+        """Guards against a caller who is told that a stored job never runs.
+
+        The lost leader may have stored it; the next one refuses it.
+        """
+
+        async def scenario() -> None:
+            self.links.leader = _NEW
+            refusal = messages.Refusal(errors.ErrorKind.OVERLOADED, "full", 7)
+            self.links.reply = refusal
+            reply = await self.finder.call("request", _CALL_TIMEOUT_S)
+            self.assertIs(reply.kind, errors.ErrorKind.OVERLOADED)
+            self.assertEqual(reply.retry_after_s, 7)
+            reply = await self.finder.call("request", _CALL_TIMEOUT_S, True)
+            self.assertIs(reply.kind, errors.ErrorKind.UNDECIDED)
+            self.links.lost.add(_NEW)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._lose_leader)
+                reply = await self.finder.call("request", _CALL_TIMEOUT_S)
+            self.assertIs(reply.kind, errors.ErrorKind.UNDECIDED)
+
+        self._run(scenario)
+
+    async def _lose_leader(self) -> None:
+        await anyio.sleep(0.05)
+        self.links.leader = _OLD
+
     def test_leader_that_only_others_reach_is_not_tried_without_a_pause(
         self,
     ) -> None:
