Let work, deadline and priority decide who waits under overload

Cause: while a service had too little room, the newest jobs of a priority went first whatever their work, late work was done whose result could be of no use any more, and a submission without a chance was stored all the same. Its caller learned of it by waiting. Change: with the word "pressure" in the settings' line "contracts", and only then: - batch.overload and job_order: jobs in time go by priority, started ones first, then by bands of value per work relative to their queue's mean, newest first. Some of each size have a bounded wait. Late jobs count only while their results can still be useful. - batch.admission: a submission is refused with 503 and a Retry-After by the backlog if one of its steps is certain to start too late. A learned ratio of actual to estimated time isn't built; refusals count work at half of its estimate instead.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -143,6 +143,11 @@
             f"{line.get('node')} answered {line.get('status')} after "
             f"{line.get('waited_ms')} ms: {line.get('reason')}"
         )
+    if event == "submission_refused":
+        return (
+            f"{line.get('node')} refused it, to be tried again after "
+            f"{line.get('retry_after_s')} s: {line.get('reason')}"
+        )
     if event == "job_ended" and line.get("state") == "failed":
         return "a task used up the attempts that its queue allows"
     if event == "job_ended" and _is_late(line):
--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -34,6 +34,8 @@
         self._requests = meter.create_counter("requests", "1")
         self._request_ms = meter.create_histogram("request_time", "ms")
         self._refusals = meter.create_counter("refusals", "1")
+        self._refused_jobs = meter.create_counter("submissions_refused", "1")
+        self._waiting_jobs = meter.create_gauge("jobs_waiting", "1")
         self._jobs = meter.create_counter("jobs", "1")
         self._job_ms = meter.create_histogram("job_time", "ms")
         self._starts = meter.create_counter("starts", "1")
@@ -87,6 +89,28 @@
         if event.is_new:
             self._jobs.add(1, {"state": "accepted"})
 
+    @_record_event.register
+    def _record_refused_job(self, event: events.SubmissionRefused) -> None:
+        self._refused_jobs.add(
+            1,
+            {
+                "service": event.service,
+                "priority": event.priority,
+                "cause": event.cause,
+            },
+        )
+
+    @_record_event.register
+    def _record_waiting_jobs(self, event: events.JobsWaiting) -> None:
+        self._waiting_jobs.set(
+            event.jobs,
+            {
+                "service": event.service,
+                "priority": event.priority,
+                "outlook": event.outlook,
+            },
+        )
+
     @_record_event.register
     def _record_ended_job(self, event: events.JobEnded) -> None:
         self._jobs.add(1, {"state": event.state})
--- a/tarragoncleat/batch/bounds.py
+++ b/tarragoncleat/batch/bounds.py
@@ -20,6 +20,8 @@
         maintenance_ms: Time that an instance is down for maintenance.
         instance_calls_per_s: Maximum moves and maintenance orders a second.
         instance_reads_per_s: Maximum reads of the instance list a second.
+        controls_overload: Whether the work of jobs decides which of them get
+            too little room, and submissions may be refused for want of it.
     """
 
     max_lease_ms: int = 6_000
@@ -32,3 +34,4 @@
     maintenance_ms: int = 2_000
     instance_calls_per_s: float = 10.0
     instance_reads_per_s: float = 10.0
+    controls_overload: bool = False
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -8,6 +8,7 @@
 import anyio.abc
 import loguru
 
+from tarragoncleat.batch import admission
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import clients
@@ -99,7 +100,9 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._approval_cache = advice.ApprovalCache(advisor_client, timer)
         self._view_cache = worker_views.ViewCache()
-        self._planner = planner.Planner(state, self._approval_cache)
+        self._planner = planner.Planner(
+            state, self._approval_cache, bounds.controls_overload
+        )
         self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._rebalancer = pool_rebalancer.PoolRebalancer(
@@ -119,6 +122,31 @@
         """Term of this dispatcher."""
         return self._fence
 
+    def supply(self, service: str) -> admission.Supply | None:
+        """Returns the capacity for a service, or None if nothing waits there.
+
+        Instances that are idle in other pools count as able to move there.
+        """
+        demand = self._demands.get(service)
+        if demand is None or not (
+            demand.unplaced_millicores or demand.late_millicores
+        ):
+            return None
+        present = sum(
+            worker.record.cpu_millicores
+            for worker in self._state.workers.values()
+            if worker.record.service == service
+        )
+        idle = sum(
+            other.free_millicores
+            for name, other in self._demands.items()
+            if name != service
+        )
+        coming = self._rebalancer.arriving_counts().get(service, 0)
+        coming += self._rebalancer.spare_count
+        movable = idle + coming * demand.instance_millicores
+        return admission.Supply(present, movable, self._bounds.move_ms)
+
     def notify_state_changed(self) -> None:
         """Triggers a placement round after a possible change of the state."""
         self._state_changed.set()
@@ -528,8 +556,17 @@
                 self._wave_controller.is_reserved,
             )
 
+    def _log_waiting_jobs(self) -> None:
+        counts = admission.count_waiting(
+            self._state, self._timer.wall_time_ms()
+        )
+        for (service, priority, outlook), jobs in sorted(counts.items()):
+            event_log.emit(events.JobsWaiting(service, priority, outlook, jobs))
+
     async def _run_load_log(self) -> None:
         async for _ in self._timer.subscribe(_LOAD_LOG_INTERVAL_S):
+            if self._bounds.controls_overload:
+                self._log_waiting_jobs()
             arriving = self._rebalancer.arriving_counts()
             for service, demand in self._demands.items():
                 views = self._views.get(service, ())
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -16,6 +16,7 @@
     "JobAccepted",
     "JobCancelled",
     "JobEnded",
+    "JobsWaiting",
     "LeadershipChanged",
     "MaintenanceOrdered",
     "OperatorAnswered",
@@ -28,6 +29,7 @@
     "RunsStarted",
     "StartRefused",
     "StartsNotStored",
+    "SubmissionRefused",
     "TaskPaced",
     "TasksSuspected",
     "WaveAccepted",
@@ -114,6 +116,44 @@
     waited_ms: int
 
 
+@event_log.event("submission_refused", _HIGH)
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmissionRefused:
+    """The leader refused a job for want of room.
+
+    Attributes:
+        job: Id of the job.
+        queue: Name of its queue.
+        service: Service of the queue.
+        priority: Priority of the queue.
+        cause: One word for the rule that refused it.
+        reason: The same as a sentence.
+        retry_after_s: When the caller is told to come back.
+    """
+
+    job: str
+    queue: str
+    service: str
+    priority: int
+    cause: str
+    reason: str
+    retry_after_s: int
+
+
+@event_log.event("jobs_waiting", _LOW)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobsWaiting:
+    """Number of jobs of a service and priority of which nothing has started.
+
+    `outlook` is `in_time`, `late` or `expired`.
+    """
+
+    service: str
+    priority: int
+    outlook: str
+    jobs: int
+
+
 @event_log.event("job_ended", _HIGH)
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobEnded:
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -9,6 +9,7 @@
 
 import msgpack
 
+from tarragoncleat.batch import admission
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs as jobs_module
@@ -55,6 +56,7 @@
         node: log_node.LogNode,
         state: state_module.BatchState,
         timer: timer_module.TimerService,
+        control: admission.AdmissionControl | None = None,
     ) -> None:
         """Creates the service of a node that leads.
 
@@ -62,10 +64,12 @@
             node: The replicated log.
             state: The replicated state.
             timer: Clock.
+            control: Refuses submissions under overload; None to store all.
         """
         self._node = node
         self._state = state
         self._timer = timer
+        self._control = control
 
     async def submit(
         self, request: messages.SubmitRequest
@@ -78,6 +82,9 @@
                 return target
             if target.queue is None:
                 return self._refuse_submission(request, target, arrived_s)
+            refusal = await self._check_admission(request, target)
+            if refusal is not None:
+                return refusal
             decision = await self._store(request, target.queue, target.job)
             if isinstance(decision, errors.Failure):
                 return decision
@@ -88,6 +95,27 @@
                 return messages.Done()
         return _unstable_route()
 
+    async def _check_admission(
+        self, request: messages.SubmitRequest, target: _Target
+    ) -> errors.Failure | None:
+        """Returns the refusal of a job that certainly isn't stored, or None."""
+        control, queue = self._control, target.queue
+        if control is None or queue is None or target.job is not None:
+            return None
+        job_id = _job_id(queue, request.path)
+        if control.refusal(job_id, request.definition, queue) is None:
+            return None
+        latest = await self._read_target(request.host, request.path)
+        if isinstance(latest, errors.Failure):
+            return latest
+        if latest.job is not None or not _is_same_queue(latest.queue, queue):
+            return None
+        # Another attempt may have reached the log meanwhile.
+        failure = control.refusal(job_id, request.definition, queue)
+        if failure is not None:
+            control.record_refusal(job_id, queue, failure)
+        return failure
+
     async def read(
         self, request: messages.ReadRequest
     ) -> messages.QueueReply | messages.JobReply | errors.Failure:
@@ -146,9 +174,13 @@
         """Stores a job in a queue unless it is `job`, which is stored."""
         if job is None:
             job_id = _job_id(queue, request.path)
-            return await self._commit(
-                commands.SubmitJob(job_id, queue.key, request.definition)
-            )
+            command = commands.SubmitJob(job_id, queue.key, request.definition)
+            if self._control is None:
+                return await self._commit(command)
+            self._control.begin_commit(job_id)
+            result = await self._commit(command)
+            self._control.end_commit(job_id, result)
+            return result
         target = await self._read_target(request.host, request.path)
         if isinstance(target, errors.Failure):
             return target
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from tarragoncleat.batch import admission
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
@@ -38,6 +39,7 @@
         state: state_module.BatchState,
         timer: timer_module.TimerService,
         dispatcher: Callable[[], dispatcher_module.Dispatcher | None],
+        controls_overload: bool = False,
     ) -> None:
         """Creates the service.
 
@@ -46,15 +48,24 @@
             state: The replicated state.
             timer: Clock.
             dispatcher: Returns the dispatcher of the current term, if any.
+            controls_overload: Whether submissions may be refused for want of
+                room.
         """
         self._node = node
         self._state = state
         self._timer = timer
-        self._jobs = job_service.JobService(node, state, timer)
+        control = None
+        if controls_overload:
+            control = admission.AdmissionControl(state, timer, self._supply)
+        self._jobs = job_service.JobService(node, state, timer, control)
         self._dispatcher = dispatcher
         # Sequence number of the latest heartbeat by worker.
         self._sequences: dict[str, int] = {}
 
+    def _supply(self, service: str) -> admission.Supply | None:
+        dispatcher = self._dispatcher()
+        return dispatcher.supply(service) if dispatcher is not None else None
+
     async def handle(self, request: Any) -> Any:
         """Handles a request; returns a reply message or a `Failure`."""
         return await self._handle(request)
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -161,7 +161,11 @@
         )
         self._dispatcher: dispatcher_module.Dispatcher | None = None
         self._service = leader_service.LeaderService(
-            self._node, self._state, timer, lambda: self._dispatcher
+            self._node,
+            self._state,
+            timer,
+            lambda: self._dispatcher,
+            bounds.controls_overload,
         )
 
     @property
@@ -200,19 +204,21 @@
 
     async def call(self, request: object, timeout_s: float) -> Any:
         """Handles a request if this node leads, or else forwards it."""
+        is_undecided = False
         if self._node.is_leader:
             result = None
             with anyio.move_on_after(timeout_s):
                 result = await self._service.handle(request)
             if result is not None and not _is_no_leader(result):
                 return result
+            is_undecided = result is None
         elif isinstance(request, messages.Heartbeat) and (
             heartbeats.changes_nothing(
                 request, self._state, self._node.leader_silence_s
             )
         ):
             return messages.Done()
-        return await self._finder.call(request, timeout_s)
+        return await self._finder.call(request, timeout_s, is_undecided)
 
     def dump(self) -> dict:
         """Returns diagnostic state of the running process."""
@@ -283,7 +289,9 @@
         if isinstance(result, errors.Failure):
             if result.kind is errors.ErrorKind.NO_LEADER:
                 return cluster_messages.NotLeader(self._node.leader_id)
-            return cluster_messages.Refusal(result.kind, result.reason)
+            return cluster_messages.Refusal(
+                result.kind, result.reason, result.retry_after_s
+            )
         return result
 
 
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -39,6 +39,7 @@
         self,
         state: state_module.BatchState,
         approval_cache: advice.ApprovalCache | None = None,
+        controls_overload: bool = False,
     ) -> None:
         """Creates a planner that has made no plan yet.
 
@@ -46,10 +47,11 @@
             state: The replicated state, read only.
             approval_cache: Source of the tickets that steps of queues with
                 advice need for each worker; missing ones are requested.
+            controls_overload: Whether the order of jobs depends on their work.
         """
         self._state = state
         self._approval_cache = approval_cache
-        self._index = ready_steps.ReadyIndex()
+        self._index = ready_steps.ReadyIndex(controls_overload)
         self._demands: dict[str, pool_sizing.Demand] = {}
         # Whether late work of a service gave way to others in the last plan.
         self._gave_way: dict[str, bool] = {}
--- a/tarragoncleat/batch/pool_rebalancer.py
+++ b/tarragoncleat/batch/pool_rebalancer.py
@@ -110,6 +110,11 @@
         """Whether a move of an instance is planned or under way."""
         return instance in self._pending_moves or instance in self._arriving
 
+    @property
+    def spare_count(self) -> int:
+        """Number of instances in the spare pool, as known."""
+        return len(self._spare)
+
     def arriving_counts(self) -> dict[str, int]:
         """Returns the number of instances that are moving to each service."""
         arriving: dict[str, int] = {}
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/ready_steps.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch import job_order
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
+from tarragoncleat.batch import overload
 from tarragoncleat.batch import state as state_module
 
 __all__ = ["ReadyIndex", "ReadyStep", "ServiceSteps"]
@@ -76,8 +77,13 @@
 class ReadyIndex:
     """The ready steps of all active jobs by service."""
 
-    def __init__(self) -> None:
-        """Creates an empty index; `refresh` fills it."""
+    def __init__(self, controls_overload: bool = False) -> None:
+        """Creates an empty index; `refresh` fills it.
+
+        Args:
+            controls_overload: Whether the order depends on the jobs' work.
+        """
+        self._mean_work = overload.MeanWork() if controls_overload else None
         self._configuration: model.FleetConfiguration | None = None
         self._entries: dict[str, _Entry] = {}
         self._entries_by_service: dict[str, dict[str, _Entry]] = {}
@@ -144,7 +150,9 @@
         steps: tuple[ReadyStep, ...] = ()
         if policy is not None:
             service = policy.service
-            steps = tuple(_ready_steps(job, policy))
+            if self._mean_work is not None and not job.has_started:
+                self._mean_work.add(job)
+            steps = tuple(_ready_steps(job, policy, self._mean_work))
         entry = _Entry(job, job.revision, service, steps)
         self._entries[job.job_id] = entry
         if service is not None:
@@ -187,11 +195,13 @@
 
 
 def _ready_steps(
-    job: jobs_module.Job, policy: model.QueuePolicy
+    job: jobs_module.Job,
+    policy: model.QueuePolicy,
+    mean_work: overload.MeanWork | None,
 ) -> Iterator[ReadyStep]:
     rank = None
     for occurrence in job.occurrences.values():
         for step in occurrence.steps:
             if step.waiting and occurrence.is_ready(step):
-                rank = rank or job_order.rank(job, policy)
+                rank = rank or job_order.rank(job, policy, mean_work)
                 yield ReadyStep(step, rank, policy.advice is not None)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -75,6 +75,18 @@
         self.assertEqual(loaded.bounds.maintenance_ms, 2_500)
         self.assertIsNone(loaded.caller_address)
 
+    def test_overload_is_controlled_only_on_request(self) -> None:
+        """Guards against refusals and an order that no settings ask for."""
+        for contracts, expected in (
+            ("", False),
+            ("contracts=\n", False),
+            ("contracts=other,pressures\n", False),
+            ("contracts=other, pressure\n", True),
+        ):
+            loaded = self._load(_SETTINGS + contracts)
+            assert isinstance(loaded, settings_file.NodeSettings)
+            self.assertIs(loaded.bounds.controls_overload, expected, contracts)
+
     def test_invalid_settings_are_a_failure(self) -> None:
         """Guards against a process that starts with an invalid value."""
         for old, new in (
--- a/tests/test_batch_metrics.py
+++ b/tests/test_batch_metrics.py
@@ -47,8 +47,18 @@
             events.OperatorAnswered("GET", "/config", 503, "no leader", 900)
         )
         metrics.record_event(loop_monitor.LoopDelayed(250, 400))
+        metrics.record_event(
+            events.SubmissionRefused(
+                "j", "bids", "bidding", 1, "unservable", "no room", 9
+            )
+        )
+        metrics.record_event(events.JobsWaiting("bidding", 1, "late", 17))
         text = metrics.render().decode()
         self.assertRegex(text, r'state="schedulable"[^}]*\} 6\.0')
         self.assertRegex(text, r'use="unplaced"[^}]*\} 9\.5')
         self.assertRegex(text, r'operator_requests_total\{[^}]*"503"[^}]*\} 1')
+        self.assertRegex(
+            text, r'submissions_refused_total\{[^}]*"bidding"[^}]*\} 1\.0'
+        )
+        self.assertRegex(text, r'jobs_waiting\{[^}]*"late"[^}]*\} 17\.0')
         self.assertRegex(text, r"loop_delay[a-z_]*_sum(\{[^}]*\})? 250\.0")
--- a/tests/test_refusals_explained.py
+++ b/tests/test_refusals_explained.py
@@ -14,6 +14,7 @@
 from tarragoncleat.administration import explain
 from tarragoncleat.batch import bounds
 from tarragoncleat.batch import messages
+from tarragoncleat.batch import model
 from tarragoncleat.batch import nodes
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import errors
@@ -22,6 +23,7 @@
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 from tests import builders
+from tests import load_builders
 
 _ADDRESS = (f"{builders.LOOPBACK}.78.1", 9_482)
 _ZONE = ids.AvailabilityZone("fukuoka-a")
@@ -41,7 +43,7 @@
 class _System:
     """One control node and one entry, in this process over real links."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, controls_overload: bool) -> None:
         timer = timer_module.TimerService()
         node_id = log_node.load_identity(folder, *_ADDRESS, True)
         assert not isinstance(node_id, errors.Failure)
@@ -52,7 +54,7 @@
             [_ADDRESS],
             0,
             timer,
-            bounds.Bounds(),
+            bounds.Bounds(controls_overload=controls_overload),
             batch_builders.FakeWorker,
             batch_builders.FakeInstanceClient(),
             batch_builders.FakeAdvisorClient(),
@@ -88,9 +90,18 @@
         self.answers.setdefault(job_id, []).append(response.status)
         return response.status
 
-    async def configure(self) -> None:
+    async def configure(
+        self, configuration: model.FleetConfiguration | None = None
+    ) -> None:
         """Puts a configuration in force."""
-        request = messages.PutRequest(batch_builders.build_configuration())
+        await self.call(
+            messages.PutRequest(
+                configuration or batch_builders.build_configuration()
+            )
+        )
+
+    async def call(self, request: object) -> None:
+        """Sends a request to the control node until it succeeds."""
         while isinstance(await self.control.call(request, 1.0), errors.Failure):
             await anyio.sleep(0.02)
 
@@ -110,11 +121,13 @@
         return len(data)
 
     def _run_scenario(
-        self, scenario: Callable[[_System], Awaitable[None]]
+        self,
+        scenario: Callable[[_System], Awaitable[None]],
+        controls_overload: bool = False,
     ) -> _System:
         async def main() -> _System:
             with tempfile.TemporaryDirectory() as folder:
-                system = _System(pathlib.Path(folder))
+                system = _System(pathlib.Path(folder), controls_overload)
                 with anyio.fail_after(_TIMEOUT_S):
                     async with anyio.create_task_group() as tasks:
                         tasks.start_soon(system.entry.run)
@@ -175,6 +188,49 @@
                 self.assertIsNone(explanation.cause, job_id)
         self.assertNotIn(_SECRET, json.dumps(self.lines))
 
+    def test_refusal_for_want_of_room_names_the_backlog(self) -> None:
+        """Guards against a refused caller whose operator can't see why.
+
+        More urgent work holds the service for longer than the job is of use.
+        """
+        urgent = {**_JOB["steps"][0], "count": 900, "estimated-ms": 60_000}
+
+        async def scenario(system: _System) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.control.run)
+                kinds = {"urgent": 0, "usual": 1}
+                await system.configure(load_builders.configure(kinds))
+                record = batch_builders.build_record()
+                await system.call(messages.Heartbeat(record, False, 1))
+
+                async def is_flooded() -> bool:
+                    body = {**_JOB, "steps": [urgent]}
+                    status = await system.send(
+                        "POST", "flood", body, "/urgent/"
+                    )
+                    return status == 200
+
+                async def is_refused() -> bool:
+                    job_id = f"usual-{len(system.answers)}"
+                    status = await system.send("POST", job_id, _JOB, "/usual/")
+                    return status == 503
+
+                await self._wait_until(is_flooded)
+                await self._wait_until(is_refused)
+                tasks.cancel_scope.cancel()
+
+        system = self._run_scenario(scenario, controls_overload=True)
+        job_id, statuses = list(system.answers.items())[-1]
+        self.assertEqual(statuses, [503])
+        refused = [
+            line
+            for line in self.lines
+            if line["event"] == "submission_refused" and line["job"] == job_id
+        ]
+        self.assertEqual(refused[0]["service"], "bidding")
+        cause = explain.explain(job_id, self.lines).cause or ""
+        self.assertIn("bidding has more urgent work", cause)
+
 
 if __name__ == "__main__":
     unittest.main()
