Rank a new leader's jobs by the mean of all that wait

Cause: the mean work of a queue began with the first job that a leader saw, so the first jobs of a term were ranked by themselves, and kept that rank while they waited. Change: the index takes in all active jobs before it ranks the first one, and the first jobs of a queue count with their plain mean. docs/platform.md names the design notes. Conclusion: the order of a term doesn't depend on which job comes first.

--- a/tarragoncleat/batch/overload.py
+++ b/tarragoncleat/batch/overload.py
@@ -75,12 +75,16 @@
     def __init__(self) -> None:
         """Creates means without samples."""
         self._means: dict[model.QueueKey, float] = {}
+        self._counts: dict[model.QueueKey, int] = {}
 
     def add(self, job: jobs_module.Job) -> None:
         """Adds a job."""
-        core_ms = total_work(job.definition)
-        mean = self._means.get(job.queue, float(core_ms))
-        self._means[job.queue] = mean + _MEAN_WEIGHT * (core_ms - mean)
+        count = self._counts[job.queue] = self._counts.get(job.queue, 0) + 1
+        mean = self._means.get(job.queue, 0.0)
+        # The plain mean of the first jobs.
+        weight = max(_MEAN_WEIGHT, 1 / count)
+        difference = total_work(job.definition) - mean
+        self._means[job.queue] = mean + weight * difference
 
     def mean(self, queue: model.QueueKey) -> float:
         """Returns the mean of a queue in core-ms; 0 without samples."""
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/ready_steps.py
@@ -129,6 +129,10 @@
             self._entries.clear()
             self._entries_by_service.clear()
         active = state.active_jobs
+        if self._mean_work is not None and not self._entries:
+            # A new leader ranks what waits by all of it.
+            for job in active.values():
+                self._mean_work.add(job)
         for job_id, job in active.items():
             entry = self._entries.get(job_id)
             if (
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -288,6 +288,22 @@
         )
         self.assertNotEqual(orders[0], orders[1])
 
+    def test_new_leader_ranks_by_all_that_waits(self) -> None:
+        """Guards against an order that depends on which job it sees first."""
+        local = batch_builders.LocalState()
+        sizes = [1, *[40] * 10, *[1] * 10]
+        for number, size in enumerate(sizes):
+            local.submit(f"job-{number}", batch_builders.build_step(size))
+        index = ready_steps.ReadyIndex(controls_overload=True)
+        index.refresh(local.state, local.time_ms)
+        bands: dict[int, set[int]] = {1: set(), 40: set()}
+        for ready in index.services["bidding"].in_time:
+            band = ready.rank.in_time_key[2]
+            bands[ready.step.definition.task_count].add(band)
+        self.assertEqual(bands[1], {0})
+        # The other large ones are those with a bounded wait.
+        self.assertEqual(bands[40], {0, 4})
+
     def test_some_of_each_size_wait_for_a_bounded_time(self) -> None:
         """Guards against sizes that starve while smaller jobs keep coming."""
         mean_work = overload.MeanWork()
