--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -151,6 +151,11 @@
         )
     if event == "caller_refused":
         return _CALLER_CAUSES.get(str(line.get("key")))
+    if event == "submission_refused":
+        return (
+            f"{line.get('node')} refused it, to be tried again after "
+            f"{line.get('retry_after_s')} s: {line.get('reason')}"
+        )
     if event == "job_ended" and line.get("state") == "failed":
         return "a task used up the attempts that its queue allows"
     if event == "job_ended" and _is_late(line):
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from tarragoncleat.batch import admission
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
 from tarragoncleat.batch import job_routing
@@ -42,6 +43,7 @@
         node: log_node.LogNode,
         state: state_module.BatchState,
         timer: timer_module.TimerService,
+        control: admission.AdmissionControl | None = None,
     ) -> None:
         """Creates the service of a node that leads.
 
@@ -49,11 +51,13 @@
             node: The replicated log.
             state: The replicated state.
             timer: Clock.
+            control: Refuses submissions under overload; None to store all.
         """
         self._node = node
         self._router = job_routing.JobRouter(node, state)
         self._state = state
         self._timer = timer
+        self._control = control
 
     async def submit(
         self, request: messages.SubmitRequest
@@ -66,6 +70,9 @@
                 return target
             if target.queue is None or target.caller is None:
                 return self._refuse_submission(request, target, arrived_s)
+            refusal = await self._check_admission(request, target)
+            if refusal is not None:
+                return refusal
             decision = await self._store(request, target)
             if isinstance(decision, errors.Failure):
                 return decision
@@ -76,6 +83,29 @@
                 return messages.Done()
         return _unstable_route()
 
+    async def _check_admission(
+        self, request: messages.SubmitRequest, target: job_routing.Target
+    ) -> errors.Failure | None:
+        """Returns the refusal of a job that certainly isn't stored, or None."""
+        control, queue = self._control, target.queue
+        if control is None or queue is None or target.job is not None:
+            return None
+        job_id = job_routing.job_id_of(queue, request.path)
+        if control.refusal(job_id, request.definition, queue) is None:
+            return None
+        latest = await self._router.read(request)
+        if isinstance(latest, errors.Failure):
+            return latest
+        if latest.job is not None or not latest.has_queue(queue):
+            return None
+        if latest.caller is None:
+            return None
+        # Another attempt may have reached the log meanwhile.
+        failure = control.refusal(job_id, request.definition, queue)
+        if failure is not None:
+            control.record_refusal(job_id, queue, failure)
+        return failure
+
     async def read(
         self, request: messages.ReadRequest
     ) -> messages.QueueReply | messages.JobReply | errors.Failure:
@@ -130,7 +160,7 @@
     ) -> commands.JobDecision | errors.Failure:
         """Stores the job of a target that was located, if it isn't stored."""
         if target.job is None:
-            return await self._commit(self._submit_command(request, target))
+            return await self._commit_submission(request, target)
         latest = await self._router.read(request)
         if isinstance(latest, errors.Failure):
             return latest
@@ -142,6 +172,17 @@
             return commands.JobDecision.ALREADY_STORED
         return commands.JobDecision.ID_TAKEN
 
+    async def _commit_submission(
+        self, request: messages.SubmitRequest, target: job_routing.Target
+    ) -> commands.JobDecision | errors.Failure:
+        command = self._submit_command(request, target)
+        if self._control is None:
+            return await self._commit(command)
+        self._control.begin_commit(command.job_id)
+        result = await self._commit(command)
+        self._control.end_commit(command.job_id, result)
+        return result
+
     def _submit_command(
         self, request: messages.SubmitRequest, target: job_routing.Target
     ) -> commands.SubmitJob | commands.SubmitCustomerJob:
