Compute the capacity behind refusals in the admission module

Change: admission.build_supply and admission.log_waiting; capacity that is overdrawn on shrunken workers of other pools counts as 0.

--- a/tarragoncleat/batch/admission.py
+++ b/tarragoncleat/batch/admission.py
@@ -7,7 +7,7 @@
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import dataclasses
 import math
 import zlib
@@ -17,12 +17,19 @@
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import overload
+from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
 
-__all__ = ["AdmissionControl", "Backlog", "Supply", "count_waiting"]
+__all__ = [
+    "AdmissionControl",
+    "Backlog",
+    "Supply",
+    "build_supply",
+    "log_waiting",
+]
 
 _MS_PER_S = 1_000
 _MILLICORES_PER_CORE = 1_000
@@ -63,6 +70,43 @@
         return (millicore_ms + late_ms) / all_millicores
 
 
+def build_supply(
+    service: str,
+    state: state_module.BatchState,
+    demands: Mapping[str, pool_sizing.Demand],
+    coming: int,
+    move_ms: int,
+) -> Supply | None:
+    """Returns the capacity for a service, or None if nothing waits there.
+
+    What is idle in other pools counts as able to move there.
+
+    Args:
+        service: Name of the service.
+        state: The replicated state.
+        demands: Load by service.
+        coming: Number of instances that are switched off or on their way.
+        move_ms: Duration of a move.
+    """
+    demand = demands.get(service)
+    if demand is None or not (
+        demand.unplaced_millicores or demand.late_millicores
+    ):
+        return None
+    present = sum(
+        worker.record.cpu_millicores
+        for worker in state.workers.values()
+        if worker.record.service == service
+    )
+    idle = sum(
+        max(0, other.free_millicores)
+        for name, other in demands.items()
+        if name != service
+    )
+    movable = idle + coming * demand.instance_millicores
+    return Supply(present, movable, move_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class _WaitingTasks:
     """Tasks of one demand that may start and have no worker.
@@ -301,13 +345,10 @@
         return max(1, min(_MAX_RETRY_AFTER_S, seconds))
 
 
-def count_waiting(
-    state: state_module.BatchState, now_ms: int
-) -> collections.Counter[tuple[str, int, str]]:
-    """Returns the number of jobs not started by service, priority and outlook.
+def log_waiting(state: state_module.BatchState, now_ms: int) -> None:
+    """Logs the number of jobs not started by service, priority and outlook.
 
-    The outlook is `in_time`, `late`, or `expired` if a result would come too
-    late to be of use. Numbers of 0 are included for the queues in force.
+    Numbers of 0 are included for the queues in force.
     """
     counts: collections.Counter[tuple[str, int, str]] = collections.Counter()
     configuration = state.configuration
@@ -323,7 +364,8 @@
         if now_ms > rank.latest_start_ms:
             outlook = "late" if now_ms <= rank.expires_ms else "expired"
         counts[policy.service, policy.priority, outlook] += 1
-    return counts
+    for (service, priority, outlook), jobs in sorted(counts.items()):
+        event_log.emit(events.JobsWaiting(service, priority, outlook, jobs))
 
 
 def _goes_before(
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -123,29 +123,15 @@
         return self._fence
 
     def supply(self, service: str) -> admission.Supply | None:
-        """Returns the capacity for a service, or None if nothing waits there.
-
-        Instances that are idle in other pools count as able to move there.
-        """
-        demand = self._demands.get(service)
-        if demand is None or not (
-            demand.unplaced_millicores or demand.late_millicores
-        ):
-            return None
-        present = sum(
-            worker.record.cpu_millicores
-            for worker in self._state.workers.values()
-            if worker.record.service == service
-        )
-        idle = sum(
-            other.free_millicores
-            for name, other in self._demands.items()
-            if name != service
-        )
+        """Returns a service's capacity, or None if nothing waits there."""
         coming = self._rebalancer.arriving_counts().get(service, 0)
-        coming += self._rebalancer.spare_count
-        movable = idle + coming * demand.instance_millicores
-        return admission.Supply(present, movable, self._bounds.move_ms)
+        return admission.build_supply(
+            service,
+            self._state,
+            self._demands,
+            coming + self._rebalancer.spare_count,
+            self._bounds.move_ms,
+        )
 
     def notify_state_changed(self) -> None:
         """Triggers a placement round after a possible change of the state."""
@@ -556,17 +542,10 @@
                 self._wave_controller.is_reserved,
             )
 
-    def _log_waiting_jobs(self) -> None:
-        counts = admission.count_waiting(
-            self._state, self._timer.wall_time_ms()
-        )
-        for (service, priority, outlook), jobs in sorted(counts.items()):
-            event_log.emit(events.JobsWaiting(service, priority, outlook, jobs))
-
     async def _run_load_log(self) -> None:
         async for _ in self._timer.subscribe(_LOAD_LOG_INTERVAL_S):
             if self._bounds.controls_overload:
-                self._log_waiting_jobs()
+                admission.log_waiting(self._state, self._timer.wall_time_ms())
             arriving = self._rebalancer.arriving_counts()
             for service, demand in self._demands.items():
                 views = self._views.get(service, ())
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -19,6 +19,7 @@
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
 from tarragoncleat.batch import overload
+from tarragoncleat.batch import pool_sizing
 from tarragoncleat.batch import ready_steps
 from tarragoncleat.cluster import messages as cluster_messages
 from tarragoncleat.kernel import codec
@@ -472,6 +473,29 @@
         # 16 tasks on as many cores wait no longer than until they start.
         self.assertEqual(_Leader(16).submit("few-ahead"), messages.Done())
 
+    def test_supply_counts_what_can_come(self) -> None:
+        """Guards against refusals while other pools have idle instances."""
+        local = batch_builders.LocalState()
+        local.register("w-1", "w-2")
+        local.register("w-3", service="closing")
+        demands = {
+            "bidding": pool_sizing.Demand(
+                late_millicores=1, instance_millicores=4_000
+            ),
+            "closing": pool_sizing.Demand(free_millicores=3_000),
+            "shrunk": pool_sizing.Demand(free_millicores=-500),
+        }
+        supply = admission.build_supply(
+            "bidding", local.state, demands, 2, 1_500
+        )
+        self.assertEqual(supply, admission.Supply(8_000, 11_000, 1_500))
+        # 12 core-s in the 1.5 s before the move, then 19 cores.
+        assert supply is not None
+        self.assertEqual(supply.drain_ms(12_000), 1_500)
+        self.assertEqual(supply.drain_ms(12_000 + 19_000), 2_500)
+        idle = admission.build_supply("closing", local.state, demands, 0, 0)
+        self.assertIsNone(idle)
+
     def test_stored_submission_is_never_refused(self) -> None:
         """Guards against a refusal of a job that runs all the same."""
         flooded = _Leader()
