--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,8 +13,11 @@
 from fleet_adapter import caller_app
 from fleet_adapter import control_app
 from fleet_adapter import http_messages
+from fleet_adapter import instance_client
+from fleet_adapter import json_client
 from fleet_adapter import settings_file
 from fleet_adapter import wire
+from tarragoncleat.batch import clients
 from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs
 from tarragoncleat.batch import messages
@@ -224,6 +227,38 @@
         self.assertEqual(wire.parse_task_name(wire.format_task_name(key)), key)
 
 
+class InstanceListTest(unittest.TestCase):
+    """Guards against a list that one entry of another writer makes useless."""
+
+    def test_malformed_entries_are_left_out(self) -> None:
+        """The other entries hold; an unknown state is no usable one."""
+        row = {"machine": "m-1", "pool": "p", "state": "up", "id": "i-1"}
+        malformed = [None, "m-2", {"machine": "m-2"}]
+        malformed += [{**row, name: 5} for name in ("machine", "pool", "state")]
+        rows = [*malformed, row, {**row, "state": "resting"}]
+        answer = (200, {"machines": rows})
+        call = unittest.mock.AsyncMock(return_value=answer)
+        client = instance_client.HttpInstanceClient(None)
+        with unittest.mock.patch.object(json_client.JsonClient, "call", call):
+            listed = anyio.run(client.list_instances)
+        states = clients.InstanceState
+        self.assertEqual(
+            listed,
+            tuple(
+                clients.InstanceRecord("m-1", "p", state, "i-1")
+                for state in (states.UP, states.DOWN)
+            ),
+        )
+
+    def test_answer_without_a_list_is_a_failure(self) -> None:
+        """Guards against an empty list in place of an unread one."""
+        call = unittest.mock.AsyncMock(return_value=(200, {"machines": None}))
+        client = instance_client.HttpInstanceClient(None)
+        with unittest.mock.patch.object(json_client.JsonClient, "call", call):
+            listed = anyio.run(client.list_instances)
+        self.assertIsInstance(listed, errors.Failure)
+
+
 class AppTest(unittest.TestCase):
     """Guards against statuses that misreport the outcome of a request."""
 
