Tell the incarnations of a worker apart that keeps its id

Cause: a worker may start again under its id and then knows nothing of before, while the id stood for one incarnation: ends with low numbers were acknowledged unread, heartbeats with low numbers ignored, an id that had left refused for ever, a late heartbeat or leaving ended or revived the wrong incarnation, and a late start ran on the next one beside a run elsewhere. Change: where a worker tells when it started, its id in the product names the incarnation; only the adapter knows the field. The order of the log decides which incarnation is the latest. The tasks of a former one start elsewhere only after its successor has accepted stops of all runs that it might be told to start.

--- a/tarragoncleat/batch/clients.py
+++ b/tarragoncleat/batch/clients.py
@@ -33,7 +33,8 @@
 
     FENCED means that a later term's token was seen, SUPERSEDED that the order
     is obsolete, EXPIRED that its lease had expired on arrival, and GONE that
-    the worker's incarnation has ended.
+    the worker's incarnation has ended. RESTARTED means that it has ended too,
+    and that a later incarnation under the same name has accepted the order.
     """
 
     ACCEPTED = "accepted"
@@ -45,6 +46,7 @@
     UNHEALTHY = "unhealthy"
     REFUSED = "refused"
     GONE = "gone"
+    RESTARTED = "restarted"
     UNANSWERED = "unanswered"
 
 
@@ -133,11 +135,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """A worker's answer to `RenewLeaseOrder`."""
+    """A worker's answer to `RenewLeaseOrder`.
+
+    With `is_successor` it is the answer of a later incarnation under the same
+    name, which holds and knows nothing of the one that was called.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    is_successor: bool = False
 
 
 class WorkerClient(Protocol):
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -21,6 +21,7 @@
 from tarragoncleat.batch import planner
 from tarragoncleat.batch import pool_rebalancer
 from tarragoncleat.batch import pool_sizing
+from tarragoncleat.batch import restarts
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import wave_controller
 from tarragoncleat.batch import worker_health
@@ -87,6 +88,7 @@
         self._fence = node.term
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._unusable_workers: set[str] = set()
+        self._late_starts = restarts.LateStarts()
         self._departures = departures.Departures()
         self._health = worker_health.WorkerHealth()
         self._pending_ends: list[commands.RunEnd] = []
@@ -220,6 +222,11 @@
                 worker.state is worker_state.WorkerState.LEASE_EXPIRED
                 or (other.has_lease_expired and not other.is_responsive)
             )
+            is_superseded = worker_id in self._state.superseded_workers
+            if is_superseded and not has_lease_expired:
+                # It ends once its runs can't start on its successor.
+                other.end_by_restart()
+                continue
             if has_lease_expired or session.supersedes(other):
                 self._log_lost_worker(worker_id, "followed")
                 self._start_soon(
@@ -230,7 +237,8 @@
     def on_worker_ended(self, session: worker_session.WorkerSession) -> None:
         """Marks a worker whose incarnation has ended as lost."""
         worker_id = session.record.worker_id
-        self._log_lost_worker(worker_id, "gone")
+        change = "restarted" if session.was_restarted else "gone"
+        self._log_lost_worker(worker_id, change)
         self._start_soon(
             self.commit, commands.MarkWorkersLost((worker_id,), is_final=True)
         )
@@ -347,12 +355,17 @@
         workers = self._state.workers
         for worker_id in list(self._sessions):
             if worker_id not in workers:
-                self._sessions.pop(worker_id).close()
+                session = self._sessions.pop(worker_id)
+                self._late_starts.keep(worker_id, session.unanswered_starts())
+                session.close()
         for worker_id, worker in workers.items():
             if self._tasks is None or worker_id in self._unusable_workers:
                 continue
             if worker_id not in self._sessions:
                 self._open_session(worker.record, self._tasks)
+        for worker_id in self._state.superseded_workers:
+            if worker_id in self._sessions:
+                self._sessions[worker_id].end_by_restart()
 
     def _open_session(
         self, record: model.WorkerRecord, tasks: anyio.abc.TaskGroup
@@ -376,6 +389,8 @@
             self._bounds,
             self._fence,
         )
+        for task, run in self._late_starts.pop(record.worker_id):
+            session.refuse_start(task, run)
         self._sessions[record.worker_id] = session
         tasks.start_soon(self._run_session, session)
 
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader_service.py
@@ -9,6 +9,7 @@
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
+from tarragoncleat.batch import incarnations
 from tarragoncleat.batch import job_service
 from tarragoncleat.batch import messages
 from tarragoncleat.batch import model
@@ -130,6 +131,8 @@
         record = request.worker
         if self._state.has_worker_ended(record.worker_id):
             return messages.Done()
+        if self._state.incarnations.is_superseded(record.worker_id):
+            return messages.Done()
         is_latest = self._record_sequence(request)
         worker = self._state.workers.get(record.worker_id)
         if worker is None:
@@ -204,17 +207,40 @@
 
     @_handle.register
     async def _end_worker(self, request: messages.WorkerLeft) -> Any:
+        worker_id = request.worker_id
+        name, started_ms = incarnations.split_worker_id(worker_id)
+        if not started_ms and self._state.incarnations.tells_start(name):
+            return await self._end_draining_incarnation(name)
         # Its registration may be in the log and not in the state yet. A worker
         # that leaves as draining hasn't crashed.
         for command in (
-            commands.DrainWorker(request.worker_id),
-            commands.MarkWorkersLost((request.worker_id,), is_final=True),
+            commands.DrainWorker(worker_id),
+            commands.MarkWorkersLost((worker_id,), is_final=True),
         ):
             result = await self._commit(command)
             if isinstance(result, errors.Failure):
                 return result
         return messages.Done()
 
+    async def _end_draining_incarnation(self, name: str) -> Any:
+        """Handles the leaving of a worker that doesn't tell which life ended.
+
+        Only a draining one can have left. Of an active one it may be a late
+        message of its predecessor; if it is gone, its lease ends instead.
+        """
+        leaving = tuple(
+            worker_id
+            for worker_id, worker in self._state.workers.items()
+            if incarnations.split_worker_id(worker_id)[0] == name
+            and worker.state is worker_state.WorkerState.DRAINING
+        )
+        if not leaving:
+            return await self._node.read(messages.Done)
+        result = await self._commit(
+            commands.MarkWorkersLost(leaving, is_final=True)
+        )
+        return result if isinstance(result, errors.Failure) else messages.Done()
+
     @_handle.register
     async def _request_wave(self, request: messages.WaveRequest) -> Any:
         if request.wave not in self._state.waves:
--- a/tarragoncleat/batch/messages.py
+++ b/tarragoncleat/batch/messages.py
@@ -11,6 +11,7 @@
     "ConfigurationReply",
     "Done",
     "Heartbeat",
+    "IncarnationHeartbeat",
     "JobReply",
     "PutRequest",
     "QueueReply",
@@ -84,6 +85,16 @@
     remaining_ms: int | None = None
 
 
+@codec.message("batch_incarnation_heartbeat")
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncarnationHeartbeat(Heartbeat):
+    """A report of a worker that tells when it started.
+
+    Earlier builds don't know the message. They would call the worker by the id
+    of its incarnation, which it refuses, and count it as ended.
+    """
+
+
 @codec.message("batch_worker_left")
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerLeft:
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -10,6 +10,7 @@
 
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import crashes
+from tarragoncleat.batch import incarnations
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
 from tarragoncleat.batch import queue_table
@@ -44,6 +45,9 @@
         # A delayed heartbeat must not register an ended incarnation again. A
         # dict serves as an ordered set.
         self._ended_workers: dict[str, None] = {}
+        # Of the workers and of the ended ones; both are in a snapshot.
+        self._incarnations = incarnations.IncarnationIndex()
+        self._superseded_workers: dict[str, None] = {}
         self._waves: dict[int, waves.Wave] = {}
         self._time_ms = 0
         self._applied_count = 0
@@ -104,6 +108,16 @@
         """Whether a worker's incarnation is known to have ended."""
         return worker_id in self._ended_workers
 
+    @property
+    def incarnations(self) -> incarnations.IncarnationIndex:
+        """The known incarnations of workers that tell when they started."""
+        return self._incarnations
+
+    @property
+    def superseded_workers(self) -> collections.abc.Collection[str]:
+        """Workers that started again, and whose end is not recorded yet."""
+        return self._superseded_workers.keys()
+
     def job(self, job_id: str) -> jobs_module.Job | None:
         """Returns a job, including a recently ended one, or None."""
         return self._jobs.get(job_id)
@@ -218,6 +232,8 @@
         record = command.worker
         if record.worker_id in self._ended_workers:
             return False
+        if self._incarnations.is_superseded(record.worker_id):
+            return False
         existing = self._workers.get(record.worker_id)
         if existing is not None:
             if existing.state is worker_state.WorkerState.LEASE_EXPIRED:
@@ -280,6 +296,7 @@
             job is None
             or worker is None
             or worker.state is not worker_state.WorkerState.UP
+            or run_start.worker_id in self._superseded_workers
         ):
             return False
         policy = self.policy_of(job)
@@ -347,6 +364,10 @@
         self._workers[record.worker_id] = worker
         names = self._workers_by_instance.setdefault(record.instance, [])
         names.append(record.worker_id)
+        self._incarnations.add(record.worker_id)
+        for worker_id in self._incarnations.earlier(record.worker_id):
+            if worker_id in self._workers:
+                self._superseded_workers[worker_id] = None
 
     def _end_worker(self, worker_id: str) -> None:
         """Ends an incarnation, also one that has not registered yet."""
@@ -354,8 +375,11 @@
         if worker is not None:
             self._remove_worker(worker)
         self._ended_workers[worker_id] = None
+        self._incarnations.add(worker_id)
         if len(self._ended_workers) > _MAX_ENDED_WORKERS:
-            del self._ended_workers[next(iter(self._ended_workers))]
+            oldest_id = next(iter(self._ended_workers))
+            del self._ended_workers[oldest_id]
+            self._incarnations.discard(oldest_id)
 
     def _has_crashed(self, worker: worker_state.Worker) -> bool:
         """Whether a worker that has ended did so unplanned, with tasks."""
@@ -394,6 +418,7 @@
         self._requeue_tasks(worker)
         record = worker.record
         del self._workers[record.worker_id]
+        self._superseded_workers.pop(record.worker_id, None)
         self._workers_by_instance[record.instance].remove(record.worker_id)
         if not self._workers_by_instance[record.instance]:
             del self._workers_by_instance[record.instance]
@@ -486,6 +511,9 @@
             wave = waves.Wave.unpack(packed)
             self._waves[wave.number] = wave
         self._ended_workers = dict.fromkeys(values[7])
+        self._incarnations = incarnations.IncarnationIndex(
+            (*self._workers, *self._ended_workers)
+        )
         if len(values) > _CRASH_EVIDENCE:
             self._restore_crash_evidence(values[_CRASH_EVIDENCE])
 
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/worker_session.py
@@ -12,8 +12,10 @@
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
+from tarragoncleat.batch import incarnations
 from tarragoncleat.batch import leases
 from tarragoncleat.batch import model
+from tarragoncleat.batch import restarts
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_state
 from tarragoncleat.kernel import event_log
@@ -33,6 +35,8 @@
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
 _MAX_SILENCE_S = 3.2
+# Kept starts without an answer, which a successor may carry out late.
+_MAX_UNANSWERED_STARTS = 64
 
 _Outcome = clients.OrderOutcome
 _RunId = tuple[model.TaskKey, int]
@@ -108,6 +112,12 @@
         self._report_received_s: float | None = None
         self._report_requested_s = 0.0
         self._has_ended = False
+        self._restart_found = anyio.Event()
+        _, started_ms = incarnations.split_worker_id(record.worker_id)
+        self._may_be_followed = started_ms > 0
+        self._unanswered_starts: deque[_RunId] = deque(
+            maxlen=_MAX_UNANSWERED_STARTS
+        )
         self._running: dict[_RunId, clients.RunningTask] = {}
         self._orders: deque[Callable[[], Awaitable[None]]] = deque()
         self._order_available = anyio.Event()
@@ -175,6 +185,22 @@
         """Whether no task can run on the worker, as every lease has expired."""
         return self._leases.is_expired(self._timer.monotonic_s())
 
+    @property
+    def was_restarted(self) -> bool:
+        """Whether the worker has started again under the same name."""
+        return self._restart_found.is_set()
+
+    def end_by_restart(self) -> None:
+        """Ends the session of a worker that has a later incarnation.
+
+        The listener is told once no run of this incarnation can start on that
+        one.
+        """
+        if not self._has_ended:
+            self._has_ended = True
+            self._has_report = False
+            self._restart_found.set()
+
     def close(self) -> None:
         """Cancels the session."""
         self._has_ended = True
@@ -188,6 +214,7 @@
                     for _ in range(_MAX_PARALLEL_ORDERS):
                         tasks.start_soon(self._send_orders)
                     tasks.start_soon(self._renew_leases)
+                    tasks.start_soon(self._settle_restart)
         finally:
             with anyio.CancelScope(shield=True):
                 await self._client.close()
@@ -218,6 +245,17 @@
             self._paces[(task, run)] = percent
             self._enqueue(lambda: self._pace(task, run, percent))
 
+    def unanswered_starts(self) -> set[_RunId]:
+        """Returns runs whose start may reach the worker's successor."""
+        return {
+            *self._unanswered_starts,
+            *(self._ordered - {*self._answered_s}),
+        }
+
+    def refuse_start(self, task: model.TaskKey, run: int) -> None:
+        """Queues a stop of a run that the worker's predecessor was to start."""
+        self._enqueue(lambda: self._refuse_start(task, run))
+
     def retry_now(self) -> None:
         """Skips the delay after a failed lease renewal."""
         self._retry_requested.set()
@@ -235,13 +273,15 @@
 
     async def _start(self, order: _StartOrder) -> None:
         was_unanswered = False
-        while self._is_current(order.task, order.run):
+        while self._may_start(order):
             if not self._has_room(order.task):
                 await self._withdraw_start(order, was_unanswered)
                 return
             reply = await self._send_start(order)
             if reply is None or reply.outcome is _Outcome.UNANSWERED:
-                was_unanswered = was_unanswered or reply is not None
+                if reply is not None:
+                    was_unanswered = True
+                    self._unanswered_starts.append((order.task, order.run))
                 await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
                 continue
             self._record_clock(reply.clock_ms)
@@ -253,6 +293,10 @@
             )
             return
 
+    def _may_start(self, order: _StartOrder) -> bool:
+        is_current = self._is_current(order.task, order.run)
+        return is_current and not self.was_restarted
+
     async def _send_start(
         self, order: _StartOrder
     ) -> clients.OrderReply | None:
@@ -284,8 +328,8 @@
                 self._timer.monotonic_s()
             )
             return
-        if outcome is _Outcome.GONE:
-            self._on_worker_ended()
+        if outcome in (_Outcome.GONE, _Outcome.RESTARTED):
+            self._end_by(outcome)
             return
         if outcome is _Outcome.FENCED:
             return
@@ -347,14 +391,22 @@
             if not self._may_run_here(task, run):
                 break
             await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
-        if reply.outcome is _Outcome.GONE:
-            self._on_worker_ended()
+        if reply.outcome in (_Outcome.GONE, _Outcome.RESTARTED):
+            self._end_by(reply.outcome)
         elif reply.outcome in (_Outcome.ACCEPTED, _Outcome.SUPERSEDED):
             self._answered_s[(task, run)] = self._timer.monotonic_s()
             self.retry_now()
         else:
             self._stopping.discard((task, run))
 
+    async def _refuse_start(self, task: model.TaskKey, run: int) -> None:
+        order = clients.StopOrder(task, run, self._fence)
+        while not self._has_ended:
+            reply = await self._client.stop(order)
+            if reply.outcome is not _Outcome.UNANSWERED:
+                return
+            await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
+
     async def _pace(self, task: model.TaskKey, run: int, percent: int) -> None:
         if self._paces.get((task, run)) != percent:
             return
@@ -366,10 +418,15 @@
 
     async def _renew_leases(self) -> None:
         delay_s = _MIN_RETRY_DELAY_S
-        while True:
+        while not self.was_restarted:
             sent_s = self._timer.monotonic_s()
             report = await self._client.renew_lease(self._next_renewal(sent_s))
+            if self.was_restarted:
+                return
             if isinstance(report, clients.WorkerReport):
+                if report.is_successor:
+                    self.end_by_restart()
+                    return
                 self._consecutive_failures = 0
                 delay_s = _MIN_RETRY_DELAY_S
                 self._record_clock(report.clock_ms)
@@ -394,17 +451,22 @@
     def _next_renewal(self, now_s: float) -> clients.RenewLeaseOrder:
         """Returns the next renewal; after a failure it grants no lease.
 
-        If unanswered renewals extended the lease, it would never expire.
+        If unanswered renewals extended the lease, it would never expire. Nor
+        does it acknowledge ends then if the worker may have started again: a
+        successor numbers its own ends from 1, and would forget them unread.
         """
         until_ms = None
         wait_ms = 0
+        acknowledged = self._acknowledged_sequence
+        if self._consecutive_failures and self._may_be_followed:
+            acknowledged = 0
         if not self._consecutive_failures and self._leases.has_clock:
             until_ms = self._leases.grant(self._lease_ms, now_s)
             wait_ms = _LONG_POLL_MS
             if self._needs_frequent_reports():
                 wait_ms = _SHORT_POLL_MS
         return clients.RenewLeaseOrder(
-            until_ms, self._fence, self._acknowledged_sequence, wait_ms
+            until_ms, self._fence, acknowledged, wait_ms
         )
 
     def _needs_frequent_reports(self) -> bool:
@@ -526,6 +588,23 @@
         if clock_ms is not None:
             self._leases.record_clock(clock_ms, self._timer.monotonic_s())
 
+    async def _settle_restart(self) -> None:
+        await self._restart_found.wait()
+        await restarts.keep_off_successor(
+            self._client,
+            {*self._committed_runs(), *self.unanswered_starts()},
+            self._fence,
+            lambda: self.has_lease_expired,
+            self._timer,
+        )
+        self._listener.on_worker_ended(self)
+
+    def _end_by(self, outcome: _Outcome) -> None:
+        if outcome is _Outcome.RESTARTED:
+            self.end_by_restart()
+        else:
+            self._on_worker_ended()
+
     def _on_worker_ended(self) -> None:
         if not self._has_ended:
             self._has_ended = True
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -300,6 +300,9 @@
         self.max_poll_s = 0.02
         self.is_unresponsive = False
         self.has_ended = False
+        # Answers in place of this worker, which has started again.
+        self.successor: FakeWorker | None = None
+        self.acknowledgements: list[int] = []
         self.start_outcome: clients.OrderOutcome | None = None
         self.lost_replies = 0
         # Raised by the next renewal.
@@ -323,13 +326,20 @@
         self._changed.set()
 
     async def start(self, order: clients.StartOrder) -> clients.OrderReply:
-        """Starts a run unless the test has set another outcome."""
+        """Starts a run that wasn't stopped, or returns the set outcome."""
+        if self.successor is not None:
+            return _as_successor(await self.successor.start(order))
         failure = await self._failure()
         if failure is not None:
             return failure
         self.starts.append(order)
         if self.start_outcome is not None:
             return self._reply(self.start_outcome)
+        if any(
+            (stop.task, stop.run) == (order.task, order.run)
+            for stop in self.stops
+        ):
+            return self._reply(clients.OrderOutcome.SUPERSEDED)
         self.running.setdefault((order.task, order.run), FakeRun())
         if self.lost_replies:
             self.lost_replies -= 1
@@ -338,6 +348,8 @@
 
     async def stop(self, order: clients.StopOrder) -> clients.OrderReply:
         """Stops a run."""
+        if self.successor is not None:
+            return _as_successor(await self.successor.stop(order))
         failure = await self._failure()
         if failure is not None:
             return failure
@@ -355,6 +367,12 @@
         self, order: clients.RenewLeaseOrder
     ) -> clients.WorkerReport | clients.OrderReply:
         """Returns a report; waits briefly for an end if the order allows it."""
+        self.acknowledgements.append(order.acknowledged)
+        if self.successor is not None:
+            report = await self.successor.renew_lease(order)
+            if isinstance(report, clients.OrderReply):
+                return report
+            return dataclasses.replace(report, is_successor=True)
         error, self.error = self.error, None
         if error is not None:
             raise error
@@ -394,6 +412,12 @@
         return clients.OrderReply(outcome, self.clock_ms)
 
 
+def _as_successor(reply: clients.OrderReply) -> clients.OrderReply:
+    if reply.outcome is clients.OrderOutcome.ACCEPTED:
+        return clients.OrderReply(clients.OrderOutcome.RESTARTED)
+    return clients.OrderReply(reply.outcome)
+
+
 class FakeInstanceClient:
     """Records moves and maintenance orders, which succeed unless set."""
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -1,6 +1,8 @@
 """Tests of the calls to workers over persistent connections."""
 
 from collections.abc import Awaitable, Callable
+import json
+from typing import Any
 import unittest
 
 import anyio
@@ -10,11 +12,8 @@
 from tarragoncleat.batch import clients
 from tests import batch_builders
 
-_RESPONSE = (
-    b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n"
-    b"Content-Type: application/json\r\n\r\n"
-    b'{"clock-ms":100}'
-)
+_RESPONSE = b'{"clock-ms":100}'
+_BORN_MS = 1_780_953_740_000
 _ORDER = clients.StopOrder(batch_builders.task_key(), 1, 7)
 _Outcome = clients.OrderOutcome
 
@@ -26,6 +25,9 @@
         self.connections = 0
         self.requests = 0
         self.responds = True
+        self.received = b""
+        self.status = b"200 OK"
+        self.response = _RESPONSE
         self.closes_connections = False
         self.may_respond = anyio.Event()
         self.may_respond.set()
@@ -40,9 +42,14 @@
                     while b"}" not in data:
                         data += await stream.receive()
                     self.requests += 1
+                    self.received = data
                     await self.may_respond.wait()
                     if self.responds:
-                        await stream.send(_RESPONSE)
+                        head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n"
+                        size = len(self.response)
+                        await stream.send(
+                            head % (self.status, size) + self.response
+                        )
                     if self.closes_connections:
                         return
             except (anyio.EndOfStream, anyio.BrokenResourceError):
@@ -57,12 +64,15 @@
         scenario: Callable[
             [_Server, worker_client.HttpWorkerClient], Awaitable[None]
         ],
+        worker_id: str = "w-1",
     ) -> None:
         async def main() -> None:
             server = _Server()
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            record = batch_builders.build_record(address=f"127.0.0.1:{port}")
+            record = batch_builders.build_record(
+                worker_id, address=f"127.0.0.1:{port}"
+            )
             calls = worker_client.HttpWorkerClient(record)
             with anyio.fail_after(20):
                 async with listener, anyio.create_task_group() as tasks:
@@ -139,6 +149,74 @@
 
         self._run(scenario)
 
+    def _answers(self, worker_id: str, **fields: Any) -> tuple[Any, Any]:
+        """Returns the results of a stop and of a renewal."""
+        results: list[Any] = []
+
+        async def scenario(
+            server: _Server, calls: worker_client.HttpWorkerClient
+        ) -> None:
+            body = {"clock-ms": 100, "running-tasks": [], "ended": []}
+            server.response = json.dumps({**body, **fields}).encode()
+            results.append(await calls.stop(_ORDER))
+            self.assertIn(
+                b"expected-instance: w-1\r\n", server.received.lower()
+            )
+            renewal = clients.RenewLeaseOrder(None, 7, 0, 0)
+            results.append(await calls.renew_lease(renewal))
+
+        self._run(scenario, worker_id)
+        return results[0], results[1]
+
+    def test_answer_of_the_same_incarnation_counts(self) -> None:
+        """Guards against a worker that tells its start and isn't used."""
+        stop, report = self._answers(f"w-1@{_BORN_MS}", born=_BORN_MS)
+        self.assertEqual(stop, clients.OrderReply(_Outcome.ACCEPTED, 100))
+        self.assertEqual(report, clients.WorkerReport(100, (), ()))
+
+    def test_answer_of_the_next_incarnation_ends_this_one(self) -> None:
+        """The expected id can't tell them apart, and the clock began anew."""
+        stop, report = self._answers(f"w-1@{_BORN_MS}", born=_BORN_MS + 1)
+        self.assertEqual(stop, clients.OrderReply(_Outcome.RESTARTED))
+        self.assertTrue(report.is_successor)
+
+    def test_answer_that_is_not_of_this_incarnation_is_none(self) -> None:
+        """Guards against a late answer and one of another writer."""
+        unanswered = clients.OrderReply(_Outcome.UNANSWERED)
+        for born in (_BORN_MS - 1, str(_BORN_MS), 1.5, None, True, -1):
+            with self.subTest(born=born):
+                answers = self._answers(f"w-1@{_BORN_MS}", born=born)
+                self.assertEqual(answers, (unanswered, unanswered))
+
+    def test_order_reply_may_leave_out_the_incarnation(self) -> None:
+        """Its clock may be a successor's; a report says which one answered."""
+        stop, report = self._answers(f"w-1@{_BORN_MS}")
+        self.assertEqual(stop, clients.OrderReply(_Outcome.ACCEPTED))
+        self.assertEqual(report, clients.OrderReply(_Outcome.UNANSWERED))
+
+    def test_refusal_by_a_successor_is_still_a_refusal(self) -> None:
+        """Guards against a start that counts as accepted for want of room."""
+
+        async def scenario(
+            server: _Server, calls: worker_client.HttpWorkerClient
+        ) -> None:
+            server.status = b"409 Conflict"
+            for born in (_BORN_MS, _BORN_MS + 1):
+                body = {"clock-ms": 100, "reason": "room", "born": born}
+                server.response = json.dumps(body).encode()
+                reply = await calls.stop(_ORDER)
+                self.assertIs(reply.outcome, _Outcome.NO_ROOM)
+                self.assertEqual(reply.clock_ms is None, born != _BORN_MS)
+
+        self._run(scenario, f"w-1@{_BORN_MS}")
+
+    def test_worker_that_tells_no_start_is_served_as_before(self) -> None:
+        """Its heartbeats decide; what its answers tell isn't looked at."""
+        for fields in ({}, {"born": _BORN_MS}, {"born": "x"}):
+            stop, report = self._answers("w-1", **fields)
+            self.assertEqual(stop, clients.OrderReply(_Outcome.ACCEPTED, 100))
+            self.assertEqual(report, clients.WorkerReport(100, (), ()))
+
 
 if __name__ == "__main__":
     unittest.main()
