--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -214,6 +214,11 @@
                 worker.state is worker_state.WorkerState.LEASE_EXPIRED
                 or (other.has_lease_expired and not other.is_responsive)
             )
+            is_superseded = worker_id in self._state.superseded_workers
+            if is_superseded and not has_lease_expired:
+                # It ends once its runs can't start on its successor.
+                other.end_by_restart()
+                continue
             if has_lease_expired or session.supersedes(other):
                 self._log_lost_worker(worker_id, "followed")
                 self._start_soon(self.commit, other.end_command())
@@ -221,7 +226,8 @@
     def on_worker_ended(self, session: worker_session.WorkerSession) -> None:
         """Marks a worker whose incarnation has ended as lost."""
         worker_id = session.record.worker_id
-        self._log_lost_worker(worker_id, "gone")
+        change = "restarted" if session.was_restarted else "gone"
+        self._log_lost_worker(worker_id, change)
         self._start_soon(self.commit, session.end_command())
 
     def on_start_refused(
--- a/tarragoncleat/batch/session_registry.py
+++ b/tarragoncleat/batch/session_registry.py
@@ -10,6 +10,7 @@
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import model
+from tarragoncleat.batch import restarts
 from tarragoncleat.batch import state as state_module
 from tarragoncleat.batch import worker_session
 from tarragoncleat.kernel import timer as timer_module
@@ -61,6 +62,7 @@
         self._on_failed = on_failed
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._unusable_workers: set[str] = set()
+        self._late_starts = restarts.LateStarts()
 
     @property
     def by_worker(self) -> worker_session.Sessions:
@@ -72,12 +74,17 @@
         workers = self._state.workers
         for worker_id in list(self._sessions):
             if worker_id not in workers:
-                self._sessions.pop(worker_id).close()
+                session = self._sessions.pop(worker_id)
+                self._late_starts.keep(worker_id, session.unanswered_starts())
+                session.close()
         for worker_id, worker in workers.items():
             if worker_id in self._unusable_workers:
                 continue
             if worker_id not in self._sessions:
                 self._open(worker.record, tasks)
+        for worker_id in self._state.superseded_workers:
+            if worker_id in self._sessions:
+                self._sessions[worker_id].end_by_restart()
 
     def _open(
         self, record: model.WorkerRecord, tasks: anyio.abc.TaskGroup
@@ -101,6 +108,8 @@
             self._bounds,
             self._fence,
         )
+        for task, run in self._late_starts.pop(record.worker_id):
+            session.refuse_start(task, run)
         self._sessions[record.worker_id] = session
         tasks.start_soon(self._run, session)
 
