Keep customers within their caps, and share scarce room by weight

Cause: a customer's weight and cap stood in the configuration, and nothing looked at them. What one customer sent ten times over took the others' room, and nothing bounded what it had running.

Submissions that can never fit are refused (quota, 429). Within a class and priority, steps are ordered by weighted dominant shares; jobs beyond the weight are marked when accepted and come last. Nothing of this runs without customers.

--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -59,6 +59,7 @@
     UNKNOWN_JOB = "unknown_job"
     NO_QUEUE = "no_queue"
     UNAUTHORIZED = "unauthorized"
+    OVER_CAP = "over_cap"
 
 
 class RunStart(NamedTuple):
--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -61,6 +61,11 @@
         """Whether callers need keys."""
         return self._is_configured
 
+    @property
+    def policies(self) -> Iterable[model.CustomerPolicy]:
+        """The customers."""
+        return self._customers.values()
+
     def get(self, name: model.CustomerName) -> model.CustomerPolicy | None:
         """Returns a customer, or None if it isn't configured."""
         return self._customers.get(name)
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import events
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import messages
@@ -81,6 +82,10 @@
             decision = await self._store(request, target.queue, target.job)
             if isinstance(decision, errors.Failure):
                 return decision
+            if decision is commands.JobDecision.OVER_CAP:
+                return customer_usage.over_cap_failure(
+                    request, target.queue, self._state.customers
+                )
             if decision is not commands.JobDecision.NO_QUEUE:
                 self._log_accepted(
                     request, target.queue, target.version, decision, arrived_s
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/jobs.py
@@ -30,8 +30,8 @@
     CANCELLED = "cancelled"
 
 
-# Index in a packed job.
-_PACKED_CALLER = 8
+# Indexes in a packed job.
+_PACKED_CALLER, _PACKED_MARK = 8, 9
 _ANONYMOUS = customers.Caller(model.CustomerName(""), customers.NO_KEY)
 _ENDED_STATES = frozenset(
     {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
@@ -152,7 +152,8 @@
     """An accepted job.
 
     `revision` increases with each change to the states of its tasks. `caller`
-    submitted it.
+    submitted it. `is_over_weight` marks a job beyond what its customer's weight
+    lets it expect.
     """
 
     __slots__ = (
@@ -163,6 +164,7 @@
         "chain_ms",
         "definition",
         "ended_ms",
+        "is_over_weight",
         "job_id",
         "next_occurrence",
         "occurrences",
@@ -182,6 +184,7 @@
         """Creates a queued job, accepted at the leader's time `accepted_ms`."""
         self.job_id = job_id
         self.caller = caller
+        self.is_over_weight = False
         self.queue = queue
         self.definition = definition
         self.chain_ms = definition.chain_ms()
@@ -440,7 +443,10 @@
         """Returns the job without its definition, for a snapshot."""
         # Builds without customers read the fields before the caller.
         caller = self.caller
-        packed_caller = [[caller.customer, caller.key]]
+        extra: list = []
+        if caller != _ANONYMOUS:
+            extra.append([caller.customer, caller.key])
+            extra.extend([True] if self.is_over_weight else ())
         return [
             self.job_id,
             list(self.queue),
@@ -453,7 +459,7 @@
                 [number, [_pack_step(step) for step in occurrence.steps]]
                 for number, occurrence in self.occurrences.items()
             ],
-            *(packed_caller if caller != _ANONYMOUS else ()),
+            *extra,
         ]
 
     @classmethod
@@ -466,6 +472,7 @@
         job.next_occurrence = fields[6]
         if len(fields) > _PACKED_CALLER:
             job.caller = customers.Caller(*fields[_PACKED_CALLER])
+        job.is_over_weight = len(fields) > _PACKED_MARK
         job.occurrences = {}
         for number, packed_steps in fields[7]:
             occurrence = Occurrence(job.job_id, number, definition)
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -11,8 +11,10 @@
 import operator
 
 from tarragoncleat.batch import advice
+from tarragoncleat.batch import cap_planning
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import crashes
+from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import isolation
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
@@ -28,6 +30,7 @@
     views: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
     gives_way: bool = False,
+    ledger: customer_usage.CapLedger | None = None,
 ) -> list[commands.RunStart]:
     """Returns the starts of steps; deducts their resources from the views.
 
@@ -37,8 +40,9 @@
         approval_cache: Source of the tickets that some steps need.
         gives_way: Whether the steps leave workers without long-running tasks to
             others, except for tasks that must run alone.
+        ledger: What the customers may start, if any are configured.
     """
-    starts = _place_alone(steps, views, approval_cache, is_first=True)
+    starts = _place_alone(steps, views, approval_cache, True, ledger)
     workers = [
         view
         for view in views
@@ -51,19 +55,22 @@
     for ready_step in steps:
         if not ranking.has_views:
             break
+        limit = cap_planning.start_limit(ready_step, ledger)
+        if not limit:
+            continue
         if _is_plain(ready_step):
-            placed = ranking.place(ready_step.step)
+            placed = ranking.place(ready_step.step, limit)
         else:
             usable = _workers_with_ticket(
                 ready_step, ranking.views, approval_cache
             )
-            placed = list(_place_step(ready_step.step, usable))
+            placed = list(_place_step(ready_step.step, usable, limit))
             if placed:
                 ranking = _Ranking(
                     [view for view in ranking.views if view.is_open],
                     _min_demand(steps),
                 )
-        ready_step.placed_count += len(placed)
+        cap_planning.count_placed(ready_step, len(placed), ledger)
         starts.extend(placed)
     return starts
 
@@ -72,12 +79,13 @@
     steps: Sequence[ready_steps.ReadyStep],
     views: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
+    ledger: customer_usage.CapLedger | None = None,
 ) -> list[commands.RunStart]:
     """Returns starts of tasks that must run alone, after all other steps.
 
     They use the workers that are still vacant.
     """
-    return _place_alone(steps, views, approval_cache, is_first=False)
+    return _place_alone(steps, views, approval_cache, False, ledger)
 
 
 def _place_alone(
@@ -85,6 +93,7 @@
     views: Sequence[worker_views.WorkerView],
     approval_cache: advice.ApprovalCache | None,
     is_first: bool,
+    ledger: customer_usage.CapLedger | None,
 ) -> list[commands.RunStart]:
     """Places the tasks that probably crash their workers.
 
@@ -100,14 +109,14 @@
             position
             for position in crashes.suspects(step, crashes.Suspicion.PROBABLE)
             if position not in ready_step.placed_alone
-        ]
+        ][: cap_planning.start_limit(ready_step, ledger)]
         if not positions:
             continue
         workers = [view for view in views if view.is_schedulable]
         usable = _workers_with_ticket(ready_step, workers, approval_cache)
         placed = isolation.place_alone(step, positions, usable, is_first)
         ready_step.placed_alone.update(start.task.position for start in placed)
-        ready_step.placed_count += len(placed)
+        cap_planning.count_placed(ready_step, len(placed), ledger)
         starts.extend(placed)
     return starts
 
@@ -168,14 +177,16 @@
         """The workers that are not full."""
         return [view for _, view in self._ranked]
 
-    def place(self, step: jobs_module.Step) -> list[commands.RunStart]:
-        """Places as many of a step's tasks as fit."""
+    def place(
+        self, step: jobs_module.Step, limit: int
+    ) -> list[commands.RunStart]:
+        """Places as many of a step's tasks as fit, at most `limit`."""
         demand = step.demand
         if any(other.fits_into(demand) for other in self._unplaced_demands):
             return []
         starts = []
         index = 0
-        for position in sorted(step.waiting):
+        for position in sorted(step.waiting)[:limit]:
             index = self._find(demand, index)
             if index == len(self._ranked):
                 self._unplaced_demands.append(demand)
@@ -260,7 +271,9 @@
 
 
 def _place_step(
-    step: jobs_module.Step, workers: Sequence[worker_views.WorkerView]
+    step: jobs_module.Step,
+    workers: Sequence[worker_views.WorkerView],
+    limit: int,
 ) -> Iterable[commands.RunStart]:
     if step.definition.gang:
         return _place_gang(step, workers)
@@ -270,10 +283,11 @@
         positions = positions - step.suspects
         apart = isolation.place_apart(
             step,
-            crashes.suspects(step, crashes.Suspicion.POSSIBLE),
+            crashes.suspects(step, crashes.Suspicion.POSSIBLE)[:limit],
             workers,
         )
-    return [*apart, *_place_unsuspected(step, positions, workers)]
+    allowed = sorted(positions)[: limit - len(apart)]
+    return [*apart, *_place_unsuspected(step, allowed, workers)]
 
 
 def _place_unsuspected(
@@ -292,7 +306,7 @@
     ]
     heapq.heapify(ranked)
     starts = []
-    for position in sorted(positions):
+    for position in positions:
         if not ranked:
             break
         view = ranked[0][1]
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -7,9 +7,12 @@
 
 from collections.abc import Collection, Iterable, Sequence
 import dataclasses
+import itertools
 
 from tarragoncleat.batch import advice
+from tarragoncleat.batch import cap_planning
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import model
 from tarragoncleat.batch import placement
 from tarragoncleat.batch import pool_sizing
@@ -53,6 +56,13 @@
         self._demands: dict[str, pool_sizing.Demand] = {}
         # Whether late work of a service gave way to others in the last plan.
         self._gave_way: dict[str, bool] = {}
+        # By service and customer, the least charge of work that a cap holds
+        # back, or None until it is computed.
+        self._held_back: dict[
+            str, dict[model.CustomerName, model.Resources | None]
+        ] = {}
+        # What the customers could start after the last plan.
+        self._ledger: customer_usage.CapLedger | None = None
         # Whether some worker is large enough, by demand and label.
         self._fits: dict[tuple[model.Resources, str], bool] = {}
 
@@ -76,6 +86,7 @@
                 since then.
         """
         changed = self._index.refresh(self._state, now_ms)
+        previous, self._ledger = self._ledger, self._state.cap_ledger()
         services = self._index.services
         stale = {
             service
@@ -92,12 +103,60 @@
         result = Plan()
         for service in sorted(stale):
             self._plan_in_time(service, views, result.starts)
+        for service in self._released_services(stale, previous, views):
+            self._plan_in_time(service, views, result.starts)
+            stale.add(service)
         self._plan_late(stale, views, result.starts)
         for service in sorted(stale):
             self._place_suspects(service, views, result.starts)
         result.demands = dict(self._demands)
         return result
 
+    def _released_services(
+        self,
+        planned: Collection[str],
+        previous: customer_usage.CapLedger | None,
+        views: _Views,
+    ) -> list[str]:
+        """Returns further services in which customers may start tasks now.
+
+        Args:
+            planned: Services that this plan has dealt with.
+            previous: Ledger after the last plan.
+            views: Workers by service.
+        """
+        ledger = self._ledger
+        if ledger is None or previous is None:
+            return []
+        released = []
+        changed = ledger.changed_since(previous)
+        for service, held in sorted(self._held_back.items()):
+            if service in planned:
+                continue
+            for customer in changed & held.keys():
+                charge = held[customer]
+                if charge is None:
+                    steps = self._steps_of(service)
+                    charge = held[customer] = cap_planning.least_charge(
+                        customer,
+                        itertools.chain(steps.in_time, steps.late),
+                        views.get(service, ()),
+                    )
+                if ledger.room(customer, charge):
+                    released.append(service)
+                    break
+        return released
+
+    def _add_up(
+        self, service: str, steps: Iterable[ready_steps.ReadyStep]
+    ) -> cap_planning.Unplaced:
+        """Adds up what a plan doesn't start; notes what a cap holds back."""
+        unplaced = cap_planning.Unplaced(steps, self._ledger)
+        held = unplaced.held_customers
+        if held:
+            self._held_back.setdefault(service, {}).update(dict.fromkeys(held))
+        return unplaced
+
     def _steps_of(self, service: str) -> ready_steps.ServiceSteps:
         return self._index.services.get(service, ready_steps.ServiceSteps())
 
@@ -108,6 +167,7 @@
         starts: list[commands.RunStart],
     ) -> None:
         """Starts the steps in time of a service, and sets its load."""
+        self._held_back.pop(service, None)
         service_views = views.get(service, [])
         steps = self._steps_of(service)
         if not service_views and service not in self._index.services:
@@ -121,13 +181,19 @@
         placeable = self._placeable(steps.in_time, views)
         starts.extend(
             placement.place_steps(
-                placeable, service_views, self._approval_cache
+                placeable,
+                service_views,
+                self._approval_cache,
+                ledger=self._ledger,
             )
         )
-        demand.placeable_millicores = _unplaced_millicores(placeable)
-        demand.unplaced_millicores = _unplaced_millicores(steps.in_time)
+        unplaced = self._add_up(service, placeable)
+        demand.placeable_millicores = unplaced.millicores
+        if len(placeable) < len(steps.in_time):
+            unplaced = cap_planning.Unplaced(steps.in_time, self._ledger)
+        demand.unplaced_millicores = unplaced.millicores
         demand.unplaced_long_running = sum(
-            ready_step.unplaced_count
+            unplaced.count_within_cap(ready_step)
             for ready_step in steps.in_time
             if ready_step.step.definition.long_running
         )
@@ -171,11 +237,15 @@
         placeable = self._placeable(steps, views)
         starts.extend(
             placement.place_steps(
-                placeable, service_views, self._approval_cache, gives_way
+                placeable,
+                service_views,
+                self._approval_cache,
+                gives_way,
+                self._ledger,
             )
         )
         demand = self._demands[service]
-        demand.late_millicores = _unplaced_millicores(steps)
+        demand.late_millicores = self._add_up(service, steps).millicores
         _update_used(demand, service_views)
 
     def _place_suspects(
@@ -194,7 +264,7 @@
         service_views = views.get(service, [])
         starts.extend(
             placement.place_on_vacant(
-                suspects, service_views, self._approval_cache
+                suspects, service_views, self._approval_cache, self._ledger
             )
         )
         _update_used(self._demands[service], service_views)
@@ -258,10 +328,6 @@
     )
 
 
-def _unplaced_millicores(steps: Iterable[ready_steps.ReadyStep]) -> int:
-    return sum(ready_step.unplaced_millicores for ready_step in steps)
-
-
 def _update_used(
     demand: pool_sizing.Demand, views: Sequence[worker_views.WorkerView]
 ) -> None:
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/ready_steps.py
@@ -9,6 +9,8 @@
 import dataclasses
 import math
 
+from tarragoncleat.batch import customer_usage
+from tarragoncleat.batch import fair_share
 from tarragoncleat.batch import job_order
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
@@ -25,15 +27,25 @@
         step: The step.
         rank: Rank of its job.
         needs_ticket: Whether workers need the advisor's approval.
+        customer: Customer of its job; empty for none.
+        charge: What each of its tasks counts for the customer.
+        is_over_weight: Whether its job is beyond its customer's weight.
         placed_count: Number of its tasks that the latest plan starts.
         placed_alone: Positions of those of them that run alone.
+        share: See `fair_share.WaitingStep`.
+        share_of: See there.
     """
 
     step: jobs_module.Step
     rank: job_order.JobRank
     needs_ticket: bool
+    customer: model.CustomerName
+    charge: model.Resources
+    is_over_weight: bool
     placed_count: int = 0
     placed_alone: set[int] = dataclasses.field(default_factory=set)
+    share: float = 0.0
+    share_of: tuple[float, ...] = ()
 
     @property
     def unplaced_count(self) -> int:
@@ -52,7 +64,8 @@
 
     Attributes:
         in_time: Steps of jobs that can still meet their objectives.
-        late: Steps of the other jobs.
+        late: Steps of the other jobs, last of those beyond their customers'
+            weights.
         need_tickets: Whether workers need the advisor's approval for some.
         valid_until_ms: Until when the order stays the same if no job changes.
     """
@@ -82,6 +95,8 @@
         self._entries: dict[str, _Entry] = {}
         self._entries_by_service: dict[str, dict[str, _Entry]] = {}
         self._ordered: dict[str, ServiceSteps] = {}
+        # Revision of the customers' usage that the order of a service is of.
+        self._usage_revisions: dict[str, int] = {}
 
     @property
     def services(self) -> dict[str, ServiceSteps]:
@@ -106,13 +121,33 @@
             for service, steps in self._ordered.items()
             if now_ms > steps.valid_until_ms
         )
+        changed.update(self._update_usage(state))
         for service in changed:
             if service in self._entries_by_service:
-                self._ordered[service] = self._order(service, now_ms)
+                shares = None
+                if state.customers.is_configured:
+                    shares = fair_share.shares_in(
+                        state.usage(), state.customers, service
+                    )
+                self._ordered[service] = self._order(service, now_ms, shares)
             else:
                 self._ordered.pop(service, None)
         return frozenset(changed)
 
+    def _update_usage(self, state: state_module.BatchState) -> list[str]:
+        """Returns the services with customers whose usage changed."""
+        if not state.customers.is_configured:
+            return []
+        usage = state.usage()
+        changed = [
+            service
+            for service in self._entries_by_service
+            if self._usage_revisions.get(service) != usage.revision(service)
+        ]
+        for service in changed:
+            self._usage_revisions[service] = usage.revision(service)
+        return changed
+
     def _update_jobs(self, state: state_module.BatchState) -> set[str]:
         """Replaces the entries of changed jobs; returns their services."""
         changed: set[str] = set()
@@ -162,7 +197,9 @@
             del self._entries_by_service[entry.service]
         yield entry.service
 
-    def _order(self, service: str, now_ms: int) -> ServiceSteps:
+    def _order(
+        self, service: str, now_ms: int, shares: fair_share.Shares | None
+    ) -> ServiceSteps:
         result = ServiceSteps()
         keyed = []
         for entry in self._entries_by_service[service].values():
@@ -175,11 +212,15 @@
             )
             for ready_step in entry.steps:
                 best_effort = ready_step.step.definition.best_effort
-                keyed.append(((best_effort, *key), ready_step))
+                is_over_weight = ready_step.is_over_weight
+                keyed.append(((is_over_weight, best_effort, *key), ready_step))
         keyed.sort(key=lambda item: item[0])
+        if shares is not None:
+            keyed = fair_share.order(keyed, shares)
         for key, ready_step in keyed:
             result.need_tickets |= ready_step.needs_ticket
-            if job_order.can_meet_objective(key[1:]):
+            can_be_in_time = job_order.can_meet_objective(key[2:])
+            if can_be_in_time and not ready_step.is_over_weight:
                 result.in_time.append(ready_step)
             else:
                 result.late.append(ready_step)
@@ -194,4 +235,12 @@
         for step in occurrence.steps:
             if step.waiting and occurrence.is_ready(step):
                 rank = rank or job_order.rank(job, policy)
-                yield ReadyStep(step, rank, policy.advice is not None)
+                yield ReadyStep(
+                    step,
+                    rank,
+                    policy.advice is not None,
+                    job.caller.customer,
+                    customer_usage.charge_of(step.definition),
+                    # Nothing would end the wait of those that last.
+                    job.is_over_weight and not job.is_long_running,
+                )
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -8,8 +8,10 @@
 
 import msgpack
 
+from tarragoncleat.batch import arrival_windows
 from tarragoncleat.batch import commands
 from tarragoncleat.batch import crashes
+from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import customers
 from tarragoncleat.batch import jobs as jobs_module
 from tarragoncleat.batch import model
@@ -48,6 +50,10 @@
         self._waves: dict[int, waves.Wave] = {}
         self._time_ms = 0
         self._applied_count = 0
+        self._usage = customer_usage.UsageCache()
+        # Only records change what the usage follows from.
+        self._is_usage_current = False
+        self._arrivals = arrival_windows.ArrivalWindows()
         self._ended_jobs: collections.deque[jobs_module.Job] = (
             collections.deque(maxlen=_MAX_UNREAD_ENDED_JOBS)
         )
@@ -65,6 +71,20 @@
         """The customers of the configuration in force."""
         return self._queues.customers
 
+    def usage(self) -> customer_usage.UsageCache:
+        """Returns what the customers' tasks reserve now."""
+        if not self._is_usage_current:
+            self._usage.refresh(self._workers, self._jobs)
+            self._is_usage_current = True
+        return self._usage
+
+    def cap_ledger(self) -> customer_usage.CapLedger | None:
+        """Returns what customers may start now, or None without any caps."""
+        policies = self.customers.policies
+        if not any(any(policy.cap) for policy in policies):
+            return None
+        return customer_usage.CapLedger(policies, self.usage().totals)
+
     @property
     def active_jobs(self) -> dict[str, jobs_module.Job]:
         """Jobs that have not ended, in order of acceptance."""
@@ -176,6 +196,7 @@
             # Proposals are validated, so only a newer version can write this.
             raise ValueError(f"record {index}: {command.reason}")
         result = self._apply(command)
+        self._is_usage_current = False
         if self._applied_count % _CLEANUP_INTERVAL_RECORDS == 0:
             self._remove_expired_jobs()
         return msgpack.packb(result)
@@ -186,6 +207,8 @@
 
     @_apply.register
     def _put_configuration(self, command: commands.PutConfiguration) -> object:
+        # Without customers jobs are removed while their tasks count.
+        self._usage = customer_usage.UsageCache()
         return self._queues.put(command.configuration)
 
     @_apply.register
@@ -217,11 +240,23 @@
             return commands.JobDecision.UNAUTHORIZED
         if job_id in self._jobs:
             return commands.JobDecision.ALREADY_STORED
+        customer = self.customers.get(caller.customer)
+        if customer_usage.exceeds_cap(definition, customer):
+            return commands.JobDecision.OVER_CAP
         job = jobs_module.Job(job_id, key, definition, self._time_ms, caller)
+        if customer is not None:
+            job.is_over_weight = self._arrivals.exceeds_weight(
+                customer, self._time_ms
+            )
+            self._count_arrival(job)
         self._jobs[job_id] = job
         self._active[job_id] = job
         return commands.JobDecision.STORED
 
+    def _count_arrival(self, job: jobs_module.Job) -> None:
+        if job.caller.customer and not job.is_over_weight:
+            self._arrivals.add(job.caller.customer, job.accepted_ms)
+
     @_apply.register
     def _cancel_job(self, command: commands.CancelJob) -> object:
         return self._cancel(command.job_id, customers.NO_KEY).value
@@ -302,6 +337,16 @@
         broken_gangs = {
             run.task[:3] for run in refused if self._is_gang(run.task)
         }
+        ledger = self.cap_ledger()
+        if ledger is not None:
+            allowed = [
+                run
+                for run in command.runs
+                if run not in refused and run.task[:3] not in broken_gangs
+            ]
+            refused |= customer_usage.starts_over_cap(
+                allowed, self._jobs, ledger
+            )
         started = []
         for run_start in command.runs:
             job = self._jobs.get(run_start.task.job_id)
@@ -454,10 +499,16 @@
         for job_id in [
             job.job_id
             for job in self._jobs.values()
-            if job.ended_ms is not None and job.ended_ms < oldest_kept_ms
+            if job.ended_ms is not None
+            and job.ended_ms < oldest_kept_ms
+            and not self._counts_for_cap(job)
         ]:
             del self._jobs[job_id]
 
+    def _counts_for_cap(self, job: jobs_module.Job) -> bool:
+        """Whether tasks of an ended job may run, which count for a cap."""
+        return self.customers.is_configured and any(job.running_tasks())
+
     def snapshot(self) -> bytes:
         """Serializes the state."""
         configurations, previous_queues = self._queues.pack()
@@ -549,6 +600,7 @@
 
     def _restore_job(self, job: jobs_module.Job) -> None:
         self._jobs[job.job_id] = job
+        self._count_arrival(job)
         if not job.has_ended:
             self._active[job.job_id] = job
         for task in job.running_tasks():
--- a/tarragoncleat/kernel/errors.py
+++ b/tarragoncleat/kernel/errors.py
@@ -52,6 +52,7 @@
     CLAIMS_FULL = "claims_full"
     DISK_FULL = "disk_full"
     BUDGET = "budget"
+    QUOTA = "quota"
     SETTINGS = "settings"
     STORAGE = "storage"
     DECODE = "decode"
@@ -128,6 +129,7 @@
         ErrorKind.CLAIMS_FULL: _not_run(503, _LONG_RETRY_S),
         ErrorKind.DISK_FULL: _not_run(507, _LONG_RETRY_S),
         ErrorKind.BUDGET: _not_run(409, _LONG_RETRY_S),
+        ErrorKind.QUOTA: _not_run(429, _LONG_RETRY_S),
         ErrorKind.SETTINGS: _not_run(500),
         ErrorKind.STORAGE: _not_run(500),
         ErrorKind.DECODE: _not_run(400),
