Show usage, caps and waiting work by customer

Cause: nothing showed which customer takes the room, or that a job waits for its customer's cap.

Change: the leader logs customers_load once per second (at most 20 rows: at their caps first, then by dominant share) and jobs_held_back once for each job, where customers are configured. Metrics follow from the events, with labels for at most 50 customers.

Weights and capped customers are kept with the table of customers, since each plan reads them.

Conclusion: whole but for the answer at the leader's service, which needs the callers' keys decoded first.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -98,6 +98,8 @@
     cause = _give_up_cause(own_lines, request_id) or _cause_of(
         last_line, request_id
     )
+    if cause and last_line.get("event") == "job_ended" and _is_late(last_line):
+        cause += _hold_cause(own_lines)
     return Explanation(request_id, tuple(own_lines), tuple(context), cause)
 
 
@@ -115,10 +117,30 @@
     return None
 
 
+def _hold_cause(lines: Iterable[Mapping[str, Any]]) -> str:
+    """Returns for which limits of its customer the job waited, as a clause."""
+    limits = [_held_by(line) for line in lines if _held_by(line)]
+    return f"; {limits[-1]}" if limits else ""
+
+
+def _held_by(line: Mapping[str, Any]) -> str:
+    if line.get("event") != "jobs_held_back":
+        return ""
+    customer = line.get("customer")
+    if line.get("cause") == "cap":
+        return f"it waited because customer {customer} was at its cap"
+    return (
+        f"customer {customer} sent more jobs a second than its weight, so it"
+        " waited behind the others"
+    )
+
+
 def _without_other_runs(
     line: Mapping[str, Any], request_id: str
 ) -> Mapping[str, Any]:
-    """Returns a line without the runs of other requests."""
+    """Returns a line without the runs and names of other requests."""
+    if line.get("event") == "jobs_held_back":
+        return {**line, "jobs": [request_id]}
     if "runs" not in line:
         return line
     prefix = f"{request_id}."
@@ -127,7 +149,7 @@
 
 
 def _mentions_request(line: Mapping[str, Any], request_id: str) -> bool:
-    if line.get("job") == request_id:
+    if line.get("job") == request_id or request_id in line.get("jobs", ()):
         return True
     prefix = f"{request_id}."
     if str(line.get("task", "")).startswith(prefix):
@@ -150,6 +172,8 @@
             f"it took {line.get('age_ms')} ms; its objective was "
             f"{line.get('objective_ms')} ms"
         )
+    if event == "jobs_held_back":
+        return _held_by(line)
     if event == "job_cancelled":
         return "the client cancelled it"
     if event == "runs_ended":
--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -18,12 +18,15 @@
 
 __all__ = ["BatchMetrics"]
 
+_MAX_LABELLED_CUSTOMERS = 50
+
 
 class BatchMetrics:
     """The metrics of one process; `record_event` is an event listener.
 
     To bound the number of time series, attributes have few values, such as a
-    status, a kind or an ending. A job, worker or path is never an attribute.
+    status, a kind or an ending. A job, worker or path is never an attribute, a
+    customer only of the first 50 that are seen.
     """
 
     def __init__(self) -> None:
@@ -59,6 +62,11 @@
         self._loop_delay_ms = meter.create_histogram("loop_delay", "ms")
         self._moves = meter.create_counter("instance_moves", "1")
         self._maintenance = meter.create_counter("maintenance_orders", "1")
+        self._customer_cores = meter.create_gauge("customer_cores", "1")
+        self._customer_tasks = meter.create_gauge("customer_tasks", "1")
+        self._customers_at_cap = meter.create_gauge("customers_at_cap", "1")
+        # Customers with a label of their own.
+        self._labelled_customers: set[str] = set()
         self._commit_ms = meter.create_histogram("commit_time", "ms")
 
     def render(self) -> bytes:
@@ -164,6 +172,30 @@
             attributes = {"service": event.service, "use": use}
             self._pool_cores.set(amount / 1_000, attributes)
 
+    @_record_event.register
+    def _record_customers(self, event: events.CustomersLoad) -> None:
+        self._customers_at_cap.set(
+            sum(customer.is_at_cap for customer in event.customers)
+        )
+        for customer in event.customers:
+            if not self._may_label(customer.customer):
+                continue
+            name = {"customer": customer.customer}
+            self._customer_cores.set(customer.used[0] / 1_000, name)
+            counts = {
+                "running": customer.tasks,
+                "waiting": customer.waiting,
+                "waiting_over_weight": customer.waiting_over_weight,
+            }
+            for state, count in counts.items():
+                self._customer_tasks.set(count, {**name, "state": state})
+
+    def _may_label(self, customer: str) -> bool:
+        """Whether a customer has metrics; the number of those is limited."""
+        if len(self._labelled_customers) < _MAX_LABELLED_CUSTOMERS:
+            self._labelled_customers.add(customer)
+        return customer in self._labelled_customers
+
     @_record_event.register
     def _record_loop_delay(self, event: loop_monitor.LoopDelayed) -> None:
         self._loop_delay_ms.record(event.max_ms)
--- a/tarragoncleat/batch/customer_usage.py
+++ b/tarragoncleat/batch/customer_usage.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterable, Mapping
 import dataclasses
-import operator
 from typing import NamedTuple
 
 from tarragoncleat.batch import commands
@@ -74,8 +73,6 @@
 class _WorkerEntry:
     """What a worker at one of its revisions adds to the totals."""
 
-    worker: worker_state.Worker
-    revision: int
     service: str
     capacity: model.Resources
     usage: _CustomerUsage
@@ -86,7 +83,8 @@
 
     def __init__(self) -> None:
         """Creates a cache that has seen no workers."""
-        self._entries: dict[str, _WorkerEntry] = {}
+        self._entries: dict[worker_state.Worker, _WorkerEntry] = {}
+        self._seen_revisions: dict[worker_state.Worker, int] = {}
         self._by_service: dict[str, _CustomerUsage] = {}
         self._totals: _CustomerUsage = {}
         self._revisions: dict[str, int] = {}
@@ -99,23 +97,21 @@
         jobs: Mapping[str, jobs_module.Job],
     ) -> None:
         """Takes over the changes of the workers since the last call."""
-        entries = self._entries
-        for worker_id, worker in workers.items():
-            entry = entries.get(worker_id)
-            if (
-                entry is not None
-                and entry.revision == worker.revision
-                and entry.worker is worker
-            ):
-                continue
-            if entry is not None:
-                self._add(entry, -1)
-            entry = _build_entry(worker, jobs)
-            self._add(entry, 1)
-            entries[worker_id] = entry
+        revisions, entries = self._seen_revisions, self._entries
+        for worker in [
+            worker
+            for worker in workers.values()
+            if revisions.get(worker) != worker.revision
+        ]:
+            if worker in entries:
+                self._add(entries[worker], -1)
+            entries[worker] = _build_entry(worker, jobs)
+            revisions[worker] = worker.revision
+            self._add(entries[worker], 1)
         if len(entries) > len(workers):
-            for worker_id in entries.keys() - workers.keys():
-                self._add(entries.pop(worker_id), -1)
+            for worker in entries.keys() - set(workers.values()):
+                self._add(entries.pop(worker), -1)
+                del revisions[worker]
 
     def _add(self, entry: _WorkerEntry, sign: int) -> None:
         service = entry.service
@@ -187,9 +183,7 @@
         charge = charge_of(job.definition.steps[key.step])
         usage[customer] = usage.get(customer, _NO_USAGE).plus(charge)
     record = worker.record
-    return _WorkerEntry(
-        worker, worker.revision, record.service, record.capacity, usage
-    )
+    return _WorkerEntry(record.service, record.capacity, usage)
 
 
 class CapLedger:
@@ -203,18 +197,23 @@
         """Creates a ledger.
 
         Args:
-            policies: The customers; those without a cap may start any number.
+            policies: The customers with caps; others may start any number.
             usage: What they reserve before the first start.
         """
         # CPU, memory and accelerators that are free, negative after a cap was
         # lowered, and the number of running tasks.
         self._free: dict[model.CustomerName, list[int]] = {}
         for policy in policies:
-            if any(policy.cap):
-                used = usage.get(policy.name, _NO_USAGE)
-                limits = (limit or UNLIMITED for limit in policy.cap)
-                free = map(operator.sub, limits, used.resources)
-                self._free[policy.name] = [*free, used.tasks]
+            used_cpu, used_memory, used_accelerators, tasks = usage.get(
+                policy.name, _NO_USAGE
+            )
+            cpu, memory, accelerators = policy.cap
+            self._free[policy.name] = [
+                (cpu or UNLIMITED) - used_cpu,
+                (memory or UNLIMITED) - used_memory,
+                (accelerators or UNLIMITED) - used_accelerators,
+                tasks,
+            ]
 
     def copy(self) -> "CapLedger":
         """Returns a ledger that changes independently."""
--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -3,7 +3,7 @@
 A key is a secret: what compares, stores or logs callers sees only its digest.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import dataclasses
 import hashlib
 
@@ -13,6 +13,8 @@
 
 # Digest of callers that present no key.
 NO_KEY = model.KeyDigest(b"")
+# A customer with less still gets a share.
+_MIN_WEIGHT = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,13 @@
         """Creates a table; without customers, callers need no key."""
         self._is_configured = customers is not None
         self._customers = {item.name: item for item in customers or ()}
+        self._capped = tuple(
+            item for item in self._customers.values() if any(item.cap)
+        )
+        self._weights = {
+            item.name: max(_MIN_WEIGHT, item.weight)
+            for item in self._customers.values()
+        }
         # A lookup reveals by its timing no more than digests, not keys.
         self._by_key = {
             digest: customer
@@ -66,6 +75,16 @@
         """The customers."""
         return self._customers.values()
 
+    @property
+    def capped(self) -> tuple[model.CustomerPolicy, ...]:
+        """The customers with caps."""
+        return self._capped
+
+    @property
+    def weights(self) -> Mapping[model.CustomerName, float]:
+        """Weight of each customer, above 0."""
+        return self._weights
+
     def get(self, name: model.CustomerName) -> model.CustomerPolicy | None:
         """Returns a customer, or None if it isn't configured."""
         return self._customers.get(name)
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import clients
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customer_report
 from tarragoncleat.batch import departures
 from tarragoncleat.batch import events
 from tarragoncleat.batch import job_order
@@ -100,6 +101,7 @@
         self._approval_cache = advice.ApprovalCache(advisor_client, timer)
         self._view_cache = worker_views.ViewCache()
         self._planner = planner.Planner(state, self._approval_cache)
+        self._held_jobs = customer_report.HeldJobs()
         self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._rebalancer = pool_rebalancer.PoolRebalancer(
@@ -544,6 +546,22 @@
                         demand.unplaced_millicores,
                     )
                 )
+            self._log_customers()
+
+    def _log_customers(self) -> None:
+        if not self._state.customers.is_configured:
+            return
+        waiting = self.waiting_by_customer()
+        rows = customer_report.build_rows(self._state, waiting)
+        event_log.emit(events.CustomersLoad(rows))
+        for held in self._held_jobs.find(rows, waiting):
+            event_log.emit(held)
+
+    def waiting_by_customer(
+        self,
+    ) -> dict[model.CustomerName, customer_report.Waiting]:
+        """Returns the waiting tasks of the customers as of the last plan."""
+        return customer_report.count_waiting(self._planner.services.values())
 
     def _is_healthy(self, worker_id: str) -> bool:
         now_s = self._timer.monotonic_s()
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import NamedTuple
 
 from tarragoncleat.kernel import event_log
 
@@ -12,10 +13,13 @@
     "AdviceMissing",
     "ConfigurationAnswered",
     "ConfigurationInForce",
+    "CustomerLoad",
+    "CustomersLoad",
     "InstanceMoved",
     "JobAccepted",
     "JobCancelled",
     "JobEnded",
+    "JobsHeldBack",
     "LeadershipChanged",
     "MaintenanceOrdered",
     "OperatorAnswered",
@@ -343,6 +347,57 @@
     unplaced_millicores: int
 
 
+class CustomerLoad(NamedTuple):
+    """What a customer uses and waits for.
+
+    Attributes:
+        customer: Name of the customer.
+        tasks: Number of its tasks that run or may run.
+        used: What they reserve: CPU (1/1000 core), memory (MB), accelerators.
+        cap: Its cap; 0 for no limit.
+        weight: Its weight.
+        share: Its dominant share of all workers.
+        is_at_cap: Whether less than a twentieth of a capped resource is free.
+        waiting: Number of tasks that may start and have no worker.
+        waiting_over_weight: Number of them in jobs beyond the weight.
+    """
+
+    customer: str
+    tasks: int
+    used: tuple[int, ...]
+    cap: tuple[int, ...]
+    weight: float
+    share: float
+    is_at_cap: bool
+    waiting: int
+    waiting_over_weight: int
+
+
+@event_log.event("customers_load")
+@dataclasses.dataclass(frozen=True, slots=True)
+class CustomersLoad:
+    """Load of the customers, once per second.
+
+    `customers` holds at most 20: those at their caps, then those that use most.
+    """
+
+    customers: tuple[CustomerLoad, ...]
+    columns: tuple[str, ...] = CustomerLoad._fields
+
+
+@event_log.event("jobs_held_back")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobsHeldBack:
+    """Jobs wait for their customer's cap or weight; each is told of once.
+
+    `cause` is "cap" or "weight".
+    """
+
+    customer: str
+    cause: str
+    jobs: tuple[str, ...]
+
+
 @event_log.event("wave")
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaveAccepted:
--- a/tarragoncleat/batch/fair_share.py
+++ b/tarragoncleat/batch/fair_share.py
@@ -19,8 +19,6 @@
 
 __all__ = ["Shares", "WaitingStep", "order", "shares_in"]
 
-# A customer with less still gets a share.
-_MIN_WEIGHT = 0.001
 # Over weight, best effort, class and priority go before shares.
 _GROUP_FIELDS = 4
 
@@ -76,10 +74,7 @@
     service: str,
 ) -> Shares:
     """Returns the shares in a service."""
-    weights = {
-        customer.name: max(_MIN_WEIGHT, customer.weight)
-        for customer in table.policies
-    }
+    weights = table.weights
     mean_weight = sum(weights.values()) / len(weights) if weights else 1.0
     return Shares(
         usage.per_unit(service),
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/nodes.py
@@ -10,6 +10,7 @@
 from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import clients
+from tarragoncleat.batch import customer_report
 from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
 from tarragoncleat.batch import heartbeats
@@ -223,8 +224,17 @@
             "version": configuration.version if configuration else None,
             "active_jobs": len(self._state.active_jobs),
             "workers": len(self._state.workers),
+            "customers": self._dump_customers(),
         }
 
+    def _dump_customers(self) -> list[dict]:
+        """Returns usage, cap and, on the leader, waiting tasks by customer."""
+        waiting = None
+        if self._dispatcher is not None:
+            waiting = self._dispatcher.waiting_by_customer()
+        rows = customer_report.build_rows(self._state, waiting)
+        return [row._asdict() for row in rows]
+
     async def _run_terms(self) -> None:
         while True:
             await self._wait_until(lambda: self._node.is_leader)
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/planner.py
@@ -5,7 +5,7 @@
 service doesn't grow with the work of the others.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 import dataclasses
 import itertools
 
@@ -66,6 +66,11 @@
         # Whether some worker is large enough, by demand and label.
         self._fits: dict[tuple[model.Resources, str], bool] = {}
 
+    @property
+    def services(self) -> Mapping[str, ready_steps.ServiceSteps]:
+        """Ready steps by service, as of the last plan."""
+        return self._index.services
+
     def plan(
         self,
         views: _Views,
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -80,8 +80,8 @@
 
     def cap_ledger(self) -> customer_usage.CapLedger | None:
         """Returns what customers may start now, or None without any caps."""
-        policies = self.customers.policies
-        if not any(any(policy.cap) for policy in policies):
+        policies = self.customers.capped
+        if not policies:
             return None
         return customer_usage.CapLedger(policies, self.usage().totals)
 
