Measure plans with 20 customers under overload

Cause: nothing measured what caps and shares add to a plan.

Change: the group batch plans the same load without and with 20 customers (skewed weights, a cap of 0.15 of the fleet each, so that half of the waiting tasks are held back) by turns; the rows with customers have the others as their baseline.

--- a/tarragoncleat_bench/batch.py
+++ b/tarragoncleat_bench/batch.py
@@ -10,8 +10,10 @@
 import random
 import statistics
 import time
+from typing import NamedTuple
 
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customers
 from tarragoncleat.batch import model
 from tarragoncleat.batch import planner
 from tarragoncleat.batch import state as state_module
@@ -30,6 +32,12 @@
 _NOW_MS = 1_000
 # Submitted work relative to what the pools can run at once, approximately.
 _OVERLOAD_FACTOR = 3
+_CUSTOMER_COUNT = 20
+# Part of the fleet that the cap of each customer covers.
+_CAP_SHARE = 0.15
+_WORKER_MILLICORES = 16_000
+# So large that no job is beyond its customer's weight.
+_WEIGHT_PER_WORKER = 2.0
 _US_PER_S = 1_000_000
 _MS_PER_S = 1_000
 
@@ -37,7 +45,15 @@
 class _BatchFleet:
     """Applies commands to a batch state without the replicated log."""
 
-    def __init__(self, workers: int, seed: int) -> None:
+    def __init__(
+        self,
+        workers: int,
+        seed: int,
+        policies: tuple[model.CustomerPolicy, ...] | None = None,
+    ) -> None:
+        self._customers = policies
+        # Jobs are the same with and without customers.
+        self._customer_random = random.Random(seed)
         self.state = state_module.BatchState()
         self._index = itertools.count(1)
         self._random = random.Random(seed)
@@ -50,12 +66,12 @@
             )
             for name in service_names
         )
-        policies = tuple(
+        services = tuple(
             model.ServicePolicy(name, True, False) for name in service_names
         )
         self.apply(
             commands.PutConfiguration(
-                model.FleetConfiguration(1, b"{}", queues, policies)
+                model.FleetConfiguration(1, b"{}", queues, services, policies)
             )
         )
         self.queues = [queue.key for queue in queues]
@@ -68,7 +84,7 @@
                 f"i-{number}",
                 ("a", f"r-{number // 8}"),
                 f"r-{number // 8}",
-                16_000,
+                _WORKER_MILLICORES,
                 65_536,
                 0,
             )
@@ -83,12 +99,19 @@
             step = model.StepDefinition(
                 _TASKS_PER_JOB, self._random.randrange(300, 2_000), 512, 0, 900
             )
+            job_id = f"{number:016x}"
+            queue = self.queues[number % _QUEUE_COUNT]
+            definition = model.JobDefinition("x" * 75, (step,))
+            if self._customers is None:
+                self.apply(commands.SubmitJob(job_id, queue, definition))
+                continue
+            weights = [customer.weight for customer in self._customers]
+            (customer,) = self._customer_random.choices(
+                self._customers, weights
+            )
+            key = customer.key_digests[0]
             self.apply(
-                commands.SubmitJob(
-                    f"{number:016x}",
-                    self.queues[number % _QUEUE_COUNT],
-                    model.JobDefinition("x" * 75, (step,)),
-                )
+                commands.SubmitCustomerJob(job_id, queue, definition, key)
             )
 
     def plan(self) -> list[commands.RunStart]:
@@ -153,7 +176,7 @@
     full_fleet_plan_s = min(
         _processor_time_s(fleet.plan_anew) for _ in range(_PLAN_REPETITIONS)
     )
-    overload_plan_s, replace_s = _overload_plans_s(workers, seed)
+    plain, shared = _overload_plans_s(workers, seed)
     snapshot_s = _processor_time_s(fleet.state.snapshot)
     ends = tuple(
         commands.RunEnd(
@@ -172,18 +195,9 @@
             full_fleet_plan_s * _MS_PER_S,
             seed,
         ),
-        _row(
-            f"plan with {_OVERLOAD_FACTOR} times as many jobs as run, {size}",
-            "ms",
-            overload_plan_s * _MS_PER_S,
-            seed,
-        ),
-        _row(
-            f"plan after the end of a task, {_OVERLOAD_FACTOR} times as many"
-            f" jobs as run, {size}",
-            "ms",
-            replace_s * _MS_PER_S,
-            seed,
+        *_overload_rows(size, seed, plain, None),
+        *_overload_rows(
+            f"{size}, {_CUSTOMER_COUNT} customers", seed, shared, plain
         ),
         _row(
             f"store a start, {size}",
@@ -198,13 +212,71 @@
     ]
 
 
-def _overload_plans_s(workers: int, seed: int) -> tuple[float, float]:
-    """Returns the processor times of plans when all workers are full.
+class _OverloadPlans(NamedTuple):
+    """Processor times of plans when all workers are full, in s.
 
-    The first one is of a plan of everything, the second one the mean of plans
-    after the end of one task.
+    Attributes:
+        anew_s: Time of a plan of everything.
+        replaced_s: Mean time of plans after the end of one task.
     """
-    fleet = _BatchFleet(workers, seed)
+
+    anew_s: float
+    replaced_s: float
+
+
+def _overload_rows(
+    size: str,
+    seed: int,
+    plans: _OverloadPlans,
+    baseline: _OverloadPlans | None,
+) -> list[rows.Row]:
+    names = (
+        f"plan with {_OVERLOAD_FACTOR} times as many jobs as run, {size}",
+        f"plan after the end of a task, {_OVERLOAD_FACTOR} times as many"
+        f" jobs as run, {size}",
+    )
+    return [
+        rows.Row(
+            _GROUP,
+            name,
+            "ms",
+            figure_s * _MS_PER_S,
+            baseline=baseline[number] * _MS_PER_S if baseline else None,
+            seed=seed,
+        )
+        for number, (name, figure_s) in enumerate(
+            zip(names, plans, strict=True)
+        )
+    ]
+
+
+def _overload_plans_s(
+    workers: int, seed: int
+) -> tuple[_OverloadPlans, _OverloadPlans]:
+    """Measures plans under overload without and with customers, by turns."""
+    fleets = [
+        _overloaded_fleet(workers, seed, policies)
+        for policies in (None, _customer_policies(workers))
+    ]
+    anew_s: list[list[float]] = [[], []]
+    replaced_s: list[list[float]] = [[], []]
+    for _ in range(_PLAN_REPETITIONS):
+        for fleet, times_s in zip(fleets, anew_s, strict=True):
+            times_s.append(_processor_time_s(fleet.plan_anew))
+    for _ in range(_REPLACED_TASKS):
+        for fleet, times_s in zip(fleets, replaced_s, strict=True):
+            times_s.append(fleet.replace_a_task())
+    plain, shared = (
+        _OverloadPlans(min(anew), statistics.mean(replaced))
+        for anew, replaced in zip(anew_s, replaced_s, strict=True)
+    )
+    return plain, shared
+
+
+def _overloaded_fleet(
+    workers: int, seed: int, policies: tuple[model.CustomerPolicy, ...] | None
+) -> _BatchFleet:
+    fleet = _BatchFleet(workers, seed, policies)
     running = 0
     submitted = 0
     while submitted < _OVERLOAD_FACTOR * max(running, workers):
@@ -213,11 +285,22 @@
         starts = fleet.plan()
         fleet.apply(commands.StartRuns(tuple(starts)))
         running += len(starts) // _TASKS_PER_JOB
-    anew_s = min(
-        _processor_time_s(fleet.plan_anew) for _ in range(_PLAN_REPETITIONS)
+    return fleet
+
+
+def _customer_policies(workers: int) -> tuple[model.CustomerPolicy, ...]:
+    """Returns customers of which a few have most of the weight."""
+    parts = [1 / (number + 1) for number in range(_CUSTOMER_COUNT)]
+    cap = int(_CAP_SHARE * workers * _WORKER_MILLICORES)
+    return tuple(
+        model.CustomerPolicy(
+            model.CustomerName(f"customer-{number}"),
+            (customers.digest_key(b"key-%d" % number),),
+            _WEIGHT_PER_WORKER * workers * part / sum(parts),
+            model.Resources(cap, 0, 0),
+        )
+        for number, part in enumerate(parts)
     )
-    replaced_s = [fleet.replace_a_task() for _ in range(_REPLACED_TASKS)]
-    return anew_s, statistics.mean(replaced_s)
 
 
 def _processor_time_s(function: Callable[[], object]) -> float:
