--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/commands.py
@@ -62,6 +62,7 @@
     NO_QUEUE = "no_queue"
     UNAUTHORIZED = "unauthorized"
     ID_TAKEN = "id_taken"
+    OVER_CAP = "over_cap"
 
 
 class RunStart(NamedTuple):
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/job_service.py
@@ -9,6 +9,7 @@
 
 from tarragoncleat.batch import admission
 from tarragoncleat.batch import commands
+from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import events
 from tarragoncleat.batch import job_routing
 from tarragoncleat.batch import messages
@@ -78,6 +79,10 @@
                 return decision
             if decision is commands.JobDecision.ID_TAKEN:
                 return self._refuse_id(request, target, arrived_s)
+            if decision is commands.JobDecision.OVER_CAP:
+                return customer_usage.over_cap_failure(
+                    request, target.queue, self._state.customers
+                )
             if decision not in _OVERTAKEN:
                 self._log_accepted(request, target, decision, arrived_s)
                 return messages.Done()
