Refuse wave and heartbeat numbers that no message can hold

Cause: the duration of a wave, the number of a wave that is read and the remaining time of a draining worker had no upper limit. The message to the leader can't hold an integer beyond 64 bits, so encoding it raised OverflowError in place of an answer; a wave number of more than 4,300 digits raised ValueError. Change: the first and the last are refused with 400, and a wave number of more than 18 digits names no wave (404). Evidence: test_adapter; before, two tests failed and encoding the read of wave 10^30-1 raised. Conclusion: such bodies are answered like other malformed ones.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -270,7 +270,7 @@
 
     def test_duration_of_a_wave_must_be_a_number(self) -> None:
         """Guards against an exception in place of an answer."""
-        for duration in ("NaN", "Infinity", "1e999"):
+        for duration in ("NaN", "Infinity", "1e999", "1e300", "1" + 30 * "0"):
             body = f'{{"wave":1,"machines":[],"duration-s":{duration}}}'
             decoded = wire.decode_wave(body.encode())
             self.assertIsInstance(decoded, errors.Failure)
@@ -286,6 +286,8 @@
             {"address": "10.0.0.1"},
             {"address": "worker.example:80"},
             {"address": "10.0.0.1:99999"},
+            {"remaining-ms": 1e300},
+            {"remaining-ms": -(2**64)},
         ):
             body = batch_builders.build_heartbeat_body(**fields)
             decoded = wire.decode_heartbeat("i-1", body)
@@ -415,3 +417,11 @@
             reply = messages.WaveReply(is_finished)
             response = self._call(reply, "GET", "/wave-get/3")
             self.assertEqual(response.body, {"state": state})
+
+    def test_wave_number_that_no_message_holds_is_not_found(self) -> None:
+        """Guards against an exception in place of an answer."""
+        for number in ("9" * 30, "9" * 5_000):
+            response = self._call(
+                messages.WaveReply(False), "GET", f"/wave-get/{number}"
+            )
+            self.assertEqual(response.status, 404)
