Refuse no version for a customer that is only odd

Cause: a version was refused whole for a weight of 0, a name listed twice, a key that is empty, long or not visible ASCII, and a priority, which nothing reads, below 0. The platform calls only shared keys invalid, and a version that is refused also withdraws no key. A name listed twice has the keys of both entries; a key that both list is still refused. Wrong types are refused as before. Conclusion: the operator's text decides, within its types.

--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -57,11 +57,13 @@
     ) -> None:
         """Creates a table; without customers, callers need no key."""
         self._is_configured = customers is not None
-        self._customers = {item.name: item for item in customers or ()}
+        listed = tuple(customers or ())
+        # A name that is listed twice has the keys of both.
+        self._customers = {item.name: item for item in listed}
         # A lookup reveals by its timing no more than digests, not keys.
         self._callers = {
             digest: Caller(customer.name, digest)
-            for customer in self._customers.values()
+            for customer in listed
             for digest in customer.key_digests
         }
 
