--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/state.py
@@ -528,7 +528,7 @@
             for job in self._jobs.values()
             for task in (*job.running_tasks(), *job.suspect_tasks())
         }
-        return {
+        evidence: dict[str, list] = {
             "tasks": [
                 [
                     list(key),
@@ -538,19 +538,22 @@
                 ]
                 for key, task in tasks.items()
             ],
-            # Apart from "tasks", of which an earlier build reads just these
-            # four values.
-            "confirmed": [
-                [list(key), list(task.confirmed_crashes)]
-                for key, task in tasks.items()
-                if task.confirmed_crashes
-            ],
             "lapsed": [
                 [worker_id, sorted(map(list, worker.lapsed_tasks))]
                 for worker_id, worker in self._workers.items()
                 if worker.lapsed_tasks
             ],
         }
+        # Apart from "tasks", of which an earlier build reads just these four
+        # values.
+        confirmed = [
+            [list(key), list(task.confirmed_crashes)]
+            for key, task in tasks.items()
+            if task.confirmed_crashes
+        ]
+        if confirmed:
+            evidence["confirmed"] = confirmed
+        return evidence
 
     def restore(self, index: int, data: bytes) -> None:
         """Replaces the state by a snapshot; empty data means an empty state."""
