--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/customers.py
@@ -103,11 +103,12 @@
     def authenticate(
         self, queue: model.QueuePolicy, key: model.KeyDigest
     ) -> Caller | None:
-        """Returns who calls a queue, or None if the caller may not."""
-        caller = self._callers.get(key)
-        if caller is None and self._allows_anonymous(queue):
-            return _ANONYMOUS
-        return caller
+        """Returns who calls a queue, or None if the caller may not.
 
-    def _allows_anonymous(self, queue: model.QueuePolicy) -> bool:
-        return not self._is_configured or queue.allows_anonymous
+        A key that no customer has opens no queue: it may have been withdrawn.
+        """
+        if not self._is_configured:
+            return _ANONYMOUS
+        if key == NO_KEY:
+            return _ANONYMOUS if queue.allows_anonymous else None
+        return self._callers.get(key)
--- a/tarragoncleat/batch/job_routing.py
+++ b/tarragoncleat/batch/job_routing.py
@@ -41,9 +41,15 @@
 
     @property
     def visible_job(self) -> jobs.Job | None:
-        """The job, if the caller may see it."""
-        if self.caller is None or self.job is None:
+        """The job, if the caller may see it.
+
+        A queue that lets anonymous callers in leads to no customer's job in
+        another queue, which may need a key.
+        """
+        if self.queue is None or self.caller is None or self.job is None:
             return None
+        if not self.caller.customer and self.job.caller.customer:
+            return self.job if self.job.queue == self.queue.key else None
         return self.job if self.caller.may_see(self.job.caller) else None
 
     def has_queue(self, queue: model.QueuePolicy | None) -> bool:
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -1,5 +1,6 @@
 """Tests of who may call, on a leader over a log without a network."""
 
+import dataclasses
 import hashlib
 from typing import Any
 import unittest
@@ -142,11 +143,34 @@
         self._assert_all_refused("k1")
 
     def test_anonymous_callers_use_only_queues_that_allow_them(self) -> None:
-        """Guards against a key that is needed where none should be."""
+        """Guards against a key that is needed where none should be.
+
+        And against a withdrawn key that still runs something on such a queue.
+        """
         open_queue = _configuration(3, {"a": "k1"}, allows_anonymous=True)
         self._put(open_queue)
         self.assertIsInstance(self._submit(), messages.Done)
-        self.assertIsInstance(self._submit("k3"), messages.Done)
+        self._assert_all_refused("k3")
+        self.assertEqual(self._read("k1").state, jobs.JobState.QUEUED)
+
+    def test_anonymous_queue_shows_no_job_of_another_queue(self) -> None:
+        """Guards against a customer's job that is read without a key.
+
+        The id alone led to it from every queue that allows anonymous callers.
+        """
+        self._submit("k1")
+        closed = _configuration(3, {"a": "k1"})
+        open_queue = dataclasses.replace(
+            closed.queues[0],
+            host="open.example",
+            allows_anonymous=True,
+        )
+        self._put(
+            dataclasses.replace(closed, queues=(*closed.queues, open_queue))
+        )
+        path = f"{batch_builders.QUEUE.path_prefix}job-1"
+        reply = self._handle(messages.ReadRequest("open.example", path))
+        self.assertIsNone(reply.state)
         self.assertEqual(self._read("k1").state, jobs.JobState.QUEUED)
 
     def test_jobs_of_others_are_unknown(self) -> None:
