Log the numbers of waiting jobs when they change

Change: a number is logged when it has changed.

Evidence: tests of overload control, metrics and dispatcher, 42, pass.

--- a/tarragoncleat/batch/admission.py
+++ b/tarragoncleat/batch/admission.py
@@ -28,9 +28,12 @@
     "Backlog",
     "Supply",
     "build_supply",
-    "log_waiting",
+    "WaitingLog",
 ]
 
+# Service, priority and outlook.
+_WaitingKey = tuple[str, int, str]
+
 _MS_PER_S = 1_000
 _MILLICORES_PER_CORE = 1_000
 # Estimates of work may be twice too long.
@@ -345,16 +348,29 @@
         return max(1, min(_MAX_RETRY_AFTER_S, seconds))
 
 
-def log_waiting(state: state_module.BatchState, now_ms: int) -> None:
+class WaitingLog:
     """Logs the number of jobs not started by service, priority and outlook.
 
-    Numbers of 0 are included for the queues in force.
+    A number is logged when it has changed: most stay 0.
     """
-    counts: collections.Counter[tuple[str, int, str]] = collections.Counter()
-    configuration = state.configuration
-    for queue in configuration.queues if configuration is not None else ():
-        for outlook in ("in_time", "late", "expired"):
-            counts[queue.service, queue.priority, outlook] = 0
+
+    def __init__(self) -> None:
+        """Creates a log that has shown no number yet."""
+        self._logged: collections.Counter[_WaitingKey] = collections.Counter()
+
+    def update(self, state: state_module.BatchState, now_ms: int) -> None:
+        """Logs what has changed since the last call."""
+        counts = _count_waiting(state, now_ms)
+        for key in sorted(counts.keys() | self._logged.keys()):
+            if counts[key] != self._logged[key]:
+                event_log.emit(events.JobsWaiting(*key, counts[key]))
+        self._logged = counts
+
+
+def _count_waiting(
+    state: state_module.BatchState, now_ms: int
+) -> collections.Counter[_WaitingKey]:
+    counts: collections.Counter[_WaitingKey] = collections.Counter()
     for job in state.active_jobs.values():
         policy = state.policy_of(job)
         if policy is None or job.has_started or not job.occurrences:
@@ -364,8 +380,7 @@
         if now_ms > rank.latest_start_ms:
             outlook = "late" if now_ms <= rank.expires_ms else "expired"
         counts[policy.service, policy.priority, outlook] += 1
-    for (service, priority, outlook), jobs in sorted(counts.items()):
-        event_log.emit(events.JobsWaiting(service, priority, outlook, jobs))
+    return counts
 
 
 def _goes_before(
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/dispatcher.py
@@ -108,6 +108,7 @@
             state, self._approval_cache, bounds.controls_overload
         )
         self._held_jobs = customer_report.HeldJobs()
+        self._waiting_log = admission.WaitingLog()
         self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
         self._rebalancer = pool_rebalancer.PoolRebalancer(
@@ -464,7 +465,9 @@
     async def _run_load_log(self) -> None:
         async for _ in self._timer.subscribe(_LOAD_LOG_INTERVAL_S):
             if self._bounds.controls_overload:
-                admission.log_waiting(self._state, self._timer.wall_time_ms())
+                self._waiting_log.update(
+                    self._state, self._timer.wall_time_ms()
+                )
             arriving = self._rebalancer.arriving_counts()
             for service, demand in self._demands.items():
                 views = self._views.get(service, ())
