Let shares decide only what starts, and marks spare bursts

By reading: steps of started jobs were put behind others by their customers' usage, though one late task holds a whole job; and a customer within its weight was marked once a peak brought more than three deviations within 5 s.

Change: started jobs keep their order before the rest; a customer may send 20 jobs at once beyond its weight before a job is marked, none without a weight. A submission over its cap is now tested through the leader's service.

--- a/tarragoncleat/batch/arrival_windows.py
+++ b/tarragoncleat/batch/arrival_windows.py
@@ -1,7 +1,6 @@
 """Which jobs are beyond what their customer's weight lets it expect."""
 
 import collections
-import math
 
 from tarragoncleat.batch import model
 
@@ -9,9 +8,10 @@
 
 _WINDOW_MS = 5_000
 _MS_PER_S = 1_000
-# A customer that sends as many jobs as its weight on average exceeds the mean
-# by this many standard deviations in fewer than one window in 700.
-_DEVIATIONS = 3.0
+# Jobs that a customer may send at once. Demand comes in bursts: a customer that
+# keeps to its weight on average sends several seconds' worth in one. Without a
+# weight it can expect nothing.
+_BURST_JOBS = 20
 
 
 class ArrivalWindows:
@@ -47,5 +47,6 @@
 
 def _max_jobs(weight: float) -> int:
     """Returns how many jobs in a window are within a weight."""
-    mean = max(0.0, weight) * _WINDOW_MS / _MS_PER_S
-    return int(mean + _DEVIATIONS * math.sqrt(mean)) + 1
+    if weight <= 0:
+        return 1
+    return int(weight * _WINDOW_MS / _MS_PER_S) + _BURST_JOBS
--- a/tarragoncleat/batch/fair_share.py
+++ b/tarragoncleat/batch/fair_share.py
@@ -34,6 +34,10 @@
     share: float
     share_of: tuple[float, ...]
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a task of its job was ever started."""
+
     @property
     def customer(self) -> model.CustomerName:
         """Customer of its job; empty for none."""
@@ -90,7 +94,8 @@
     """Returns steps in the order of the customers' virtual times.
 
     Only steps of equal class and priority change places, and those of one
-    customer keep their order.
+    customer keep their order. Steps of started jobs come first and keep theirs:
+    shares decide what starts, and one late task holds a whole job.
 
     Args:
         keyed: Steps with their sort keys, sorted.
@@ -110,7 +115,7 @@
             lane = lanes[ready_step.customer] = _lane(
                 ready_step.customer, shares
             )
-        times.append(lane[0])
+        times.append(-1.0 if ready_step.has_started else lane[0])
         lane[0] += ready_step.share * lane[1]
     ordered: list[tuple[tuple, _StepT]] = []
     while len(ordered) < len(keyed):
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/ready_steps.py
@@ -31,6 +31,7 @@
         customer: Customer of its job; empty for none.
         charge: What each of its tasks counts for the customer.
         is_over_weight: Whether its job is beyond its customer's weight.
+        has_started: Whether a task of its job was ever started.
         placed_count: Number of its tasks that the latest plan starts.
         placed_alone: Positions of those of them that run alone.
         share: See `fair_share.WaitingStep`.
@@ -43,6 +44,7 @@
     customer: model.CustomerName
     charge: model.Resources
     is_over_weight: bool
+    has_started: bool = False
     placed_count: int = 0
     placed_alone: set[int] = dataclasses.field(default_factory=set)
     share: float = 0.0
@@ -257,4 +259,5 @@
                     customer_usage.charge_of(step.definition),
                     # Nothing would end the wait of those that last.
                     job.is_over_weight and not job.is_long_running,
+                    job.has_started,
                 )
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -173,6 +173,22 @@
         self.assertIsNone(reply.state)
         self.assertEqual(self._read("k1").state, jobs.JobState.QUEUED)
 
+    def test_job_larger_than_its_cap_is_refused_at_once(self) -> None:
+        """Guards against an accepted job that can never start.
+
+        The refusal is decided by the cap in force when the job is stored.
+        """
+        policy = batch_builders.build_customer("a", "k1")
+        small = dataclasses.replace(policy, cap=model.Resources(500, 0, 0))
+        lowered = batch_builders.build_customer_configuration(3, small)
+        self.log.ahead.append(commands.PutConfiguration(lowered))
+        refused = self._submit("k1")
+        self.assertEqual(_kind(refused), errors.ErrorKind.QUOTA)
+        self.assertIsNone(self.log.state.job("job-1"))
+        raised = batch_builders.build_customer_configuration(4, policy)
+        self._put(raised)
+        self.assertIsInstance(self._submit("k1"), messages.Done)
+
     def test_jobs_of_others_are_unknown(self) -> None:
         """Guards against customers that read or cancel each other's jobs."""
         self._submit("k1")
