Keep a step's tasks on one worker that has the room

Change: placement first looks for a worker in use with room for all waiting tasks of the step; without one the tasks fill holes as before. Idle workers aren't opened for it.

--- a/tarragoncleat/batch/model.py
+++ b/tarragoncleat/batch/model.py
@@ -66,6 +66,10 @@
             and (accelerators <= free.accelerators or not accelerators)
         )
 
+    def times(self, count: int) -> "Resources":
+        """Returns the resources of `count` tasks."""
+        return Resources(*(count * amount for amount in self))
+
     def minus(self, other: "Resources") -> "Resources":
         """Returns the resources that remain without `other`."""
         return Resources(
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/placement.py
@@ -184,24 +184,37 @@
         demand = step.demand
         if any(other.fits_into(demand) for other in self._unplaced_demands):
             return []
-        starts = []
+        positions = sorted(step.waiting)[:limit]
+        starts = self._place_together(step, positions)
         index = 0
-        for position in sorted(step.waiting)[:limit]:
+        for position in positions[len(starts) :]:
             index = self._find(demand, index)
             if index == len(self._ranked):
                 self._unplaced_demands.append(demand)
                 break
             view = self._ranked[index][1]
-            task = step.tasks[position]
-            starts.append(
-                commands.RunStart(
-                    task.key, step.next_run(position), view.record.worker_id
-                )
-            )
-            view.add_task(task.key, step.definition, demand)
+            starts.append(_start(step, position, view))
             index = min(index, self._move(index))
         return starts
 
+    def _place_together(
+        self, step: jobs_module.Step, positions: Sequence[int]
+    ) -> list[commands.RunStart]:
+        """Places all tasks on one worker in use, if one has the room.
+
+        A job needs all tasks of its step, so the fewer workers and zones they
+        are on, the fewer jobs does the loss of one delay.
+        """
+        index = self._find(step.demand.times(len(positions)), 0)
+        if index == len(self._ranked):
+            return []
+        view = self._ranked[index][1]
+        if not view.task_count:
+            return []
+        starts = [_start(step, position, view) for position in positions]
+        self._move(index)
+        return starts
+
     def _find(self, demand: model.Resources, index: int) -> int:
         """Returns the first worker from an index on that a task fits on."""
         for rank_and_view in itertools.islice(self._ranked, index, None):
@@ -227,6 +240,17 @@
         return new_index
 
 
+def _start(
+    step: jobs_module.Step, position: int, view: worker_views.WorkerView
+) -> commands.RunStart:
+    """Places a task on a worker."""
+    key = step.tasks[position].key
+    view.add_task(key, step.definition, step.demand)
+    return commands.RunStart(
+        key, step.next_run(position), view.record.worker_id
+    )
+
+
 def _plain_rank(view: worker_views.WorkerView) -> tuple:
     """Returns what `placement_rank.rank` does, for a plain step."""
     return (
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -286,6 +286,71 @@
         self.assertEqual(demand.free_millicores, 0)
 
 
+class ZoneLossTest(unittest.TestCase):
+    """Tests how many jobs the loss of an availability zone delays.
+
+    Load pattern: a zone is cut off at the height of a load peak. A job is
+    delayed if a single one of its tasks ran there.
+    """
+
+    _ZONES = ("a", "b", "c", "d")
+    _TASKS = 4
+
+    def setUp(self) -> None:
+        self.local = batch_builders.LocalState()
+        for zone in self._ZONES:
+            self.local.register(
+                f"{zone}-1",
+                f"{zone}-2",
+                availability_zone=zone,
+                cpu_millicores=16_000,
+                memory_mb=32_768,
+            )
+
+    def _use_all(self) -> None:
+        """Starts a task that lasts on each worker."""
+        step = batch_builders.build_step(8, long_running=True, max_per_worker=1)
+        self.local.submit("lasting-job", step)
+        self._start_planned()
+
+    def _start_planned(self) -> list[commands.RunStart]:
+        state = self.local.state
+        views = worker_views.build_views(
+            state, dict.fromkeys(state.workers, 0.0)
+        )
+        starts = planner.plan(state, views, self.local.time_ms).starts
+        self.local.apply(commands.StartRuns(tuple(starts)))
+        return starts
+
+    def test_zone_holds_parts_of_few_jobs(self) -> None:
+        """Guards against jobs that are spread over all zones."""
+        self._use_all()
+        jobs = 16
+        for number in range(jobs):
+            step = batch_builders.build_step(self._TASKS)
+            self.local.submit(f"job-{number}", step)
+        starts = self._start_planned()
+        self.assertEqual(len(starts), jobs * self._TASKS)
+        for zone in self._ZONES:
+            hit = {
+                start.task.job_id
+                for start in starts
+                if start.worker_id.startswith(zone)
+            }
+            self.assertLessEqual(len(hit), jobs // len(self._ZONES))
+
+    def test_idle_worker_is_not_opened_to_keep_tasks_together(self) -> None:
+        """Guards against instances that stay in a pool for such a step."""
+        for worker_id in ("a-1", "b-1"):
+            self.local.submit(worker_id, batch_builders.build_step(14))
+            for position in range(14):
+                key = batch_builders.task_key(worker_id, position)
+                self.local.start(key, worker_id=worker_id)
+        self.local.submit("small-job", batch_builders.build_step(self._TASKS))
+        used = {start.worker_id for start in self._start_planned()}
+        self.assertEqual(used, {"a-1", "b-1"})
+
+
 class PeakAfterPeakTest(unittest.TestCase):
     """Tests placement at the end of one queue's peak and the start of another.
 
