Expect growth only beyond the recent peak of a load

Cause: within a peak the load of a queue varies by half from second to second with the number of jobs that happen to run, and each rise was extrapolated over the time of a move.

Change: growth is the load less its highest value in the 3 s before the window of 1 s. At the start of a peak that is the growth of the last second, as before.

--- a/tarragoncleat/batch/pool_sizing.py
+++ b/tarragoncleat/batch/pool_sizing.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 import dataclasses
 
 __all__ = [
@@ -20,6 +20,9 @@
 
 # The load is expected to grow as fast as in the last window of this length.
 _TREND_WINDOW_S = 1.0
+# A load that was reached within this time before the window is no growth: the
+# number of jobs that happen to run varies.
+_PEAK_MEMORY_S = 3.0
 # Minimum shortage, in instances, for which an instance is moved.
 _MIN_SHORTAGE_INSTANCES = 0.5
 # Free capacity, in instances, that must remain beyond the reserve when a pool
@@ -77,18 +80,27 @@
         for service, demand in demands.items():
             samples = self._samples.setdefault(service, collections.deque())
             samples.append((now_s, demand.load_millicores))
-            while now_s - samples[0][0] > _TREND_WINDOW_S:
+            while now_s - samples[0][0] > _TREND_WINDOW_S + _PEAK_MEMORY_S:
                 samples.popleft()
 
     def growth_millicores(self, service: str) -> int:
-        """Returns the growth expected in the lead time; 0 if the load fell."""
+        """Returns the growth expected beyond the recent peak of the load."""
         samples = self._samples.get(service)
         if not samples:
             return 0
-        growth = max(0, samples[-1][1] - samples[0][1])
+        growth = max(0, samples[-1][1] - _recent_peak(samples))
         return int(growth * self._lead_s / _TREND_WINDOW_S)
 
 
+def _recent_peak(samples: Sequence[tuple[float, int]]) -> int:
+    """Returns the highest load before the window, or the first one known."""
+    now_s = samples[-1][0]
+    earlier = [
+        load for time_s, load in samples if now_s - time_s >= _TREND_WINDOW_S
+    ]
+    return max(earlier, default=samples[0][1])
+
+
 def instance_shortage(
     demand: Demand, growth_millicores: int, arriving: int = 0
 ) -> float:
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -86,6 +86,21 @@
             self.trend.record_demands({"a": demand}, float(second))
         self.assertEqual(self.trend.growth_millicores("a"), 0)
 
+    def test_load_that_varies_below_its_peak_is_no_growth(self) -> None:
+        """Guards against instances that arrive when the load has gone again.
+
+        Load pattern: within a peak of some seconds the load rises and falls by
+        half each second, with the number of jobs that happen to run.
+        """
+        for step, used in enumerate((20, 300, 300, 340, 210, 270, 330, 220)):
+            demand = _demand(used_millicores=used * _CORES)
+            self.trend.record_demands({"a": demand}, step * 0.5)
+            if step >= 5:
+                self.assertEqual(self.trend.growth_millicores("a"), 0, step)
+        demand = _demand(used_millicores=400 * _CORES)
+        self.trend.record_demands({"a": demand}, 4.0)
+        self.assertEqual(self.trend.growth_millicores("a"), 60 * _CORES)
+
     def test_each_unplaced_long_running_task_needs_an_instance(self) -> None:
         """Tasks limited to one per worker don't fit on the workers in use."""
         demand = _demand(unplaced_long_running=3, unplaced_millicores=300)
