Group the modules of batch by part

Change: five parts with imports in one direction: replicated (state and its commands), workers (sessions), pools (sizes, moves, waves), scheduling (order and placement) and leader (dispatcher and requests); events, bounds and metrics stay in batch itself.

Conclusion: state and decisions can be told apart by their folder.

--- /dev/null
+++ b/tarragoncleat/batch/leader/__init__.py
@@ -0,0 +1,1 @@
+"""What a leader runs, and how requests reach it."""
--- a/tarragoncleat/batch/admission.py
+++ b/tarragoncleat/batch/leader/admission.py
@@ -13,12 +13,12 @@
 import zlib
 
 from tarragoncleat.batch import events
-from tarragoncleat.batch import job_order
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import overload
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import job_order
+from tarragoncleat.batch.scheduling import overload
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
--- a/tarragoncleat/batch/customer_report.py
+++ b/tarragoncleat/batch/leader/customer_report.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from tarragoncleat.batch import events
-from tarragoncleat.batch import model
-from tarragoncleat.batch import ready_steps
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import ready_steps
 
 __all__ = ["HeldJobs", "Waiting", "build_rows", "count_waiting"]
 
--- a/tarragoncleat/batch/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -7,29 +7,29 @@
 import anyio
 import anyio.abc
 
-from tarragoncleat.batch import admission
-from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customer_report
-from tarragoncleat.batch import departures
 from tarragoncleat.batch import events
-from tarragoncleat.batch import job_order
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import pacing
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import pool_rebalancer
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import run_ends
-from tarragoncleat.batch import session_registry
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import wave_controller
-from tarragoncleat.batch import worker_health
-from tarragoncleat.batch import worker_session
-from tarragoncleat.batch import worker_state
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.leader import admission
+from tarragoncleat.batch.leader import customer_report
+from tarragoncleat.batch.pools import pool_rebalancer
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.pools import wave_controller
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.scheduling import job_order
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import departures
+from tarragoncleat.batch.workers import pacing
+from tarragoncleat.batch.workers import run_ends
+from tarragoncleat.batch.workers import session_registry
+from tarragoncleat.batch.workers import worker_health
+from tarragoncleat.batch.workers import worker_session
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import event_log
--- a/tarragoncleat/batch/job_routing.py
+++ b/tarragoncleat/batch/leader/job_routing.py
@@ -7,11 +7,11 @@
 
 import dataclasses
 
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import errors
 
--- a/tarragoncleat/batch/job_service.py
+++ b/tarragoncleat/batch/leader/job_service.py
@@ -7,13 +7,13 @@
 
 import msgpack
 
-from tarragoncleat.batch import admission
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import events
-from tarragoncleat.batch import job_routing
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.leader import admission
+from tarragoncleat.batch.leader import job_routing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import state as state_module
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
--- a/tarragoncleat/batch/leader_service.py
+++ b/tarragoncleat/batch/leader/leader_service.py
@@ -6,16 +6,16 @@
 
 import msgpack
 
-from tarragoncleat.batch import admission
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
-from tarragoncleat.batch import incarnations
-from tarragoncleat.batch import job_service
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.leader import admission
+from tarragoncleat.batch.leader import dispatcher as dispatcher_module
+from tarragoncleat.batch.leader import job_service
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import incarnations
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
--- a/tarragoncleat/batch/nodes.py
+++ b/tarragoncleat/batch/leader/nodes.py
@@ -7,18 +7,18 @@
 import anyio
 import loguru
 
-from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds as bounds_module
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import customer_report
-from tarragoncleat.batch import dispatcher as dispatcher_module
 from tarragoncleat.batch import events
-from tarragoncleat.batch import heartbeats
-from tarragoncleat.batch import leader_service
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import session_registry
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.leader import customer_report
+from tarragoncleat.batch.leader import dispatcher as dispatcher_module
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import heartbeats
+from tarragoncleat.batch.workers import session_registry
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links as links_module
 from tarragoncleat.cluster import log_node
--- /dev/null
+++ b/tarragoncleat/batch/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Sizes of pools, moves of instances between them, and maintenance waves."""
--- a/tarragoncleat/batch/wave_controller.py
+++ b/tarragoncleat/batch/pools/wave_controller.py
@@ -4,15 +4,15 @@
 import math
 
 from tarragoncleat.batch import bounds as bounds_module
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import waves
-from tarragoncleat.batch import worker_session
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import waves
+from tarragoncleat.batch.replicated import worker_state
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import worker_session
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
--- a/tarragoncleat/batch/arrival_windows.py
+++ b/tarragoncleat/batch/replicated/arrival_windows.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["ArrivalWindows"]
 
--- a/tarragoncleat/batch/commands.py
+++ b/tarragoncleat/batch/replicated/commands.py
@@ -4,7 +4,7 @@
 import enum
 from typing import NamedTuple, Protocol
 
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import model
 from tarragoncleat.kernel import codec
 
 __all__ = [
--- a/tarragoncleat/batch/configuration_check.py
+++ b/tarragoncleat/batch/replicated/configuration_check.py
@@ -11,7 +11,7 @@
 import enum
 from typing import Any, TypeVar
 
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import model
 
 __all__ = [
     "Action",
--- a/tarragoncleat/batch/crashes.py
+++ b/tarragoncleat/batch/replicated/crashes.py
@@ -11,8 +11,8 @@
 import dataclasses
 import enum
 
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["Crash", "Suspicion", "record_crash", "suspects", "suspicion"]
 
--- a/tarragoncleat/batch/customer_usage.py
+++ b/tarragoncleat/batch/replicated/customer_usage.py
@@ -9,12 +9,12 @@
 import dataclasses
 from typing import NamedTuple
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import worker_state
 from tarragoncleat.kernel import errors
 
 __all__ = [
--- a/tarragoncleat/batch/customers.py
+++ b/tarragoncleat/batch/replicated/customers.py
@@ -7,7 +7,7 @@
 import dataclasses
 import hashlib
 
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["NO_KEY", "Caller", "CustomerTable", "digest_key"]
 
--- a/tarragoncleat/batch/jobs.py
+++ b/tarragoncleat/batch/replicated/jobs.py
@@ -4,9 +4,9 @@
 import enum
 from typing import Any
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["Job", "JobState", "Occurrence", "Step", "Task", "TaskState"]
 
--- a/tarragoncleat/batch/messages.py
+++ b/tarragoncleat/batch/replicated/messages.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import model
 from tarragoncleat.kernel import codec
 
 __all__ = [
--- a/tarragoncleat/batch/queue_table.py
+++ b/tarragoncleat/batch/replicated/queue_table.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import model
 from tarragoncleat.kernel import codec
 
 __all__ = ["QueueTable"]
--- a/tarragoncleat/batch/state.py
+++ b/tarragoncleat/batch/replicated/state.py
@@ -8,17 +8,17 @@
 
 import msgpack
 
-from tarragoncleat.batch import arrival_windows
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import crashes
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import incarnations
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import queue_table
-from tarragoncleat.batch import waves
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import arrival_windows
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import crashes
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import incarnations
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import queue_table
+from tarragoncleat.batch.replicated import waves
+from tarragoncleat.batch.replicated import worker_state
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 
--- a/tarragoncleat/batch/worker_state.py
+++ b/tarragoncleat/batch/replicated/worker_state.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["Worker", "WorkerState"]
 
--- /dev/null
+++ b/tarragoncleat/batch/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which jobs get capacity, and on which workers their tasks run."""
--- a/tarragoncleat/batch/cap_planning.py
+++ b/tarragoncleat/batch/scheduling/cap_planning.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable, Sequence
 
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import model
-from tarragoncleat.batch import ready_steps
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import ready_steps
+from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["Unplaced", "count_placed", "least_charge", "start_limit"]
 
--- a/tarragoncleat/batch/fair_share.py
+++ b/tarragoncleat/batch/scheduling/fair_share.py
@@ -12,10 +12,10 @@
 import operator
 from typing import Protocol, TypeVar
 
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
 
 __all__ = ["Shares", "WaitingStep", "order", "shares_in"]
 
--- a/tarragoncleat/batch/isolation.py
+++ b/tarragoncleat/batch/scheduling/isolation.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Iterable, Sequence
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import crashes
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import placement_rank
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import crashes
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.scheduling import placement_rank
+from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["place_alone", "place_apart", "workers_for_gang"]
 
--- a/tarragoncleat/batch/job_order.py
+++ b/tarragoncleat/batch/scheduling/job_order.py
@@ -8,9 +8,9 @@
 import dataclasses
 import math
 
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import overload
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import overload
 
 __all__ = [
     "JobRank",
--- a/tarragoncleat/batch/overload.py
+++ b/tarragoncleat/batch/scheduling/overload.py
@@ -10,8 +10,8 @@
 import math
 import zlib
 
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
 
 __all__ = [
     "FIRST_BAND",
--- a/tarragoncleat/batch/placement.py
+++ b/tarragoncleat/batch/scheduling/placement.py
@@ -10,17 +10,17 @@
 import itertools
 import operator
 
-from tarragoncleat.batch import advice
-from tarragoncleat.batch import cap_planning
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import crashes
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import isolation
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import placement_rank
-from tarragoncleat.batch import ready_steps
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import crashes
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.scheduling import cap_planning
+from tarragoncleat.batch.scheduling import isolation
+from tarragoncleat.batch.scheduling import placement_rank
+from tarragoncleat.batch.scheduling import ready_steps
+from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["place_on_vacant", "place_steps"]
 
--- a/tarragoncleat/batch/placement_rank.py
+++ b/tarragoncleat/batch/scheduling/placement_rank.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["can_run", "packing_preference", "rank", "room_for", "suits_vacant"]
 
--- a/tarragoncleat/batch/planner.py
+++ b/tarragoncleat/batch/scheduling/planner.py
@@ -9,16 +9,16 @@
 import dataclasses
 import itertools
 
-from tarragoncleat.batch import advice
-from tarragoncleat.batch import cap_planning
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import model
-from tarragoncleat.batch import placement
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import ready_steps
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.scheduling import cap_planning
+from tarragoncleat.batch.scheduling import placement
+from tarragoncleat.batch.scheduling import ready_steps
+from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["Plan", "Planner", "plan"]
 
--- a/tarragoncleat/batch/ready_steps.py
+++ b/tarragoncleat/batch/scheduling/ready_steps.py
@@ -9,13 +9,13 @@
 import dataclasses
 import math
 
-from tarragoncleat.batch import customer_usage
-from tarragoncleat.batch import fair_share
-from tarragoncleat.batch import job_order
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import overload
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import fair_share
+from tarragoncleat.batch.scheduling import job_order
+from tarragoncleat.batch.scheduling import overload
 
 __all__ = ["ReadyIndex", "ReadyStep", "ServiceSteps"]
 
--- a/tarragoncleat/batch/worker_views.py
+++ b/tarragoncleat/batch/scheduling/worker_views.py
@@ -4,10 +4,10 @@
 import dataclasses
 import math
 
-from tarragoncleat.batch import crashes
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import crashes
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
 
 __all__ = ["ViewCache", "WorkerView", "build_views"]
 
--- /dev/null
+++ b/tarragoncleat/batch/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions with workers: leases, orders, reports and health."""
--- a/tarragoncleat/batch/clients.py
+++ b/tarragoncleat/batch/workers/clients.py
@@ -7,8 +7,8 @@
 import enum
 from typing import Protocol
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
 from tarragoncleat.kernel import errors
 
 __all__ = [
--- a/tarragoncleat/batch/heartbeats.py
+++ b/tarragoncleat/batch/workers/heartbeats.py
@@ -7,10 +7,10 @@
 from collections.abc import Mapping
 import zlib
 
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
 from tarragoncleat.kernel import ids
 
 __all__ = ["changes_nothing", "select_node"]
--- a/tarragoncleat/batch/pacing.py
+++ b/tarragoncleat/batch/workers/pacing.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_session
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.workers import worker_session
 
 __all__ = ["speed_changes"]
 
--- a/tarragoncleat/batch/restarts.py
+++ b/tarragoncleat/batch/workers/restarts.py
@@ -9,9 +9,9 @@
 
 import anyio
 
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import incarnations
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import incarnations
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["LateStarts", "keep_off_successor"]
--- a/tarragoncleat/batch/run_ends.py
+++ b/tarragoncleat/batch/workers/run_ends.py
@@ -4,9 +4,9 @@
 
 import anyio
 
-from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
-from tarragoncleat.batch import worker_health
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.workers import worker_health
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
 from tarragoncleat.log import applier as applier_module
--- a/tarragoncleat/batch/session_registry.py
+++ b/tarragoncleat/batch/workers/session_registry.py
@@ -7,12 +7,12 @@
 import loguru
 
 from tarragoncleat.batch import bounds as bounds_module
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
-from tarragoncleat.batch import restarts
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_session
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import restarts
+from tarragoncleat.batch.workers import worker_session
 from tarragoncleat.kernel import timer as timer_module
 
 __all__ = ["SessionOwner", "SessionRegistry", "WorkerClientFactory"]
--- a/tarragoncleat/batch/worker_health.py
+++ b/tarragoncleat/batch/workers/worker_health.py
@@ -7,10 +7,10 @@
 from collections import deque
 import dataclasses
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_session
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.workers import worker_session
 
 __all__ = ["WorkerHealth"]
 
--- a/tarragoncleat/batch/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -9,15 +9,15 @@
 import anyio
 
 from tarragoncleat.batch import bounds as bounds_module
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
-from tarragoncleat.batch import incarnations
-from tarragoncleat.batch import leases
-from tarragoncleat.batch import model
-from tarragoncleat.batch import restarts
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import incarnations
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import leases
+from tarragoncleat.batch.workers import restarts
 from tarragoncleat.kernel import event_log
 from tarragoncleat.kernel import timer as timer_module
 
--- a/tarragoncleat_bench/batch.py
+++ b/tarragoncleat_bench/batch.py
@@ -12,12 +12,12 @@
 import time
 from typing import NamedTuple
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.kernel import codec
 from tarragoncleat_bench import rows
 
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -8,14 +8,14 @@
 
 import anyio
 
-from tarragoncleat.batch import advice
 from tarragoncleat.batch import bounds
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import dispatcher
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.leader import dispatcher
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.cluster import replica_selection
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -3,12 +3,12 @@
 import dataclasses
 import random
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs as jobs_module
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import worker_health
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs as jobs_module
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
+from tarragoncleat.batch.workers import worker_health
 from tests import batch_builders
 
 __all__ = ["CrashFleet"]
--- a/tests/customer_fleet.py
+++ b/tests/customer_fleet.py
@@ -7,13 +7,13 @@
 
 import msgpack
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.kernel import codec
 from tests import batch_builders
 
--- a/tests/load_builders.py
+++ b/tests/load_builders.py
@@ -6,11 +6,11 @@
 import itertools
 import random
 
-from tarragoncleat.batch import admission
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.leader import admission
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.kernel import errors
 from tests import batch_builders
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -19,12 +19,12 @@
 from fleet_adapter import json_client
 from fleet_adapter import settings_file
 from fleet_adapter import wire
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import customers
 from tarragoncleat.batch import events
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tests import batch_builders
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -5,10 +5,10 @@
 
 import anyio
 
-from tarragoncleat.batch import advice
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tests import batch_builders
 
 _STEP = ("job-1", 0, 0)
--- a/tests/test_batch_leases.py
+++ b/tests/test_batch_leases.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat.batch import leases
+from tarragoncleat.batch.workers import leases
 from tarragoncleat.cluster import node_ids
 from tarragoncleat.cluster import replica_selection
 from tarragoncleat.kernel import ids
--- a/tests/test_batch_placement.py
+++ b/tests/test_batch_placement.py
@@ -6,13 +6,13 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import job_order
-from tarragoncleat.batch import model
-from tarragoncleat.batch import pacing
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import job_order
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
+from tarragoncleat.batch.workers import pacing
 from tests import batch_builders
 
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -8,11 +8,11 @@
 import random
 import unittest
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tests import batch_builders
 
 _SEEDS = 20
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
 from tests import batch_builders
 
 _Ending = commands.Ending
--- a/tests/test_confirmed_runs.py
+++ b/tests/test_confirmed_runs.py
@@ -6,10 +6,10 @@
 
 import unittest
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import crashes
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import crashes
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import model
 from tests import batch_builders
 
 _FAILED = jobs.JobState.FAILED
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -9,9 +9,9 @@
 
 import msgpack
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import model
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import model
 from tests import batch_builders
 from tests import crash_fleet
 
--- a/tests/test_customer_caps.py
+++ b/tests/test_customer_caps.py
@@ -5,10 +5,10 @@
 
 import msgpack
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.scheduling import planner
 from tests import batch_builders
 from tests import customer_fleet
 
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -9,13 +9,13 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import customers
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import leader_service
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import customers
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.replicated import state as state_module
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tests import batch_builders
--- a/tests/test_customer_report.py
+++ b/tests/test_customer_report.py
@@ -6,11 +6,11 @@
 
 from tarragoncleat.administration import explain
 from tarragoncleat.batch import batch_metrics
-from tarragoncleat.batch import customer_report
-from tarragoncleat.batch import customer_usage
 from tarragoncleat.batch import events
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import planner
+from tarragoncleat.batch.leader import customer_report
+from tarragoncleat.batch.replicated import customer_usage
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.scheduling import planner
 from tarragoncleat.kernel import errors
 from tests import batch_builders
 from tests import customer_fleet
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,10 +9,10 @@
 
 import anyio
 
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import departures
-from tarragoncleat.batch import jobs
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import departures
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,10 +8,10 @@
 
 import anyio
 
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.scheduling import worker_views
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -8,9 +8,9 @@
 import random
 import unittest
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import state as state_module
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import state as state_module
 from tests import batch_builders
 from tests import customer_fleet
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -7,9 +7,9 @@
 import collections
 import unittest
 
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import heartbeats
-from tarragoncleat.batch import messages
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.workers import heartbeats
 from tarragoncleat.kernel import ids
 from tests import batch_builders
 
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -7,10 +7,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from tarragoncleat.batch import commands
 from tarragoncleat.batch import events
-from tarragoncleat.batch import leader_service
-from tarragoncleat.batch import messages
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import messages
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tests import batch_builders
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,16 +11,16 @@
 import msgpack
 
 from fleet_adapter import http_messages
-from tarragoncleat.batch import admission
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import job_order
-from tarragoncleat.batch import job_service
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import overload
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import ready_steps
+from tarragoncleat.batch.leader import admission
+from tarragoncleat.batch.leader import job_service
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import job_order
+from tarragoncleat.batch.scheduling import overload
+from tarragoncleat.batch.scheduling import ready_steps
 from tarragoncleat.cluster import messages as cluster_messages
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -5,11 +5,11 @@
 import anyio
 
 from tarragoncleat.batch import bounds
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import model
-from tarragoncleat.batch import pool_rebalancer
-from tarragoncleat.batch import pool_sizing
+from tarragoncleat.batch.pools import pool_rebalancer
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import errors
 from tests import batch_builders
 
--- a/tests/test_refusals_explained.py
+++ b/tests/test_refusals_explained.py
@@ -14,9 +14,9 @@
 from fleet_adapter import http_messages
 from tarragoncleat.administration import explain
 from tarragoncleat.batch import bounds
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import nodes
+from tarragoncleat.batch.leader import nodes
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
 from tarragoncleat.cluster import log_node
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
--- a/tests/test_resized_workers.py
+++ b/tests/test_resized_workers.py
@@ -9,14 +9,14 @@
 
 import anyio
 
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import leader_service
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import model
-from tarragoncleat.batch import planner
-from tarragoncleat.batch import pool_sizing
-from tarragoncleat.batch import worker_views
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.pools import pool_sizing
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
+from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from fleet_adapter import worker_client
-from tarragoncleat.batch import clients
+from tarragoncleat.batch.workers import clients
 from tests import batch_builders
 
 _RESPONSE = b'{"clock-ms":100}'
--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import worker_health
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import worker_health
 from tests import batch_builders
 
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -16,16 +16,16 @@
 from fleet_adapter import advisor_client
 from fleet_adapter import json_client
 from fleet_adapter import wire
-from tarragoncleat.batch import advice
-from tarragoncleat.batch import clients
-from tarragoncleat.batch import commands
-from tarragoncleat.batch import heartbeats
-from tarragoncleat.batch import incarnations
-from tarragoncleat.batch import jobs
-from tarragoncleat.batch import leader_service
-from tarragoncleat.batch import messages
-from tarragoncleat.batch import state as state_module
-from tarragoncleat.batch import worker_state
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import incarnations
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import state as state_module
+from tarragoncleat.batch.replicated import worker_state
+from tarragoncleat.batch.scheduling import advice
+from tarragoncleat.batch.workers import clients
+from tarragoncleat.batch.workers import heartbeats
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import timer as timer_module
