--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -166,6 +166,16 @@
                 stderr=log,
             )
 
+    def open_files(self, name: str) -> set[str]:
+        """Returns what the file descriptors of a process refer to."""
+        folder = pathlib.Path(f"/proc/{self._processes[name].pid}/fd")
+        found = set()
+        for descriptor in folder.iterdir():
+            # One may have been closed meanwhile.
+            with contextlib.suppress(FileNotFoundError):
+                found.add(os.readlink(descriptor))
+        return found
+
     def signal(self, number: signal.Signals, *names: str) -> None:
         """Sends a signal to processes."""
         for name in names:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -131,5 +131,18 @@
             self.assertEqual(on_added.status, 200, on_added)
 
 
+class EventLoopTest(unittest.TestCase):
+    """Guards against what the users' platform doesn't allow."""
+
+    def test_daemons_do_not_use_io_uring(self) -> None:
+        """Some event loops open one wherever the kernel has it, as uvloop's."""
+        with platform_rig.run_group(47) as group:
+            group.wait_leader()
+            for name in (*group.control_names, "front-1"):
+                files = group.open_files(name)
+                self.assertTrue(any("eventpoll" in file for file in files))
+                self.assertFalse(any("io_uring" in file for file in files))
+
+
 if __name__ == "__main__":
     unittest.main()
