Kill the leader only while proposals of the test are applied

It killed the leader right after the proposals were sent, without knowing whether any entry had begun. An entry that has no contact with a leader for long enough refuses proposals at once, so all 600 can be answered before the next leader is there.

Shown: with the proposers paused for 4 s and 8 s after the kill (SIGSTOP right before they are sent the proposals) the old test fails with just this message, with 0.05, 0.3 and 1 s it passes. Ruled out: a lost change, since none was reported as applied.

Change: the test starts rounds of proposals until the leader has applied more than the entries can wait for, and kills it then. All checks stay, and the kill now always comes during proposals, as the name says.

Conclusion: the product was right, the test took a speed for granted.

--- a/tests/test_replication_processes.py
+++ b/tests/test_replication_processes.py
@@ -10,6 +10,9 @@
 
 _ZONES = ("a", "b", "c", "c", "d")
 _RETRY_S = 0.02
+_ROUNDS = 10
+_ROUND_S = 5.0
+_PARALLEL = 8
 _FREQUENT_SNAPSHOTS = "snapshot_every_records = 100"
 
 
@@ -62,6 +65,43 @@
             time.sleep(_RETRY_S)
             answer = node.propose(min(remaining), 1)
 
+    def _start_proposals(self) -> list[control_cluster.Node]:
+        """Starts proposals on all entries but the leader.
+
+        An entry that has lost contact with the leader, as on a busy machine,
+        refuses all of them; then another round starts.
+
+        Returns:
+            The entries, of which at least one was told of an applied change.
+        """
+        for number in range(_ROUNDS):
+            self.leader = self.cluster.wait_leader()
+            self.cluster.wait_leader_contact()
+            proposers = [node for node in self.nodes if node is not self.leader]
+            applied_before = len(self._leader_tags())
+            for position, node in enumerate(proposers):
+                first = (number * len(proposers) + position) * 1_000
+                node.send_proposals(first, 600, parallel=_PARALLEL)
+            # More than what all entries wait for at a time.
+            target = applied_before + len(proposers) * _PARALLEL + 1
+            if self._wait_leader_tags(target):
+                return proposers
+            for node in proposers:
+                self._record_outcomes(node.receive())
+        raise AssertionError("no round of proposals was applied")
+
+    def _leader_tags(self) -> list[int]:
+        return self.leader.request(do="tags")["tags"]
+
+    def _wait_leader_tags(self, count: int) -> bool:
+        """Whether the leader applies this many changes within a round."""
+        deadline_s = time.monotonic() + _ROUND_S
+        while time.monotonic() < deadline_s:
+            if len(self._leader_tags()) >= count:
+                return True
+            time.sleep(_RETRY_S)
+        return False
+
     def _append_marker(self) -> int:
         """Proposes a change after all earlier ones; returns its index."""
         while True:
@@ -86,9 +126,7 @@
 
     def test_leader_killed_during_proposals(self) -> None:
         """Guards against misreported outcomes when the leader is killed."""
-        proposers = [node for node in self.nodes if node is not self.leader]
-        for position, node in enumerate(proposers):
-            node.send_proposals(position * 1_000, 600, parallel=8)
+        proposers = self._start_proposals()
         self.leader.kill()
         for node in proposers:
             self._record_outcomes(node.receive())
