--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,8 +1,10 @@
 """Tests of the platform adapter."""
 
+import asyncio
 import json
 import pathlib
 import tempfile
+from typing import Any
 import unittest
 import unittest.mock
 
@@ -397,6 +399,43 @@
         self.assertIsInstance(listed, errors.Failure)
 
 
+class StoppedListenerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against what a caller can't tell from a failure of its request."""
+
+    async def test_request_that_outlasts_the_stop_is_answered_as_undecided(
+        self,
+    ) -> None:
+        """Guards against a 500 for a request that waits for a leader.
+
+        The listener cancels its requests at the end of the stop.
+        """
+        has_begun = asyncio.Event()
+        sent: list[dict[str, Any]] = []
+
+        async def wait_for_leader(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            has_begun.set()
+            await anyio.sleep_forever()
+            raise AssertionError("not reached")
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": b""}
+
+        async def send(message: dict[str, Any]) -> None:
+            sent.append(message)
+
+        app = http_messages.AsgiApp(wait_for_leader, lambda: True)
+        scope = {"method": "POST", "path": "/bids/1", "headers": []}
+        request = asyncio.create_task(app(scope, receive, send))
+        await has_begun.wait()
+        request.cancel()
+        await asyncio.wait([request])
+        self.assertEqual(sent[0]["status"], 504)
+        self.assertIn((b"connection", b"close"), sent[0]["headers"])
+        self.assertEqual(json.loads(sent[1]["body"])["error"], "undecided")
+
+
 class AppTest(unittest.TestCase):
     """Guards against statuses that misreport the outcome of a request."""
 
