--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 RUFF = $(VENV)/bin/ruff
-SOURCES = tarragoncleat tarragoncleat_bench platform tests tools
+SOURCES = tarragoncleat tarragoncleat_bench tarragoncleat_soak platform tests tools
 
-.PHONY: install check test demo bench
+.PHONY: install check test demo bench soak
+
+SEEDS ?= 3
 
 install: $(VENV)/installed
 
@@ -26,3 +28,6 @@
 
 bench: install
 	$(PYTHON) -m tarragoncleat_bench.main --folder bench-results
+
+soak: install
+	$(PYTHON) -m tarragoncleat_soak.main --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST))
--- /dev/null
+++ b/tarragoncleat_soak/planted.py
@@ -0,0 +1,170 @@
+"""Starts a process of the system that breaks one promise on purpose.
+
+    python -m tarragoncleat_soak.planted lost-job control
+
+The soak must find each of these; the product itself has no such switch.
+"""
+
+from collections.abc import Callable
+import enum
+import pathlib
+import sys
+from typing import Any
+
+from tarragoncleat.batch.leader import job_service
+from tarragoncleat.batch.leader import leader_service
+from tarragoncleat.batch.replicated import jobs
+from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.workers import leases
+from tarragoncleat.kernel import errors
+from tarragoncleat_soak import history
+
+__all__ = ["Plant", "main"]
+
+_PLATFORM = pathlib.Path(__file__).resolve().parent.parent / "platform"
+# One of 16 jobs has an id with this last digit.
+_CHOSEN_DIGIT = "0"
+_EARLY_S = 0.3
+
+
+class Plant(enum.Enum):
+    """Faults of the product; each breaks one promise."""
+
+    STALE_CONFIGURATION = "stale-configuration"
+    LOST_JOB = "lost-job"
+    EARLY_RESTART = "early-restart"
+    FALSE_REFUSAL = "false-refusal"
+    HASTY_FAILURE = "hasty-failure"
+    IGNORED_CANCELLATION = "ignored-cancellation"
+    LOST_TASKS = "lost-tasks"
+
+    @property
+    def broken_promise(self) -> history.Promise:
+        """The promise that this fault breaks."""
+        return _PLANTS[self][0]
+
+    def install(self) -> None:
+        """Breaks the code of this process."""
+        _PLANTS[self][1]()
+
+
+def _plant_stale_configuration() -> None:
+    """Answers reads by the first configuration that was read."""
+    read = leader_service.LeaderService._read_latest_configuration
+    first: list[Any] = []
+
+    async def read_first(self: Any) -> Any:
+        if not first:
+            reply = await read(self)
+            if isinstance(reply, errors.Failure):
+                return reply
+            first.append(reply)
+        return first[0]
+
+    _replace(
+        leader_service.LeaderService, "_read_latest_configuration", read_first
+    )
+
+
+def _replace(owner: type, name: str, method: Callable) -> None:
+    """Replaces a method of the product."""
+    setattr(owner, name, method)
+
+
+def _is_chosen(path: str) -> bool:
+    return path.endswith(_CHOSEN_DIGIT)
+
+
+def _plant_lost_job() -> None:
+    """Confirms some jobs without storing them."""
+    submit = job_service.JobService.submit
+
+    async def submit_most(self: Any, request: Any) -> Any:
+        if _is_chosen(request.path):
+            return messages.Done()
+        return await submit(self, request)
+
+    _replace(job_service.JobService, "submit", submit_most)
+
+
+def _plant_false_refusal() -> None:
+    """Refuses some jobs after it has stored them."""
+    submit = job_service.JobService.submit
+
+    async def submit_and_refuse(self: Any, request: Any) -> Any:
+        result = await submit(self, request)
+        if _is_chosen(request.path):
+            return errors.Failure(errors.ErrorKind.OVERLOADED, "planted")
+        return result
+
+    _replace(job_service.JobService, "submit", submit_and_refuse)
+
+
+def _plant_early_restart() -> None:
+    """Takes a worker's leases for expired soon after its last answer."""
+
+    def latest_expiry_s(self: Any) -> float:
+        return self.last_contact_s + _EARLY_S
+
+    _replace(leases.LeaseTracker, "latest_expiry_s", latest_expiry_s)
+
+
+def _plant_hasty_failure() -> None:
+    """Fails a job at the first failure of a task."""
+    end = jobs.Job.end
+
+    def end_hastily(
+        self: Any, run_end: Any, max_attempts: int, now_ms: int
+    ) -> Any:
+        return end(self, run_end, 1, now_ms)
+
+    _replace(jobs.Job, "end", end_hastily)
+
+
+def _plant_ignored_cancellation() -> None:
+    """Confirms cancellations without storing them."""
+
+    async def cancel(self: Any, request: Any) -> Any:
+        return messages.Done()
+
+    _replace(job_service.JobService, "cancel", cancel)
+
+
+def _plant_lost_tasks() -> None:
+    """Doesn't start the tasks of lost workers again."""
+
+    def requeue_lost(self: Any, task: Any) -> None:
+        task.state = jobs.TaskState.DROPPED
+
+    _replace(jobs.Job, "requeue_lost", requeue_lost)
+
+
+_PLANTS: dict[Plant, tuple[history.Promise, Callable[[], None]]] = {
+    Plant.STALE_CONFIGURATION: (
+        history.Promise.CONFIGURATION,
+        _plant_stale_configuration,
+    ),
+    Plant.LOST_JOB: (history.Promise.STORED, _plant_lost_job),
+    Plant.EARLY_RESTART: (history.Promise.ONE_RUN, _plant_early_restart),
+    Plant.FALSE_REFUSAL: (history.Promise.NOT_RUN, _plant_false_refusal),
+    Plant.HASTY_FAILURE: (history.Promise.NOT_GIVEN_UP, _plant_hasty_failure),
+    Plant.IGNORED_CANCELLATION: (
+        history.Promise.CANCELLED,
+        _plant_ignored_cancellation,
+    ),
+    Plant.LOST_TASKS: (history.Promise.ENDED, _plant_lost_tasks),
+}
+
+
+def main() -> None:
+    """Installs the fault named first, and starts the role named second."""
+    name = sys.argv.pop(1)
+    Plant(name).install()
+    sys.path.append(str(_PLATFORM))
+    from fleet_adapter import main as adapter_main
+
+    adapter_main.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -1,6 +1,6 @@
 """Runs the platform's daemons as real processes: control nodes and an entry."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 import contextlib
 import dataclasses
 import http.client
@@ -28,12 +28,14 @@
 ]
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+_PROGRAM = ("platform/serve.py",)
 _CONTROL_PORT = 8623
 _ENTRY_PORT = 8624
 _READY_PORT = 8622
 _METRICS_PORT = 9464
 _CALL_TIMEOUT_S = 10.0
 _WAIT_S = 40.0
+_GRACE_S = 6.0
 _POLL_S = 0.05
 _LOG_LINES = 40
 _OK = 200
@@ -101,15 +103,43 @@
 
 
 class Group:
-    """Three control nodes and one entry on loopback addresses."""
+    """Three control nodes and some entries on loopback addresses."""
 
-    def __init__(self, folder: pathlib.Path, subnet: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        subnet: int,
+        entries: int = 1,
+        program: Sequence[str] = _PROGRAM,
+    ) -> None:
+        """Creates the group.
+
+        Args:
+            folder: Folder of the settings, logs and disks.
+            subnet: Third byte of the addresses.
+            entries: Number of entries.
+            program: Arguments of the interpreter that start a process, less
+                its role.
+        """
         self._folder = folder
+        self._program = program
         base = f"{builders.LOOPBACK}.{subnet}"
         self._hosts = {f"core-{i}": f"{base}.{i}" for i in (1, 2, 3)}
-        self._hosts["front-1"] = f"{base}.11"
+        for number in range(1, entries + 1):
+            self._hosts[f"front-{number}"] = f"{base}.{10 + number}"
         self._processes: dict[str, subprocess.Popen] = {}
 
+    @property
+    def names(self) -> list[str]:
+        """Names of all processes."""
+        return list(self._hosts)
+
+    def address(self, name: str) -> str:
+        """Returns where a process serves operators or callers."""
+        is_control = name in self.control_names
+        port = _CONTROL_PORT if is_control else _ENTRY_PORT
+        return f"{self._hosts[name]}:{port}"
+
     @property
     def control_names(self) -> list[str]:
         """Names of the control nodes."""
@@ -159,7 +189,7 @@
         }
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "platform/serve.py", role],
+                [sys.executable, *self._program, role],
                 cwd=_ROOT,
                 env=environment,
                 stdout=log,
@@ -186,6 +216,14 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def terminate(self, name: str) -> None:
+        """Stops a process as planned; kills it if it takes too long."""
+        self._processes[name].terminate()
+        try:
+            self._processes[name].wait(_GRACE_S)
+        except subprocess.TimeoutExpired:
+            self.kill(name)
+
     def close(self) -> None:
         """Kills all processes."""
         for name in self._processes:
@@ -233,10 +271,8 @@
         key: str = "",
     ) -> Answer:
         """Sends a request on a new connection."""
-        is_control = name in self.control_names
-        port = _CONTROL_PORT if is_control else _ENTRY_PORT
         connection = http.client.HTTPConnection(
-            self._hosts[name], port, timeout=_CALL_TIMEOUT_S
+            self.address(name), timeout=_CALL_TIMEOUT_S
         )
         headers = {"Host": batch_builders.QUEUE.host}
         if key:
