--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -11,6 +11,7 @@
 from tarragoncleat.batch import events
 from tarragoncleat.batch.leader import admission
 from tarragoncleat.batch.leader import customer_report
+from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_rebalancer
 from tarragoncleat.batch.pools import pool_sizing
 from tarragoncleat.batch.pools import wave_controller
@@ -111,11 +112,14 @@
         self._waiting_log = admission.WaitingLog()
         self._views: dict[str, list[worker_views.WorkerView]] = {}
         self._demands: dict[str, pool_sizing.Demand] = {}
+        orders = instance_orders.InstanceOrders(
+            instance_client, holder, self._fence
+        )
         self._rebalancer = pool_rebalancer.PoolRebalancer(
-            state, timer, bounds, instance_client, self, holder, self._fence
+            state, timer, bounds, orders, self
         )
         self._wave_controller = wave_controller.WaveController(
-            state, timer, bounds, instance_client, self, holder, self._fence
+            state, timer, bounds, orders, self
         )
 
     @property
--- a/tarragoncleat/batch/pools/pool_rebalancer.py
+++ b/tarragoncleat/batch/pools/pool_rebalancer.py
@@ -8,6 +8,8 @@
 
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import events
+from tarragoncleat.batch.pools import call_budget
+from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_sizing
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import state as state_module
@@ -62,10 +64,8 @@
         state: state_module.BatchState,
         timer: timer_module.TimerService,
         bounds: bounds_module.Bounds,
-        instance_client: clients.InstanceClient,
+        orders: instance_orders.InstanceOrders,
         committer: commands.Committer,
-        holder: str,
-        fence: int,
     ) -> None:
         """Creates the rebalancer at the start of a leader's term.
 
@@ -73,23 +73,19 @@
             state: The replicated state, read only.
             timer: Clock.
             bounds: Limits of the deployment.
-            instance_client: Client of the platform's instance interface.
+            orders: Sends the term's orders for instances.
             committer: Replicates commands.
-            holder: Lease holder name of this node in instance requests.
-            fence: Fencing token of the term.
         """
         self._state = state
         self._timer = timer
-        self._client = instance_client
+        self._orders = orders
         self._committer = committer
-        self._holder = holder
-        self._fence = fence
         self._arrival_timeout_s = (
             bounds.move_ms / _MS_PER_S + _REGISTRATION_TIMEOUT_S
         )
-        self._calls_per_s = bounds.instance_calls_per_s * _CALLS_SHARE
-        self._call_tokens = self._calls_per_s
-        self._tokens_refilled_s = timer.monotonic_s()
+        self._budget = call_budget.CallBudget(
+            bounds.instance_calls_per_s * _CALLS_SHARE, timer.monotonic_s()
+        )
         self._trend = pool_sizing.LoadTrend(
             bounds.move_ms / _MS_PER_S + _START_DELAY_S
         )
@@ -145,7 +141,7 @@
             return
         now_s = self._timer.monotonic_s()
         self._trend.record_demands(demands, now_s)
-        self._refill_call_tokens(now_s)
+        self._budget.refill(now_s)
         await self._refresh_spare_instances(spare_pool)
         self._remove_expired(now_s)
         moves = []
@@ -155,7 +151,7 @@
             target_pool = self._target_pool(
                 session, demands, spare_pool, healthy
             )
-            if target_pool is not None and self._try_acquire_call():
+            if target_pool is not None and self._budget.try_acquire():
                 record = session.record
                 moves.append(
                     self._plan_move(
@@ -166,7 +162,7 @@
             service = self._service_to_grow(demands, instance)
             if service is None:
                 break
-            if not is_reserved(instance) and self._try_acquire_call():
+            if not is_reserved(instance) and self._budget.try_acquire():
                 moves.append(self._plan_move(instance, service))
         self._has_shortage = self._service_to_grow(demands) is not None
         await self._execute(moves)
@@ -189,7 +185,7 @@
         if now_s - self._listed_s < interval_s:
             return
         self._listed_s = now_s
-        rows = await self._client.list_instances()
+        rows = await self._orders.list_instances()
         if isinstance(rows, errors.Failure):
             return
         self._spare = {
@@ -198,19 +194,6 @@
             if row.pool == spare_pool and row.state is clients.InstanceState.UP
         }
 
-    def _refill_call_tokens(self, now_s: float) -> None:
-        elapsed_s = now_s - self._tokens_refilled_s
-        self._tokens_refilled_s = now_s
-        self._call_tokens = min(
-            self._calls_per_s, self._call_tokens + elapsed_s * self._calls_per_s
-        )
-
-    def _try_acquire_call(self) -> bool:
-        if self._call_tokens < 1:
-            return False
-        self._call_tokens -= 1
-        return True
-
     def _remove_expired(self, now_s: float) -> None:
         registered = {
             worker.record.instance for worker in self._state.workers.values()
@@ -346,9 +329,7 @@
 
     async def _execute_move(self, move: _Move, moved: list[_Move]) -> None:
         instance = move.instance
-        failure = await self._client.move(
-            instance, move.pool, self._holder, self._fence
-        )
+        failure = await self._orders.move(instance, move.pool)
         refusal_reason = failure.reason if failure is not None else None
         event_log.emit(
             events.InstanceMoved(instance, move.pool, refusal_reason)
--- a/tarragoncleat/batch/pools/wave_controller.py
+++ b/tarragoncleat/batch/pools/wave_controller.py
@@ -5,13 +5,13 @@
 
 from tarragoncleat.batch import bounds as bounds_module
 from tarragoncleat.batch import events
+from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_sizing
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import jobs as jobs_module
 from tarragoncleat.batch.replicated import state as state_module
 from tarragoncleat.batch.replicated import waves
 from tarragoncleat.batch.replicated import worker_state
-from tarragoncleat.batch.workers import clients
 from tarragoncleat.batch.workers import worker_session
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
@@ -47,10 +47,8 @@
         state: state_module.BatchState,
         timer: timer_module.TimerService,
         bounds: bounds_module.Bounds,
-        instance_client: clients.InstanceClient,
+        orders: instance_orders.InstanceOrders,
         committer: commands.Committer,
-        holder: str,
-        fence: int,
     ) -> None:
         """Creates the controller at the start of a leader's term.
 
@@ -58,18 +56,14 @@
             state: The replicated state, read only.
             timer: Clock.
             bounds: Limits of the deployment.
-            instance_client: Client of the platform's instance interface.
+            orders: Sends the term's orders for instances.
             committer: Replicates commands.
-            holder: Lease holder name of this node in instance requests.
-            fence: Fencing token of the term.
         """
         self._state = state
         self._timer = timer
         self._bounds = bounds
-        self._client = instance_client
+        self._orders = orders
         self._committer = committer
-        self._holder = holder
-        self._fence = fence
         self._started_s = timer.monotonic_s()
         self._sessions: worker_session.Sessions = {}
         self._is_moving: Callable[[str], bool] = lambda instance: False
@@ -381,9 +375,7 @@
         wave: waves.Wave,
         instance: str,
     ) -> None:
-        failure = await self._client.maintain(
-            instance, wave.number, self._holder, self._fence
-        )
+        failure = await self._orders.maintain(instance, wave.number)
         phase = commands.MaintenancePhase.BEGUN
         if failure is not None:
             if failure.kind is not errors.ErrorKind.NOT_FOUND:
--- a/tests/test_pool_rebalancer.py
+++ b/tests/test_pool_rebalancer.py
@@ -5,6 +5,7 @@
 import anyio
 
 from tarragoncleat.batch import bounds
+from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_rebalancer
 from tarragoncleat.batch.pools import pool_sizing
 from tarragoncleat.batch.replicated import commands
@@ -159,10 +160,8 @@
             self.local.state,
             self.timer,
             bounds.Bounds(),
-            self.client,
+            instance_orders.InstanceOrders(self.client, "core-1", 1),
             self,
-            "core-1",
-            1,
         )
         self.is_healthy = True
         self.is_leader = True
--- a/tests/test_wave_controller.py
+++ b/tests/test_wave_controller.py
@@ -6,6 +6,7 @@
 import anyio
 
 from tarragoncleat.batch import bounds
+from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_sizing
 from tarragoncleat.batch.pools import wave_controller
 from tarragoncleat.batch.replicated import commands
@@ -41,10 +42,8 @@
             self.local.state,
             self.timer,
             bounds.Bounds(),
-            self.client,
+            instance_orders.InstanceOrders(self.client, "core-1", 1),
             self,
-            "core-1",
-            1,
         )
         self.sessions: dict[str, _FakeSession] = {}
 
