--- a/tarragoncleat/batch/replicated/state.py
+++ b/tarragoncleat/batch/replicated/state.py
@@ -10,6 +10,7 @@
 
 from tarragoncleat.batch.replicated import arrival_windows
 from tarragoncleat.batch.replicated import commands
+from tarragoncleat.batch.replicated import crash_evidence
 from tarragoncleat.batch.replicated import crashes
 from tarragoncleat.batch.replicated import customer_usage
 from tarragoncleat.batch.replicated import customers
@@ -588,49 +589,10 @@
                 ],
                 [wave.pack() for wave in self._waves.values()],
                 list(self._ended_workers),
-                self._pack_crash_evidence(),
+                crash_evidence.pack(self._jobs.values(), self._workers),
             ]
         )
 
-    def _pack_crash_evidence(self) -> dict:
-        """Returns what crashes are judged by, for a snapshot.
-
-        It stands behind the other values and apart from the tasks, because a
-        build without it reads just these. Only tasks that run or are under
-        suspicion are included.
-        """
-        tasks = {
-            task.key: task
-            for job in self._jobs.values()
-            for task in (*job.running_tasks(), *job.suspect_tasks())
-        }
-        evidence: dict[str, list] = {
-            "tasks": [
-                [
-                    list(key),
-                    task.started_ms,
-                    list(task.crashed_instances),
-                    task.was_last_started,
-                ]
-                for key, task in tasks.items()
-            ],
-            "lapsed": [
-                [worker_id, sorted(map(list, worker.lapsed_tasks))]
-                for worker_id, worker in self._workers.items()
-                if worker.lapsed_tasks
-            ],
-        }
-        # Apart from "tasks", of which an earlier build reads just these four
-        # values.
-        confirmed = [
-            [list(key), list(task.confirmed_crashes)]
-            for key, task in tasks.items()
-            if task.confirmed_crashes
-        ]
-        if confirmed:
-            evidence["confirmed"] = confirmed
-        return evidence
-
     def restore(self, index: int, data: bytes) -> None:
         """Replaces the state by a snapshot; empty data means an empty state."""
         self.__init__()  # type: ignore[misc]
@@ -655,25 +617,8 @@
             (*self._workers, *self._ended_workers)
         )
         if len(values) > _CRASH_EVIDENCE:
-            self._restore_crash_evidence(values[_CRASH_EVIDENCE])
-
-    def _restore_crash_evidence(self, packed: dict) -> None:
-        for key, started_ms, instances, was_last_started in packed["tasks"]:
-            located = self.task(model.TaskKey(*key))
-            if located is None:
-                continue
-            job, _, task = located
-            task.started_ms = started_ms
-            for instance in instances:
-                job.add_crash(task, instance, was_last_started)
-        for key, instances in packed.get("confirmed", ()):
-            located = self.task(model.TaskKey(*key))
-            if located is not None:
-                for instance in instances:
-                    located[0].confirm_crash(located[2], instance)
-        for worker_id, keys in packed["lapsed"]:
-            self._workers[worker_id].lapsed_tasks = frozenset(
-                model.TaskKey(*key) for key in keys
+            crash_evidence.restore(
+                values[_CRASH_EVIDENCE], self.task, self._workers
             )
 
     def _restore_job(self, job: jobs_module.Job) -> None:
