Answer a caller whose request outlasts the entry's stop with its outcome

At the end of a stop the listener cancels what still runs. The request path and the routes of operators caught exceptions, but not the cancellation, so uvicorn answered "500 Internal Server Error" without the outcome that each answer has. A caller or operator couldn't tell whether its request had run.

Shown first: test_request_that_outlasts_the_stop_is_answered got 500 from a running entry with a request at a slow upstream.

Change: the answer is 504 with outcome "unknown" if the upstream may have received the request, and 503 with outcome "not run" if it can't have. Routes of operators answer 504, "unknown".

--- a/tarragoncleat/process/http_app.py
+++ b/tarragoncleat/process/http_app.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+import anyio
+
 from tarragoncleat.administration import auth
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import settings
@@ -69,11 +71,9 @@
 
     try:
         await app(scope, receive, send_and_record)
-    except Exception:
+    except (Exception, anyio.get_cancelled_exc_class()) as error:
         if not response_started:
-            failure = errors.Failure(
-                errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
-            )
+            failure = _build_abort_failure(error)
             answer = answers.build_error(
                 failure,
                 errors.Outcome.UNKNOWN,
@@ -84,6 +84,20 @@
         raise
 
 
+def _build_abort_failure(error: BaseException) -> errors.Failure:
+    """Returns why a request ended by an exception.
+
+    The server cancels requests that outlast the stop of the entry.
+    """
+    if isinstance(error, Exception):
+        return errors.Failure(
+            errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
+        )
+    return errors.Failure(
+        errors.ErrorKind.UNDECIDED, "the entry stopped before the request ended"
+    )
+
+
 async def _send_not_ready(send: Any) -> None:
     headers = [
         (b"content-type", b"application/json"),
--- a/tarragoncleat/requests/caller_api.py
+++ b/tarragoncleat/requests/caller_api.py
@@ -182,11 +182,9 @@
         )
         try:
             failure = await self._admit(scope, context)
-        except Exception:
+        except (Exception, anyio.get_cancelled_exc_class()) as error:
             if not context.answer_started:
-                failure = errors.Failure(
-                    errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
-                )
+                failure = _build_abort_failure(error, context.maybe_sent)
                 await self._send_error(
                     scope,
                     receive,
@@ -379,6 +377,23 @@
         return None
 
 
+def _build_abort_failure(
+    error: BaseException, maybe_sent: bool
+) -> errors.Failure:
+    """Returns why a request ended by an exception.
+
+    The server cancels requests that outlast the stop of the entry.
+    """
+    if isinstance(error, Exception):
+        return errors.Failure(
+            errors.ErrorKind.INTERNAL, "the request failed unexpectedly"
+        )
+    kind = errors.ErrorKind.LEAVING
+    if maybe_sent:
+        kind = errors.ErrorKind.UNDECIDED
+    return errors.Failure(kind, "the entry stopped before the request ended")
+
+
 def _is_allowed(
     token: settings_module.Token,
     service: ids.ServiceId,
--- a/tests/test_http_app.py
+++ b/tests/test_http_app.py
@@ -1,5 +1,6 @@
 """Tests of the routing between the applications of an entry."""
 
+import asyncio
 from typing import Any
 import unittest
 
@@ -40,6 +41,35 @@
         )
         self.assertIn(b'"error": "internal"', body["body"])
 
+    def test_request_that_outlasts_the_stop_is_answered_as_unknown(
+        self,
+    ) -> None:
+        """Guards against a 500 for an operator's change that may be stored.
+
+        The server cancels its requests at the end of the stop.
+        """
+        sent: list[dict] = []
+
+        async def wait(scope: Any, receive: Any, send: Any) -> None:
+            await anyio.sleep_forever()
+
+        async def send(message: dict) -> None:
+            sent.append(message)
+
+        async def run() -> None:
+            app = http_app.HttpApp(wait, wait, wait, lambda: True)
+            scope = {"type": "http", "raw_path": b"/admin/v1/state"}
+            request = asyncio.create_task(app(scope, None, send))
+            await anyio.sleep(0)
+            request.cancel()
+            await asyncio.wait([request])
+
+        anyio.run(run)
+        self.assertEqual(sent[0]["status"], 504)
+        self.assertEqual(
+            dict(sent[0]["headers"])[b"tarragoncleat-outcome"], b"unknown"
+        )
+
     def test_not_ready_before_the_state_is_current(self) -> None:
         """Guards against traffic for an entry that hasn't caught up."""
         self.assertEqual(self._get(b"/readyz", False)[0]["status"], 503)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -386,6 +386,23 @@
 
         self._run(check)
 
+    def test_request_that_outlasts_the_stop_is_answered(self) -> None:
+        """Guards against a 500 without an outcome at the end of a stop."""
+
+        async def run() -> None:
+            async with rig.run_entry(_ENTRY, self._upstreams):
+                caller = rig.Caller(_ENTRY)
+                headers = {"X-Standin-Delay-Ms": "60000"}
+                await caller.send_request("GET", _URL, headers, b"")
+                while not self._upstreams.reported.get("up-1"):
+                    await anyio.sleep(0.01)
+            reply = await caller.read_reply()
+            self.assertEqual(reply.status, 504)
+            self.assertEqual(reply.headers["tarragoncleat-outcome"], "unknown")
+            await caller.aclose()
+
+        anyio.run(run)
+
     def test_slow_caller_slows_the_upstream_down(self) -> None:
         """Guards against buffering an answer that the caller does not read."""
 
