--- a/tarragoncleat_soak/fleet.py
+++ b/tarragoncleat_soak/fleet.py
@@ -24,8 +24,6 @@
 _ENTRIES = 2
 _WORKER_PORT = 7_000
 _FIRST_PROXY_PORT = 10_000
-_READY_TIMEOUT_S = 40.0
-_POLL_S = 0.05
 # Room for the end of a worker that drains.
 _TERMINATE_S = 4.0
 _CLOCK_RATES = (1.0, 0.98, 0.99)
--- a/tarragoncleat_soak/planted.py
+++ b/tarragoncleat_soak/mutations.py
@@ -1,6 +1,6 @@
 """Starts a process of the system that breaks one promise on purpose.
 
-    python -m tarragoncleat_soak.planted lost-job control
+    python -m tarragoncleat_soak.mutations lost-job control
 
 The soak must find each of these; the product itself has no such switch.
 """
@@ -20,7 +20,7 @@
 from tarragoncleat.kernel import errors
 from tarragoncleat_soak import history
 
-__all__ = ["Plant", "main"]
+__all__ = ["Mutation", "main"]
 
 _PLATFORM = pathlib.Path(__file__).resolve().parent.parent / "platform"
 # One of 16 jobs has an id with this last digit.
@@ -29,8 +29,8 @@
 _EARLY_S = 0.8
 
 
-class Plant(enum.Enum):
-    """Faults of the product; each breaks one promise."""
+class Mutation(enum.Enum):
+    """Changes of the product's code; each breaks one promise."""
 
     STALE_CONFIGURATION = "stale-configuration"
     LOST_JOB = "lost-job"
@@ -42,15 +42,20 @@
 
     @property
     def broken_promise(self) -> history.Promise:
-        """The promise that this fault breaks."""
-        return _PLANTS[self][0]
+        """The promise that this change breaks."""
+        return _MUTATIONS[self][0]
 
     def install(self) -> None:
         """Breaks the code of this process."""
-        _PLANTS[self][1]()
+        _MUTATIONS[self][1]()
 
 
-def _plant_stale_configuration() -> None:
+def _replace(owner: type, name: str, method: Callable) -> None:
+    """Replaces a method of the product."""
+    setattr(owner, name, method)
+
+
+def _break_by_stale_configuration() -> None:
     """Answers reads by the first configuration that was read."""
     read = leader_service.LeaderService._read_latest_configuration
     first: list[Any] = []
@@ -68,16 +73,11 @@
     )
 
 
-def _replace(owner: type, name: str, method: Callable) -> None:
-    """Replaces a method of the product."""
-    setattr(owner, name, method)
-
-
 def _is_chosen(path: str) -> bool:
     return path.endswith(_CHOSEN_DIGIT)
 
 
-def _plant_lost_job() -> None:
+def _break_by_lost_job() -> None:
     """Confirms some jobs without storing them."""
     submit = job_service.JobService.submit
 
@@ -89,20 +89,20 @@
     _replace(job_service.JobService, "submit", submit_most)
 
 
-def _plant_false_refusal() -> None:
+def _break_by_false_refusal() -> None:
     """Refuses some jobs after it has stored them."""
     submit = job_service.JobService.submit
 
     async def submit_and_refuse(self: Any, request: Any) -> Any:
         result = await submit(self, request)
         if _is_chosen(request.path):
-            return errors.Failure(errors.ErrorKind.OVERLOADED, "planted")
+            return errors.Failure(errors.ErrorKind.OVERLOADED, "mutated")
         return result
 
     _replace(job_service.JobService, "submit", submit_and_refuse)
 
 
-def _plant_early_restart() -> None:
+def _break_by_early_restart() -> None:
     """Takes a worker that is silent for a moment for lost, with its leases."""
 
     def latest_expiry_s(self: Any) -> float:
@@ -115,7 +115,7 @@
     _replace(worker_session.WorkerSession, "is_responsive_at", is_responsive_at)
 
 
-def _plant_hasty_failure() -> None:
+def _break_by_hasty_failure() -> None:
     """Fails a job at the first failure of a task."""
     end = jobs.Job.end
 
@@ -127,7 +127,7 @@
     _replace(jobs.Job, "end", end_hastily)
 
 
-def _plant_ignored_cancellation() -> None:
+def _break_by_ignored_cancellation() -> None:
     """Confirms cancellations without storing them."""
 
     async def cancel(self: Any, request: Any) -> Any:
@@ -136,7 +136,7 @@
     _replace(job_service.JobService, "cancel", cancel)
 
 
-def _plant_lost_tasks() -> None:
+def _break_by_lost_tasks() -> None:
     """Doesn't start the tasks of lost workers again."""
 
     def requeue_lost(self: Any, task: Any) -> None:
@@ -145,27 +145,30 @@
     _replace(jobs.Job, "requeue_lost", requeue_lost)
 
 
-_PLANTS: dict[Plant, tuple[history.Promise, Callable[[], None]]] = {
-    Plant.STALE_CONFIGURATION: (
+_MUTATIONS: dict[Mutation, tuple[history.Promise, Callable[[], None]]] = {
+    Mutation.STALE_CONFIGURATION: (
         history.Promise.CONFIGURATION,
-        _plant_stale_configuration,
+        _break_by_stale_configuration,
+    ),
+    Mutation.LOST_JOB: (history.Promise.STORED, _break_by_lost_job),
+    Mutation.EARLY_RESTART: (history.Promise.ONE_RUN, _break_by_early_restart),
+    Mutation.FALSE_REFUSAL: (history.Promise.NOT_RUN, _break_by_false_refusal),
+    Mutation.HASTY_FAILURE: (
+        history.Promise.NOT_GIVEN_UP,
+        _break_by_hasty_failure,
     ),
-    Plant.LOST_JOB: (history.Promise.STORED, _plant_lost_job),
-    Plant.EARLY_RESTART: (history.Promise.ONE_RUN, _plant_early_restart),
-    Plant.FALSE_REFUSAL: (history.Promise.NOT_RUN, _plant_false_refusal),
-    Plant.HASTY_FAILURE: (history.Promise.NOT_GIVEN_UP, _plant_hasty_failure),
-    Plant.IGNORED_CANCELLATION: (
+    Mutation.IGNORED_CANCELLATION: (
         history.Promise.CANCELLED,
-        _plant_ignored_cancellation,
+        _break_by_ignored_cancellation,
     ),
-    Plant.LOST_TASKS: (history.Promise.ENDED, _plant_lost_tasks),
+    Mutation.LOST_TASKS: (history.Promise.ENDED, _break_by_lost_tasks),
 }
 
 
 def main() -> None:
-    """Installs the fault named first, and starts the role named second."""
+    """Installs the mutation named first, and starts the role named second."""
     name = sys.argv.pop(1)
-    Plant(name).install()
+    Mutation(name).install()
     sys.path.append(str(_PLATFORM))
     from fleet_adapter import main as adapter_main
 
