Let a stand-in worker that has left start nothing

The stand-in ended its runs, told the leader that it had left, and accepted starts until its process was gone. A run of that moment has no recorded end, so it counts until the process has ended, while the leader rightly starts the task elsewhere. Ruled out by the same reading: an early restart by the leader, to which the worker itself said that it had left.

Change: a worker that has left refuses starts (503). The test keeps the files of a play that broke a promise.

Evidence: test_worker_that_has_left_starts_nothing fails without the change (200) and passes with it.

--- a/tarragoncleat_soak/worker.py
+++ b/tarragoncleat_soak/worker.py
@@ -25,7 +25,7 @@
 import defopt
 import uvicorn
 
-__all__ = ["main"]
+__all__ = ["Options", "Worker", "main"]
 
 _MS_PER_S = 1000
 _TICK_S = 0.01
@@ -36,10 +36,13 @@
 _CAPACITY = {"cpu": 4_000, "mem-mb": 8_192, "gpu": 0}
 _CONFLICT = 409
 _OTHER_INCARNATION = 421
+_UNHEALTHY = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Options:
+class Options:
+    """What `main` describes."""
+
     name: str
     address: str
     advertised: str
@@ -69,14 +72,16 @@
     return int(task.split(".")[2])
 
 
-class _Worker:
+class Worker:
     """The runs of one incarnation."""
 
-    def __init__(self, options: _Options) -> None:
+    def __init__(self, options: Options) -> None:
+        """Creates an incarnation, and records its start."""
         self.instance_id = f"{options.name}-{uuid.uuid4().hex[:8]}"
         self._rate = options.clock_rate
         self._lease_until_ms = 0.0
         self._fence = 0
+        self._has_left = False
         self._running: dict[str, _Running] = {}
         self._highest_ended: dict[str, int] = {}
         self._ended: collections.deque[list] = collections.deque()
@@ -100,7 +105,9 @@
                 self._end(task, "lapsed", lease_end_s)
 
     def start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        """Starts a run."""
+        """Starts a run; one that has left refuses it as an unhealthy one."""
+        if self._has_left:
+            return self._answer(_UNHEALTHY)
         refusal = self._refuse_fence(body)
         if refusal:
             return refusal
@@ -157,7 +164,8 @@
         )
 
     def end_all(self) -> None:
-        """Ends all runs, since the worker leaves."""
+        """Ends all runs, and accepts no more, since the worker leaves."""
+        self._has_left = True
         for task in list(self._running):
             self._end(task, "left", time.monotonic())
 
@@ -221,7 +229,7 @@
 class _App:
     """Serves the orders of leaders."""
 
-    def __init__(self, worker: _Worker) -> None:
+    def __init__(self, worker: Worker) -> None:
         self._worker = worker
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -272,7 +280,7 @@
 class _Heartbeats:
     """Registers the worker at control nodes."""
 
-    def __init__(self, options: _Options, worker: _Worker) -> None:
+    def __init__(self, options: Options, worker: Worker) -> None:
         self._options = options
         self._worker = worker
         self._next_node = 0
@@ -332,14 +340,14 @@
         connection.close()
 
 
-async def _advance(worker: _Worker) -> None:
+async def _advance(worker: Worker) -> None:
     while True:
         worker.advance()
         await anyio.sleep(_TICK_S)
 
 
 async def _leave_on_signal(
-    worker: _Worker, heartbeats: _Heartbeats, scope: anyio.CancelScope
+    worker: Worker, heartbeats: _Heartbeats, scope: anyio.CancelScope
 ) -> None:
     """Reports the end as planned, works for a while, and leaves."""
     with anyio.open_signal_receiver(signal.SIGTERM) as signals:
@@ -353,8 +361,8 @@
     scope.cancel()
 
 
-async def _run(options: _Options) -> None:
-    worker = _Worker(options)
+async def _run(options: Options) -> None:
+    worker = Worker(options)
     host, _, port = options.address.rpartition(":")
     server = _Server(
         uvicorn.Config(
@@ -396,7 +404,7 @@
     """
     anyio.run(
         _run,
-        _Options(
+        Options(
             name,
             address,
             advertised,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,16 +1,23 @@
 """Tests of the soak: its draws and its checks, and a short run of it."""
 
 import concurrent.futures
+import json
 import pathlib
+import shutil
 import tempfile
 import unittest
 
+import anyio
+
 from tarragoncleat_soak import faults
 from tarragoncleat_soak import history as history_module
 from tarragoncleat_soak import play
+from tarragoncleat_soak import worker as worker_module
 
 _MAX_ATTEMPTS = 3
 _AT_ONCE = 2
+# Files of plays that broke a promise.
+_KEPT = pathlib.Path("bench-results/soak")
 _TASK = "00000000000000aa.0.0.0"
 _JOB = history_module.JobId("00000000000000aa")
 _TARGETS = faults.Targets(("core-1", "core-2"), ("worker-1",), ("host:1",))
@@ -30,7 +37,12 @@
 
 def _play(seed: int) -> play.Outcome:
     with tempfile.TemporaryDirectory() as folder:
-        return play.play(play.Plan(seed, 20.0, 8, pathlib.Path(folder), seed))
+        plan = play.Plan(seed, 20.0, 8, pathlib.Path(folder), seed)
+        outcome = play.play(plan)
+        if outcome.broken:
+            kept = _KEPT / f"seed-{seed}"
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
+    return outcome
 
 
 class DrawTest(unittest.TestCase):
@@ -157,6 +169,35 @@
         self.assertEqual(self._broken(), [_Promise.ANSWERED])
 
 
+class WorkerTest(unittest.TestCase):
+    """Guards against a stand-in that breaks promises by itself."""
+
+    def test_worker_that_has_left_starts_nothing(self) -> None:
+        """Guards against a run between the end of all and the process's."""
+
+        async def start_twice(folder: str) -> tuple[int, int]:
+            events = pathlib.Path(folder) / "worker-1.events"
+            worker = worker_module.Worker(
+                worker_module.Options(
+                    "worker-1", "", "", [], "a", "bidding", events, 1.0
+                )
+            )
+            body = {
+                "task": _TASK,
+                "run-id": 1,
+                "fencing-token": 1,
+                "deadline-ms": worker.clock_ms() + 5_000,
+                "spec": json.dumps({"runs_s": [1.0]}),
+            }
+            before, _ = worker.start(body)
+            worker.end_all()
+            after, _ = worker.start({**body, "run-id": 2})
+            return before, after
+
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(anyio.run(start_twice, folder), (200, 503))
+
+
 class PlayTest(unittest.TestCase):
     """Guards against promises that processes break under faults."""
 
