--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -27,6 +27,9 @@
 STANDINS = pathlib.Path(__file__).resolve().parent
 ZONES = ("khomas-a", "khomas-b", "khomas-c")
 FRONT_PORT, READY_PORT, CONTROL_PORT, EXECUTOR_PORT = 8624, 8622, 8623, 7000
+# Exit statuses. Python itself exits with 1 after an error, so that a broken rule
+# has another one; run.sh turns it into 1, and all others into 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "pule25.example"
 SERVICE = "huvo11a"
@@ -199,8 +202,10 @@
         """Returns what the executors have recorded, in order of time."""
         rows = []
         for path in self.files.glob("*.events"):
-            for line in path.read_text(encoding="utf-8").splitlines():
-                rows.append(json.loads(line))
+            text = path.read_text(encoding="utf-8")
+            # An executor may be writing its last line just now.
+            complete = text[: text.rfind("\n") + 1]
+            rows.extend(json.loads(line) for line in complete.splitlines())
         return sorted(rows, key=lambda row: row["at_s"])
 
     # -- the project's programs ------------------------------------------
@@ -510,21 +515,22 @@
 
 
 def run(case, folder, **options):
-    """Runs a case; exits with 1 if it returns that a rule was broken.
+    """Runs a case; the exit status is BROKEN only if it returns breaks.
 
-    The case gets the rig and returns a list of breaks.
+    The case gets the rig and returns a list of breaks. Any error, also one of
+    the rig itself, means that the case couldn't run.
     """
-    rig = None
+    rig, status = None, NOT_RUN
     try:
         rig = Rig(folder, **options)
         rig.note(f"TROUBLE={int(TROUBLE)}")
         breaks = case(rig)
-        status = 1 if breaks else 0
+        status = BROKEN if breaks else HELD
         for line in breaks[:20]:
             rig.note(f"BROKEN: {line}")
-        rig.note(f"{len(breaks)} breaks; exit status {status}")
-    except (CannotRun, OSError) as error:
-        status = 2
+        rig.note(f"{len(breaks)} breaks")
+    except Exception as error:
+        status = NOT_RUN
         if rig is not None:
             rig.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
@@ -533,5 +539,9 @@
             rig.close()
             rig.write_record()
             rig.clean_up()
-    print({0: "the rule held", 1: "the rule was broken"}.get(status, "not run"))
+    print(
+        {HELD: "the rule held", BROKEN: "the rule was broken"}.get(
+            status, "not run"
+        )
+    )
     sys.exit(status)
