Repeat a stop until the worker has taken it

Cause: a start without an answer is withdrawn by a stop if its repetition is refused. A stop that was refused, with 503 or 400, was dropped for good, though the worker had done nothing. The run is then neither listed nor missing, and counts as ordered, so nothing ends it or starts it again.

Change: a stop is repeated until it is taken, the incarnation has ended, the leader is fenced off, or the run can't be there. Attempts take turns with other orders. The same for the stop that keeps a late start off a worker's successor. New event stop_refused and metric stops_refused: no log told this case from a lost report. The tests' base of dispatcher scenarios is a module now.

Conclusion: only a taken stop shows that no copy of the start will run, so each other answer must lead to another attempt.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -20,6 +20,7 @@
     "unknown": "no customer had the caller's key",
     "other_customer": "a job of another customer has the id",
 }
+_REFUSED_ORDERS = {"start_refused": "start", "stop_refused": "stop"}
 _HEAD_FIELDS = ("time_ms", "node", "level", "event")
 
 
@@ -191,9 +192,10 @@
         return "the client cancelled it"
     if event == "runs_ended":
         return _run_cause(line, request_id)
-    if event == "start_refused":
+    if event in _REFUSED_ORDERS:
         worker, outcome = line.get("worker"), line.get("outcome")
-        return f"worker {worker} refused to start a run: {outcome}"
+        order = _REFUSED_ORDERS[event]
+        return f"worker {worker} refused to {order} a run: {outcome}"
     return None
 
 
--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -50,6 +50,7 @@
         self._given_up_jobs = meter.create_counter("jobs_given_up", "1")
         self._lost_runs = meter.create_counter("runs_lost", "1")
         self._start_refusals = meter.create_counter("starts_refused", "1")
+        self._stop_refusals = meter.create_counter("stops_refused", "1")
         self._worker_changes = meter.create_counter("worker_changes", "1")
         self._term = meter.create_gauge("term", "1")
         self._leads = meter.create_gauge("leads", "1")
@@ -147,6 +148,10 @@
     def _record_refused_start(self, event: events.StartRefused) -> None:
         self._start_refusals.add(1, {"outcome": event.outcome})
 
+    @_record_event.register
+    def _record_refused_stop(self, event: events.StopRefused) -> None:
+        self._stop_refusals.add(1, {"outcome": event.outcome})
+
     @_record_event.register
     def _record_worker_change(self, event: events.WorkerChanged) -> None:
         self._worker_changes.add(1, {"change": event.change})
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -34,6 +34,7 @@
     "RunsStarted",
     "StartRefused",
     "StartsNotStored",
+    "StopRefused",
     "SubmissionRefused",
     "TaskPaced",
     "TasksSuspected",
@@ -245,6 +246,17 @@
     was_unanswered: bool
 
 
+@event_log.event("stop_refused")
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRefused:
+    """A worker refused a stop, which is repeated until it is taken."""
+
+    task: str
+    run: int
+    worker: str
+    outcome: str
+
+
 @event_log.event("starts_not_stored")
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartsNotStored:
--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -41,6 +41,18 @@
 _Outcome = clients.OrderOutcome
 _RunId = tuple[model.TaskKey, int]
 
+# After these answers a worker won't carry out a start of the run any more, or
+# other leaders decide. Any other one leaves it open.
+_SETTLED_STOPS = frozenset(
+    {
+        _Outcome.ACCEPTED,
+        _Outcome.SUPERSEDED,
+        _Outcome.GONE,
+        _Outcome.RESTARTED,
+        _Outcome.FENCED,
+    }
+)
+
 
 class SessionListener(Protocol):
     """Receives the events of a session."""
@@ -396,31 +408,45 @@
             model.Resources(*map(operator.add, free, demand))
         )
 
-    async def _stop(self, task: model.TaskKey, run: int) -> None:
+    async def _stop(
+        self, task: model.TaskKey, run: int, was_refused: bool = False
+    ) -> None:
+        """Sends a stop, again and again until the worker has taken it.
+
+        Only a stop that was taken shows that no earlier copy of the start will
+        run. Between two attempts other orders have their turn.
+        """
         order = clients.StopOrder(task, run, self._fence)
-        while True:
-            reply = await self._client.stop(order)
-            self._record_clock(reply.clock_ms)
-            if reply.outcome is not _Outcome.UNANSWERED:
-                break
-            if not self._may_run_here(task, run):
-                break
-            await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
-        if reply.outcome in (_Outcome.GONE, _Outcome.RESTARTED):
-            self._end_by(reply.outcome)
-        elif reply.outcome in (_Outcome.ACCEPTED, _Outcome.SUPERSEDED):
+        reply = await self._client.stop(order)
+        self._record_clock(reply.clock_ms)
+        outcome = reply.outcome
+        if outcome in (_Outcome.GONE, _Outcome.RESTARTED):
+            self._end_by(outcome)
+        elif outcome in (_Outcome.ACCEPTED, _Outcome.SUPERSEDED):
             self._answered_s[(task, run)] = self._timer.monotonic_s()
             self.retry_now()
-        else:
+        elif outcome is _Outcome.FENCED or not self._may_run_here(task, run):
             self._stopping.discard((task, run))
+        else:
+            is_refusal = outcome is not _Outcome.UNANSWERED
+            if is_refusal and not was_refused:
+                event_log.emit(
+                    events.StopRefused(
+                        str(task), run, self.record.worker_id, outcome.value
+                    )
+                )
+            await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
+            was_refused = was_refused or is_refusal
+            self._enqueue(lambda: self._stop(task, run, was_refused))
 
     async def _refuse_start(self, task: model.TaskKey, run: int) -> None:
+        """Sends a stop for a late start until the worker has taken it."""
         order = clients.StopOrder(task, run, self._fence)
-        while not self._has_ended:
-            reply = await self._client.stop(order)
-            if reply.outcome is not _Outcome.UNANSWERED:
-                return
+        reply = await self._client.stop(order)
+        is_settled = reply.outcome in _SETTLED_STOPS or self._has_ended
+        if not is_settled:
             await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
+            self.refuse_start(task, run)
 
     async def _pace(self, task: model.TaskKey, run: int, percent: int) -> None:
         if self._paces.get((task, run)) != percent:
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -324,6 +324,9 @@
         self.successor: FakeWorker | None = None
         self.acknowledgements: list[int] = []
         self.start_outcome: clients.OrderOutcome | None = None
+        # Outcomes of the next starts and stops, which do nothing.
+        self.next_start_outcomes: list[clients.OrderOutcome] = []
+        self.next_stop_outcomes: list[clients.OrderOutcome] = []
         self.lost_replies = 0
         # Raised by the next renewal.
         self.error: Exception | None = None
@@ -353,6 +356,8 @@
         if failure is not None:
             return failure
         self.starts.append(order)
+        if self.next_start_outcomes:
+            return self._reply(self.next_start_outcomes.pop(0))
         if self.start_outcome is not None:
             return self._reply(self.start_outcome)
         if any(
@@ -373,6 +378,8 @@
         failure = await self._failure()
         if failure is not None:
             return failure
+        if self.next_stop_outcomes:
+            return self._reply(self.next_stop_outcomes.pop(0))
         self.stops.append(order)
         if (order.task, order.run) in self.running:
             self.end(order.task, order.run, commands.Ending.STOPPED)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,6 +1,5 @@
 """Tests of the dispatcher with fake workers."""
 
-from collections.abc import Callable
 import time
 from typing import Any
 import unittest
@@ -12,52 +11,16 @@
 from tarragoncleat.batch.replicated import jobs
 from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.batch.workers import clients
-from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
+from tests import dispatcher_rig
 
-_TIMEOUT_S = 20.0
 # Longer than a commit may take.
 _STALL_S = 3.4
 
 
-class DispatcherTest(unittest.TestCase):
+class DispatcherTest(dispatcher_rig.DispatcherTestCase):
     """Tests starts, ends and leases during a leader's term."""
 
-    def setUp(self) -> None:
-        self.local = batch_builders.LocalState()
-        self.local.register("w-1")
-        self.worker = batch_builders.FakeWorker(batch_builders.build_record())
-        self.key = batch_builders.task_key()
-        self.other_workers: list[batch_builders.FakeWorker] = []
-
-    def _run_scenario(
-        self,
-        scenario: Callable,
-        timer: timer_module.TimerService | None = None,
-        term: int = 1,
-    ) -> None:
-        async def main() -> None:
-            dispatcher, self.log = batch_builders.build_dispatcher(
-                self.local,
-                [self.worker, *self.other_workers],
-                timer or timer_module.TimerService(),
-                term=term,
-            )
-            with anyio.fail_after(_TIMEOUT_S):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(dispatcher.run)
-                    await scenario()
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
-
-    def _job_state(self) -> jobs.JobState:
-        return self.local.state.job("job-1").state
-
-    async def _wait_until(self, condition: Callable[[], object]) -> None:
-        while not condition():
-            await anyio.sleep(0.005)
-
     def test_refused_start_is_committed_after_a_failed_commit(self) -> None:
         """If the refusal were dropped, the task would never run again."""
         self.worker.start_outcome = clients.OrderOutcome.NO_ROOM
@@ -68,14 +31,14 @@
 
             self.log.on_commit.append(reject_next)
             self.local.submit()
-            await self._wait_until(lambda: self.worker.starts)
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
             self.log.on_commit.remove(reject_next)
             await anyio.sleep(0.2)
             self.worker.start_outcome = None
             self.log.is_rejecting = False
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual(next(iter(self.worker.running))[1], 2)
 
     def test_error_in_one_session_ends_neither_the_term_nor_a_run(self) -> None:
@@ -88,20 +51,22 @@
         self.other_workers = [other]
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             self.local.register("w-2")
-            await self._wait_until(lambda: other.renewed_until_ms)
+            await dispatcher_rig.wait_until(lambda: other.renewed_until_ms)
             self.worker.error = RuntimeError("unforeseen")
-            await self._wait_until(lambda: self.worker.error is None)
+            await dispatcher_rig.wait_until(lambda: self.worker.error is None)
             self.worker.end(self.key)
             before_ms = other.renewed_until_ms
             other.clock_ms += 1_000
-            await self._wait_until(lambda: other.renewed_until_ms > before_ms)
-            await self._wait_until(
-                lambda: self._job_state() is jobs.JobState.COMPLETED
+            await dispatcher_rig.wait_until(
+                lambda: other.renewed_until_ms > before_ms
+            )
+            await dispatcher_rig.wait_until(
+                lambda: self.job_state() is jobs.JobState.COMPLETED
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual({order.run for order in self.worker.starts}, {1})
 
     def test_suspension_during_a_plan_delays_no_later_one(self) -> None:
@@ -109,7 +74,9 @@
         timer = batch_builders.ManualTimer()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await dispatcher_rig.wait_until(
+                lambda: self.worker.renewed_until_ms
+            )
             refresh = worker_views.ViewCache.refresh
             suspended: list[float] = []
 
@@ -126,22 +93,22 @@
                     await anyio.sleep(0.005)
             self.local.submit()
             with anyio.fail_after(3):
-                await self._wait_until(lambda: self.worker.running)
+                await dispatcher_rig.wait_until(lambda: self.worker.running)
 
-        self._run_scenario(scenario, timer)
+        self.run_scenario(scenario, timer)
 
     def test_worker_that_has_no_client_is_ended(self) -> None:
         """Guards against a stored worker whose address can't be parsed."""
         self.local.register("w-bad", address="nowhere")
 
         async def scenario() -> None:
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: self.local.state.has_worker_ended("w-bad")
             )
             self.local.submit()
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         ended = commands.MarkWorkersLost(("w-bad",), is_final=True)
         self.assertEqual(self.log.committed.count(ended), 1)
 
@@ -155,15 +122,17 @@
                 self.setUp()
                 self.local.submit()
                 self.worker.start_outcome = outcome
-                self._run_scenario(self._end_started_worker)
+                self.run_scenario(self._end_started_worker)
                 ended = commands.EndWorker("w-1", confirmed)
                 self.assertIn(ended, self.log.committed)
 
     async def _end_started_worker(self) -> None:
-        await self._wait_until(lambda: self.worker.starts)
+        await dispatcher_rig.wait_until(lambda: self.worker.starts)
         await anyio.sleep(0.05)
         self.worker.has_ended = True
-        await self._wait_until(lambda: self.local.state.has_worker_ended("w-1"))
+        await dispatcher_rig.wait_until(
+            lambda: self.local.state.has_worker_ended("w-1")
+        )
 
     def test_run_that_a_report_lists_is_confirmed(self) -> None:
         """The leader that has sent its start may have been another one."""
@@ -173,14 +142,16 @@
         self.worker.start_outcome = clients.OrderOutcome.UNANSWERED
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await dispatcher_rig.wait_until(
+                lambda: self.worker.renewed_until_ms
+            )
             await anyio.sleep(0.1)
             self.worker.has_ended = True
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: self.local.state.has_worker_ended("w-1")
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         confirmed = (commands.ConfirmedRun(self.key, 1),)
         self.assertIn(commands.EndWorker("w-1", confirmed), self.log.committed)
 
@@ -199,19 +170,19 @@
         self.other_workers = [late_worker]
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             self.local.register("w-0", instance=self.worker.record.instance)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: self.local.state.has_worker_ended("w-0")
             )
             await anyio.sleep(0.05)
             self.assertTrue(self.local.state.is_current(self.key, 1, "w-1"))
             self.worker.end(self.key)
-            await self._wait_until(
-                lambda: self._job_state() is jobs.JobState.COMPLETED
+            await dispatcher_rig.wait_until(
+                lambda: self.job_state() is jobs.JobState.COMPLETED
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual(late_worker.starts, [])
 
     def test_start_carries_the_lease_of_the_last_renewal(self) -> None:
@@ -219,12 +190,14 @@
         self.worker.max_poll_s = 5.0
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await dispatcher_rig.wait_until(
+                lambda: self.worker.renewed_until_ms
+            )
             await anyio.sleep(0.1)
             self.local.submit()
-            await self._wait_until(lambda: self.worker.starts)
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertLessEqual(
             self.worker.starts[0].lease_until_ms, self.worker.renewed_until_ms
         )
@@ -239,13 +212,13 @@
         self.other_workers = [successor]
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             self.worker.is_unresponsive = True
             await anyio.sleep(0.05)
             self.local.register("w-2", instance=instance)
-            await self._wait_until(lambda: successor.running)
+            await dispatcher_rig.wait_until(lambda: successor.running)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         # After a mere lease expiry the worker would not count as ended.
         self.assertTrue(self.local.state.has_worker_ended("w-1"))
 
@@ -267,11 +240,11 @@
             await anyio.sleep(0.05)
             timer.advance(60.0)
             self.local.register("w-2", instance=instance)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: self.local.state.has_worker_ended("w-1")
             )
 
-        self._run_scenario(scenario, timer)
+        self.run_scenario(scenario, timer)
 
     def test_stalled_starts_are_not_planned_again_into_the_same_room(
         self,
@@ -285,7 +258,9 @@
         )
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.renewed_until_ms)
+            await dispatcher_rig.wait_until(
+                lambda: self.worker.renewed_until_ms
+            )
             self.log.stall = anyio.Event()
             self.local.time_ms = int(time.time() * 1_000)
             self.local.submit("job-1", step)
@@ -295,11 +270,11 @@
             await anyio.sleep(_STALL_S)
             self.log.stall.set()
             self.log.stall = None
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             await anyio.sleep(0.5)
             self.assertEqual(len(self.worker.running), 1)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
 
     def test_run_is_stored_before_it_is_started(self) -> None:
         """A new leader would start another run if it didn't know this one."""
@@ -307,14 +282,14 @@
         was_stored: list[bool] = []
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.starts)
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
             was_stored.append(self.local.state.is_current(self.key, 1, "w-1"))
             self.worker.end(self.key)
-            await self._wait_until(
-                lambda: self._job_state() is jobs.JobState.COMPLETED
+            await dispatcher_rig.wait_until(
+                lambda: self.job_state() is jobs.JobState.COMPLETED
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual(was_stored, [True])
 
     def test_end_is_acknowledged_only_after_it_is_stored(self) -> None:
@@ -322,16 +297,18 @@
         self.local.submit()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             self.log.is_rejecting = True
             self.worker.end(self.key)
             await anyio.sleep(0.3)
             self.assertEqual(self.worker.acknowledged, 0)
             self.log.is_rejecting = False
-            await self._wait_until(lambda: self.worker.acknowledged == 1)
+            await dispatcher_rig.wait_until(
+                lambda: self.worker.acknowledged == 1
+            )
 
-        self._run_scenario(scenario)
-        self.assertIs(self._job_state(), jobs.JobState.COMPLETED)
+        self.run_scenario(scenario)
+        self.assertIs(self.job_state(), jobs.JobState.COMPLETED)
 
     def test_lost_reply_to_a_start_causes_no_second_run(self) -> None:
         """A start without a reply must be repeated with the same run number."""
@@ -339,10 +316,12 @@
         self.worker.lost_replies = 2
 
         async def scenario() -> None:
-            await self._wait_until(lambda: len(self.worker.starts) == 3)
+            await dispatcher_rig.wait_until(
+                lambda: len(self.worker.starts) == 3
+            )
             await anyio.sleep(0.05)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual({order.run for order in self.worker.starts}, {1})
 
     def test_refused_start_is_retried_as_a_new_run(self) -> None:
@@ -351,11 +330,11 @@
         self.worker.start_outcome = clients.OrderOutcome.NO_ROOM
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.starts)
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
             self.worker.start_outcome = None
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertGreater(self.worker.starts[-1].run, 1)
 
     def test_reported_run_of_cancelled_job_is_stopped(self) -> None:
@@ -365,9 +344,9 @@
         self.worker.running[(self.key, 1)] = batch_builders.FakeRun()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.stops)
+            await dispatcher_rig.wait_until(lambda: self.worker.stops)
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertEqual(self.worker.stops[0].task, self.key)
 
     def test_cancelled_job_is_stopped_at_once(self) -> None:
@@ -375,14 +354,14 @@
         self.local.submit()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
             self.local.apply(commands.CancelJob("job-1"))
-            await self._wait_until(lambda: self.worker.stops)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(lambda: self.worker.stops)
+            await dispatcher_rig.wait_until(
                 lambda: not self.local.state.workers["w-1"].tasks
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
 
     def test_new_leader_starts_runs_that_were_only_stored(self) -> None:
         """A leader may fail between storing a run and sending its start."""
@@ -390,9 +369,9 @@
         self.local.start(self.key)
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.worker.running)
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
 
-        self._run_scenario(scenario, term=2)
+        self.run_scenario(scenario, term=2)
         self.assertEqual(self.worker.starts[0].run, 1)
         self.assertEqual(self.worker.starts[0].fence, 2)
 
@@ -409,11 +388,11 @@
             await anyio.sleep(0.6)
             self.assertTrue(self.local.state.workers["w-1"].tasks)
             timer.advance(1.0)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: not self.local.state.workers["w-1"].tasks
             )
 
-        self._run_scenario(scenario, timer)
+        self.run_scenario(scenario, timer)
 
     def test_end_of_worker_requeues_its_tasks_at_once(self) -> None:
         """Tasks must not wait for the lease of an ended incarnation."""
@@ -422,9 +401,11 @@
         self.worker.has_ended = True
 
         async def scenario() -> None:
-            await self._wait_until(lambda: not self.local.state.workers)
+            await dispatcher_rig.wait_until(
+                lambda: not self.local.state.workers
+            )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         job = self.local.state.job("job-1")
         self.assertEqual(job.occurrences[0].steps[0].waiting, {0})
 
@@ -433,9 +414,9 @@
         self.local.apply(commands.StartWave(1, ("instance-of-w-1",), 9_000, 1))
 
         async def scenario() -> None:
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: not self.local.state.waves[1].remaining
             )
 
-        self._run_scenario(scenario)
+        self.run_scenario(scenario)
         self.assertNotIn("w-1", self.local.state.workers)
