Repeat a change of speed that a worker did not carry out

Cause: any answer to a change of speed but 200 removed what the session knew of the run's speed, also 503 and no answer, which leave open what the worker did.

Change: after these two the order is repeated until it is taken or another speed is due. Other refusals remove the speed unless a newer one was ordered meanwhile.

Evidence: test_refused_change_of_speed_is_repeated (503, no answer) and test_only_the_latest_change_of_speed_is_repeated fail on the commit before ("[50] != [50, 25]", "[50] != [50, 40]") and pass now.

A copy that is carried out seconds later, after a newer order, can still leave a wrong speed; reports don't tell it.

--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -449,13 +449,20 @@
             self.refuse_start(task, run)
 
     async def _pace(self, task: model.TaskKey, run: int, percent: int) -> None:
+        """Sends a speed until the worker has taken it or another one is due."""
         if self._paces.get((task, run)) != percent:
             return
         reply = await self._client.pace(
             clients.PaceOrder(task, run, percent, self._fence)
         )
-        if reply.outcome is not _Outcome.ACCEPTED:
-            self._paces.pop((task, run), None)
+        if reply.outcome in (_Outcome.UNANSWERED, _Outcome.UNHEALTHY):
+            await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
+            self._enqueue(lambda: self._pace(task, run, percent))
+        elif (
+            reply.outcome is not _Outcome.ACCEPTED
+            and self._paces.get((task, run)) == percent
+        ):
+            del self._paces[(task, run)]
 
     async def _renew_leases(self) -> None:
         delay_s = _MIN_RETRY_DELAY_S
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -324,9 +324,10 @@
         self.successor: FakeWorker | None = None
         self.acknowledgements: list[int] = []
         self.start_outcome: clients.OrderOutcome | None = None
-        # Outcomes of the next starts and stops, which do nothing.
+        # Outcomes of the next orders of a kind, which do nothing.
         self.next_start_outcomes: list[clients.OrderOutcome] = []
         self.next_stop_outcomes: list[clients.OrderOutcome] = []
+        self.next_pace_outcomes: list[clients.OrderOutcome] = []
         self.lost_replies = 0
         # Raised by the next renewal.
         self.error: Exception | None = None
@@ -387,6 +388,8 @@
 
     async def pace(self, order: clients.PaceOrder) -> clients.OrderReply:
         """Records the order."""
+        if self.next_pace_outcomes:
+            return self._reply(self.next_pace_outcomes.pop(0))
         self.paces.append(order)
         return self._reply(clients.OrderOutcome.ACCEPTED)
 
--- a/tests/test_unfulfilled_orders.py
+++ b/tests/test_unfulfilled_orders.py
@@ -103,5 +103,59 @@
         self.assertEqual([stop.run for stop in self.worker.stops], [1])
 
 
+class RefusedPaceTest(dispatcher_rig.DispatcherTestCase):
+    """Tests changes of speed that a worker doesn't carry out."""
+
+    def _change_speed(
+        self, outcomes: list[_Outcome], *percents: int
+    ) -> list[int]:
+        """Orders half speed, then further speeds; returns those it took.
+
+        Args:
+            outcomes: Outcomes of the next orders after the first one.
+            percents: Further speeds.
+        """
+
+        async def scenario() -> None:
+            self.local.submit()
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
+            session = self.dispatcher.sessions["w-1"]
+            session.pace(self.key, 1, 50)
+            await dispatcher_rig.wait_until(lambda: self.worker.paces)
+            self.worker.next_pace_outcomes = outcomes
+            for percent in percents:
+                session.pace(self.key, 1, percent)
+                await anyio.sleep(0.05)
+            await anyio.sleep(0.5)
+            self.known_percent = session.paces.get((self.key, 1))
+
+        self.run_scenario(scenario)
+        return [order.percent for order in self.worker.paces]
+
+    def test_refused_change_of_speed_is_repeated(self) -> None:
+        """Guards against a task that counts as unpaced after a refusal.
+
+        The next change was then reckoned from full speed, and could make a task
+        faster that harms those beside it.
+        """
+        for outcome in (_Outcome.UNHEALTHY, _Outcome.UNANSWERED):
+            with self.subTest(outcome=outcome):
+                self.setUp()
+                taken = self._change_speed([outcome] * 2, 25)
+                self.assertEqual(taken, [50, 25])
+                self.assertEqual(self.known_percent, 25)
+
+    def test_only_the_latest_change_of_speed_is_repeated(self) -> None:
+        """Guards against a speed that an overtaken order brings back."""
+        taken = self._change_speed([_Outcome.UNHEALTHY] * 2, 25, 40)
+        self.assertEqual(taken, [50, 40])
+
+    def test_change_of_speed_that_is_refused_for_good_ends(self) -> None:
+        """Guards against calls for a run that the worker doesn't know."""
+        outcomes = [_Outcome.SUPERSEDED] * 9
+        self.assertEqual(self._change_speed(outcomes, 25), [50])
+        self.assertEqual(len(outcomes), 8)
+
+
 if __name__ == "__main__":
     unittest.main()
