Conclude nothing from runs that a cut report doesn't list

Cause: a worker lists at most 500 ends in a report, the others once these are acknowledged. A run that was neither running nor listed as ended counted as missing, so it was queued again and started under another number.

Without all ends no run counts as missing, and a next leader sends no starts for runs that aren't listed.

Conclusion: the absence of a run proves something only in a complete report.

--- a/tarragoncleat/batch/workers/clients.py
+++ b/tarragoncleat/batch/workers/clients.py
@@ -137,14 +137,17 @@
 class WorkerReport:
     """A worker's answer to `RenewLeaseOrder`.
 
-    With `is_successor` it is the answer of a later incarnation under the same
-    name, which holds and knows nothing of the one that was called.
+    Without `lists_all_ends` there may be more ended runs than `ended`; the next
+    report lists them once these are acknowledged. With `is_successor` it is the
+    answer of a later incarnation under the same name, which holds and knows
+    nothing of the one that was called.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
     is_successor: bool = False
+    lists_all_ends: bool = True
 
 
 class WorkerClient(Protocol):
--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -558,7 +558,8 @@
             for row in report.ended
         ]
         ended_runs = {(end.task, end.run) for end in ends}
-        ends.extend(self._missing_runs(ended_runs, sent_s))
+        if report.lists_all_ends:
+            ends.extend(self._missing_runs(ended_runs, sent_s))
         for run_id in ended_runs:
             self._discard_run(run_id)
         if ends and not await self._listener.on_runs_ended(ends):
@@ -568,13 +569,18 @@
             self._acknowledged_sequence = max(
                 row.sequence for row in report.ended
             )
-        self._reconcile(ended_runs)
+        self._stop_obsolete_runs()
+        if report.lists_all_ends:
+            self._start_unlisted_runs(ended_runs)
         self._listener.on_report(self)
 
     def _missing_runs(
         self, ended_runs: set[_RunId], sent_s: float
     ) -> Iterable[commands.RunEnd]:
-        """Yields answered runs that the worker no longer lists, as rejected."""
+        """Yields answered runs that the worker no longer lists, as rejected.
+
+        It has them no more only if its report lists all ends.
+        """
         unlisted = {
             run_id
             for run_id, answered_s in self._answered_s.items()
@@ -607,11 +613,16 @@
             return []
         return [(task.key, task.run) for task in self._state.tasks_on(worker)]
 
-    def _reconcile(self, ended_runs: set[_RunId]) -> None:
-        """Stops obsolete runs; starts those that no leader has started."""
+    def _stop_obsolete_runs(self) -> None:
         for task, run in self._running:
             if not self._is_current(task, run):
                 self.stop(task, run)
+
+    def _start_unlisted_runs(self, ended_runs: set[_RunId]) -> None:
+        """Sends the starts that no leader has sent, as far as is known.
+
+        The report must list all ends: a run that has ended isn't started again.
+        """
         for task, run in self._committed_runs():
             run_id = (task, run)
             if run_id in self._running or run_id in ended_runs:
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -318,6 +318,8 @@
         self.acknowledged = 0
         self.renewed_until_ms = 0
         self.max_poll_s = 0.02
+        # A report lists the first ends up to this number.
+        self.max_listed_ends = 500
         self.is_unresponsive = False
         self.has_ended = False
         # Answers in place of this worker, which has started again.
@@ -424,7 +426,13 @@
             )
             for (task, run), row in self.running.items()
         )
-        return clients.WorkerReport(self.clock_ms, rows, tuple(self.ended))
+        listed = tuple(self.ended[: self.max_listed_ends])
+        return clients.WorkerReport(
+            self.clock_ms,
+            rows,
+            listed,
+            lists_all_ends=len(listed) == len(self.ended),
+        )
 
     async def close(self) -> None:
         """Does nothing."""
