End a gang as a whole, also if a worker was lost before

Cause: the members of a lost worker wait again. The end done of another member set only the members to done that still counted as running, and a gang whose tasks don't all wait is never placed. So it was done in part for good.

Change: one end done ends all members whose latest run has its number, running or waiting again: the protocol says that it represents all of them, and since a gang starts as a whole no member has started again.

--- a/tarragoncleat/batch/replicated/jobs.py
+++ b/tarragoncleat/batch/replicated/jobs.py
@@ -117,12 +117,41 @@
         """Whether all tasks are done."""
         return self.done_count == len(self.tasks)
 
+    @property
+    def is_partly_done_gang(self) -> bool:
+        """Whether members of one run of a gang are done and others wait."""
+        return (
+            self.definition.gang
+            and 0 < self.done_count < len(self.tasks)
+            and self.done_count + len(self.waiting) == len(self.tasks)
+            and len({task.run for task in self.tasks}) == 1
+        )
+
     def next_run(self, position: int) -> int:
         """Returns a task's next run number; all members of a gang share it."""
         if self.definition.gang:
             return 1 + max(task.run for task in self.tasks)
         return self.tasks[position].run + 1
 
+    def mark_done(self, task: Task) -> None:
+        """Records that a task is done."""
+        task.state = TaskState.DONE
+        self.waiting.discard(task.key.position)
+        self.done_count += 1
+
+    def unfinished_members(self, run: int) -> list[Task]:
+        """Returns the members of a gang whose latest run is `run`, if not done.
+
+        That includes those that wait again after the loss of their worker: no
+        member has started since, because a gang starts as a whole.
+        """
+        return [
+            member
+            for member in self.tasks
+            if member.run == run
+            and member.state in (TaskState.RUNNING, TaskState.WAITING)
+        ]
+
 
 class Occurrence:
     """One execution of a job's steps."""
@@ -314,7 +343,8 @@
 
         Returns:
             The tasks that no longer run on their workers: this one, or all
-            members of a gang once one member is done.
+            members of a gang once one member is done, since they are done
+            together.
         """
         located = self.find_task(run_end.task)
         if located is None:
@@ -330,12 +360,7 @@
             self._has_begun = True
         released_tasks = [task]
         if run_end.ending is commands.Ending.DONE and step.definition.gang:
-            released_tasks = [
-                member
-                for member in step.tasks
-                if member.state is TaskState.RUNNING
-                and member.run == run_end.run
-            ]
+            released_tasks = step.unfinished_members(run_end.run)
         for member in released_tasks:
             self._end_run(step, member, run_end, max_attempts, now_ms)
         return released_tasks
@@ -411,8 +436,7 @@
         if run_end.checkpoint:
             task.checkpoint = run_end.checkpoint
         if run_end.ending is commands.Ending.DONE and not long_running:
-            task.state = TaskState.DONE
-            step.done_count += 1
+            step.mark_done(task)
             self._complete_if_done(now_ms)
             return
         self._requeue(step, task)
@@ -445,6 +469,19 @@
                     step.tasks[position].state = TaskState.DROPPED
                 step.waiting.clear()
 
+    def finish_partly_done_gangs(self, now_ms: int) -> None:
+        """Ends gangs of which some members are done and the others wait.
+
+        Snapshots of earlier builds hold such gangs, which would never end.
+        """
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                if self.has_ended or not step.is_partly_done_gang:
+                    continue
+                for position in sorted(step.waiting):
+                    step.mark_done(step.tasks[position])
+                self._complete_if_done(now_ms)
+
     def suspect_tasks(self) -> Iterator[Task]:
         """Yields the tasks under which workers crashed."""
         for occurrence in self.occurrences.values():
--- a/tarragoncleat/batch/replicated/state.py
+++ b/tarragoncleat/batch/replicated/state.py
@@ -624,6 +624,7 @@
     def _restore_job(self, job: jobs_module.Job) -> None:
         self._jobs[job.job_id] = job
         self._count_arrival(job)
+        job.finish_partly_done_gangs(self._time_ms)
         if not job.has_ended:
             self._active[job.job_id] = job
         for task in job.running_tasks():
