Let late work give way only at the beginning of a shortage

Cause: late work leaves its workers to a service that lacks instances, without an end. Lasting tasks are never late, so they lack for good; so does a queue that is always overloaded. Whether an instance moves is decided elsewhere, and often it can't.

Change: a clock of shortages; late work gives way for the first 2.5 s of each, so that it never waits for 3 s beside idle workers on account of one. pool_load and the metric pool_cores show the demand of late jobs. The kept and the new planner that test_kept_planner_plans_as_a_new_one compares share the clock, which is history that a new planner can't know; its checks are unchanged.

Conclusion: a wait for what others may do needs an end of its own.

--- a/tarragoncleat/batch/batch_metrics.py
+++ b/tarragoncleat/batch/batch_metrics.py
@@ -196,6 +196,7 @@
             "used": event.used_millicores,
             "free": event.free_millicores,
             "unplaced": event.unplaced_millicores,
+            "late": event.late_millicores,
         }
         for use, amount in millicores.items():
             attributes = {"service": event.service, "use": use}
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -416,6 +416,7 @@
         used_millicores: Demand of the placed tasks.
         free_millicores: Free capacity of the schedulable workers.
         unplaced_millicores: Demand without a worker that can be in time.
+        late_millicores: Demand without a worker of late jobs.
     """
 
     service: str
@@ -425,6 +426,7 @@
     used_millicores: int
     free_millicores: int
     unplaced_millicores: int
+    late_millicores: int
 
 
 class CustomerLoad(NamedTuple):
--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -484,6 +484,7 @@
                         demand.used_millicores,
                         demand.free_millicores,
                         demand.unplaced_millicores,
+                        demand.late_millicores,
                     )
                 )
             self._log_customers()
--- a/tarragoncleat/batch/scheduling/planner.py
+++ b/tarragoncleat/batch/scheduling/planner.py
@@ -18,6 +18,7 @@
 from tarragoncleat.batch.scheduling import cap_planning
 from tarragoncleat.batch.scheduling import placement
 from tarragoncleat.batch.scheduling import ready_steps
+from tarragoncleat.batch.scheduling import shortages as shortages_module
 from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["Plan", "Planner", "plan"]
@@ -43,6 +44,7 @@
         state: state_module.BatchState,
         approval_cache: advice.ApprovalCache | None = None,
         controls_overload: bool = False,
+        shortages: shortages_module.ShortageClock | None = None,
     ) -> None:
         """Creates a planner that has made no plan yet.
 
@@ -51,9 +53,11 @@
             approval_cache: Source of the tickets that steps of queues with
                 advice need for each worker; missing ones are requested.
             controls_overload: Whether the order of jobs depends on their work.
+            shortages: Shortages so far; none by default.
         """
         self._state = state
         self._approval_cache = approval_cache
+        self._shortages = shortages or shortages_module.ShortageClock()
         self._index = ready_steps.ReadyIndex(controls_overload)
         self._demands: dict[str, pool_sizing.Demand] = {}
         # Whether late work of a service gave way to others in the last plan.
@@ -113,7 +117,7 @@
         for service in self._released_services(stale, previous, views):
             self._plan_in_time(service, views, result.starts)
             stale.add(service)
-        self._plan_late(stale, views, result.starts)
+        self._plan_late(stale, views, now_ms, result.starts)
         for service in sorted(stale):
             self._place_suspects(service, views, result.starts)
         result.demands = dict(self._demands)
@@ -211,13 +215,15 @@
         self,
         stale: Collection[str],
         views: _Views,
+        now_ms: int,
         starts: list[commands.RunStart],
     ) -> None:
         """Starts steps of late jobs, and updates the load of their services.
 
-        While another service lacks instances they get only workers with
-        long-running tasks: the others can move there once they are idle.
+        At the beginning of a shortage of another service they get only workers
+        with long-running tasks: the others can move there once they are idle.
         """
+        self._shortages.update(self._lacking_services(), now_ms)
         with_late_steps = [
             service
             for service, steps in self._index.services.items()
@@ -225,7 +231,7 @@
         ]
         if not with_late_steps:
             return
-        lacking = self._lacking_services()
+        lacking = self._shortages.recent(now_ms)
         for service in with_late_steps:
             gives_way = bool(lacking - {service})
             if service in stale or self._gave_way.get(service) != gives_way:
@@ -318,9 +324,11 @@
     views: _Views,
     now_ms: int,
     approval_cache: advice.ApprovalCache | None = None,
+    shortages: shortages_module.ShortageClock | None = None,
 ) -> Plan:
-    """Returns a plan that no earlier one precedes; see `Planner.plan`."""
-    return Planner(state, approval_cache).plan(views, views.keys(), now_ms)
+    """Returns a plan that no earlier one precedes; see `Planner`."""
+    made = Planner(state, approval_cache, shortages=shortages)
+    return made.plan(views, views.keys(), now_ms)
 
 
 def _largest_worker_millicores(views: _Views) -> int:
--- a/tests/test_batch_metrics.py
+++ b/tests/test_batch_metrics.py
@@ -41,7 +41,7 @@
         """Guards against a shortage that no metric shows per service."""
         metrics = batch_metrics.BatchMetrics()
         metrics.record_event(
-            events.PoolLoad("bidding", 8, 6, 2, 4_000, 500, 9_500)
+            events.PoolLoad("bidding", 8, 6, 2, 4_000, 500, 9_500, 700)
         )
         metrics.record_event(
             events.OperatorAnswered("GET", "/config", 503, "no leader", 900)
@@ -56,6 +56,7 @@
         text = metrics.render().decode()
         self.assertRegex(text, r'state="schedulable"[^}]*\} 6\.0')
         self.assertRegex(text, r'use="unplaced"[^}]*\} 9\.5')
+        self.assertRegex(text, r'use="late"[^}]*\} 0\.7')
         self.assertRegex(text, r'operator_requests_total\{[^}]*"503"[^}]*\} 1')
         self.assertRegex(
             text, r'submissions_refused_total\{[^}]*"bidding"[^}]*\} 1\.0'
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -12,6 +12,7 @@
 from tarragoncleat.batch.replicated import jobs
 from tarragoncleat.batch.replicated import model
 from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import shortages
 from tarragoncleat.batch.scheduling import worker_views
 from tests import batch_builders
 
@@ -61,7 +62,11 @@
         self._penalties: dict[str, float] = {}
         self._excluded: set[str] = set()
         self._cache = worker_views.ViewCache()
-        self._planner = planner.Planner(self.local.state)
+        # Both planners know since when services have lacked instances.
+        self._shortages = shortages.ShortageClock()
+        self._planner = planner.Planner(
+            self.local.state, shortages=self._shortages
+        )
         self._services = list(_SERVICES)
         self.configure()
         for _ in range(6):
@@ -189,6 +194,7 @@
             state,
             worker_views.build_views(state, schedulable),
             self.local.time_ms,
+            shortages=self._shortages,
         )
         views = self._cache.refresh(state, schedulable)
         kept = self._planner.plan(
