Drain what an earlier leader has chosen for maintenance

Cause: the next leader repeated the orders for all chosen instances at once, without draining, and had let tasks start on them, since only the leader that drains an instance counted it as such.

Change: tasks stay off chosen instances from a leader's first plan on, and it drains them before it repeats the order.

Conclusion: what a record says must hold for each leader that reads it. Moves leave no record and are not repeated.

--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -304,7 +304,7 @@
         """Returns the rank penalty of each worker that may get tasks."""
         now_s = self._timer.monotonic_s()
         health = self._health
-        is_draining = self._wave_controller.is_draining
+        reserved = self._wave_controller.reserved_instances()
         has_pending_move = self._rebalancer.has_pending_move
         penalties = {}
         for worker_id, session in self.sessions.items():
@@ -312,7 +312,7 @@
             if (
                 session.is_responsive_at(now_s)
                 and not health.is_ejected(worker_id, now_s)
-                and not is_draining(instance)
+                and instance not in reserved
                 and not has_pending_move(instance)
             ):
                 penalties[worker_id] = health.penalty(worker_id)
--- a/tarragoncleat/batch/pools/wave_controller.py
+++ b/tarragoncleat/batch/pools/wave_controller.py
@@ -86,6 +86,14 @@
             for wave in self._state.waves.values()
         )
 
+    def reserved_instances(self) -> set[str]:
+        """Returns the instances for which `is_reserved` holds."""
+        return self._draining_since_s.keys() | {
+            instance
+            for wave in self._state.waves.values()
+            for instance in wave.chosen.keys() - wave.begun
+        }
+
     def is_due(self, instance: str) -> bool:
         """Whether maintenance of an instance is requested and has not begun."""
         return any(
@@ -140,12 +148,20 @@
         self._start_draining(wave, by_instance)
         for instance in wave.remaining:
             if instance in wave.chosen:
-                # An earlier leader may have sent the order; it is idempotent.
+                # An earlier leader has chosen it, and may have sent the order.
+                # Tasks may have started there since.
+                self._draining_since_s.setdefault(
+                    instance, self._timer.monotonic_s()
+                )
+            if instance not in self._draining_since_s:
+                continue
+            if not self._drain(instance):
+                continue
+            if instance in wave.chosen:
+                # The order is idempotent.
                 await self._order_maintenance(wave, instance)
-            elif instance in self._draining_since_s:
-                is_drained = self._drain(instance)
-                if is_drained and self._down_count(wave) < wave.cap:
-                    await self._record_and_order(wave, instance)
+            elif self._down_count(wave) < wave.cap:
+                await self._record_and_order(wave, instance)
 
     def _start_draining(
         self, wave: waves.Wave, by_instance: worker_session.Sessions
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
 from tarragoncleat.batch.replicated import jobs
 from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.batch.workers import clients
+from tarragoncleat.kernel import errors
 from tests import batch_builders
 from tests import dispatcher_rig
 
@@ -363,6 +364,32 @@
 
         self.run_scenario(scenario)
 
+    def test_new_leader_keeps_tasks_off_what_the_last_one_has_chosen(
+        self,
+    ) -> None:
+        """Guards against tasks that maintenance ends at their start (review/5).
+
+        The last leader may have sent the order.
+        """
+        instance = self.worker.record.instance
+        other = self.add_worker("w-2")
+        self.local.apply(commands.StartWave(1, (instance,), 30_000, 1))
+        self.local.apply(
+            commands.RecordMaintenance(
+                1, instance, commands.MaintenancePhase.CHOSEN
+            )
+        )
+        self.instances.failure = errors.Failure(
+            errors.ErrorKind.UNDECIDED, "no answer"
+        )
+        self.local.submit("job-1", batch_builders.build_step(4))
+
+        async def scenario() -> None:
+            await dispatcher_rig.wait_until(lambda: len(other.running) == 4)
+
+        self.run_scenario(scenario, term=2)
+        self.assertEqual(self.worker.starts, [])
+
     def test_new_leader_starts_runs_that_were_only_stored(self) -> None:
         """A leader may fail between storing a run and sending its start."""
         self.local.submit()
--- a/tests/test_wave_controller.py
+++ b/tests/test_wave_controller.py
@@ -323,6 +323,42 @@
             self._step()
         self.assertFalse(self.sessions["w-0"].stopping)
 
+    def _choose(self, *worker_ids: str) -> None:
+        """Records instances as an earlier leader did before its order."""
+        for worker_id in worker_ids:
+            self.local.apply(
+                commands.RecordMaintenance(
+                    1,
+                    f"instance-of-{worker_id}",
+                    commands.MaintenancePhase.CHOSEN,
+                )
+            )
+
+    def test_next_leader_drains_what_the_last_one_has_chosen(self) -> None:
+        """Guards against orders that end more tasks than allowed (review/5).
+
+        The last leader had found the instances empty, and was lost before the
+        platform took its orders. Tasks have started there since.
+        """
+        self._add_workers("w-0", "w-1", "w-2")
+        self._start_wave("w-0", "w-1", cap=2)
+        self._choose("w-0", "w-1")
+        self._submit_long_running(3, max_unavailable=1)
+        for _ in range(3):
+            self._step()
+        stopped = [s for s in self.sessions.values() if s.stopping]
+        self.assertEqual(len(stopped), 1)
+        self.assertEqual(self.client.maintained, [])
+
+    def test_next_leader_repeats_the_order_for_an_empty_instance(self) -> None:
+        """Guards against a wave that waits for a lost order for good."""
+        self._add_workers("w-0")
+        self._start_wave("w-0", cap=1)
+        self._choose("w-0")
+        self._step()
+        self.assertEqual(self.client.maintained, ["instance-of-w-0"])
+        self.assertEqual(self.local.state.waves[1].remaining, [])
+
     def test_new_leader_without_sessions_spares_busy_instances(self) -> None:
         """A new leader opens its sessions after the controller's first step."""
         self._add_workers("w-0")
