Judge a stuck run by how long one percent of it takes

Cause: progress is a whole percentage, and 2.5 s without a change counted as stuck, however long one percent takes.

Change: a run is stuck after 2.5 s, or three times what one percent takes by its estimate or took on average, whichever is longer. Each stop of a task doubles this for its next run, because the estimate may be far too low.

--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -449,6 +449,7 @@
             for run_id in self._health.stuck_runs(worker_id):
                 if run_id not in session.stopping:
                     self._log_worker_change(worker_id, "stuck_task")
+                    self._health.record_stuck(run_id[0])
                     session.stop(*run_id)
 
     async def _run_wave_controller(self) -> None:
--- a/tarragoncleat/batch/workers/worker_health.py
+++ b/tarragoncleat/batch/workers/worker_health.py
@@ -19,18 +19,60 @@
 _EJECTION_S = 4.0
 _MAX_EJECTION_S = 16.0
 _REFUSAL_EJECTION_S = 0.5
+# A run without progress for so long is stuck, if no more time is due for it.
 _STUCK_S = 2.5
+# Progress is reported in whole percent. A run is stuck after this multiple of
+# the time that one percent takes by its estimate, or took on average.
+_STUCK_PERCENTS = 3
+# Each stop of a task doubles what its next run is allowed, up to this power of
+# 2: its estimate may be far too low.
+_MAX_STUCK_DOUBLINGS = 12
+_PERCENT = 100
+_MS_PER_S = 1000
 _FAILURE_PENALTY = 1.0
 _RECENT_CRASH_S = 30.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Progress of a run.
+
+    Attributes:
+        percent: Percentage in the latest report.
+        since_s: Since when it is unchanged.
+        estimated_percent_s: Time for one percent by the task's estimate.
+        first_percent: Percentage in the first report.
+        first_s: When that report came.
+    """
+
+    percent: int
+    since_s: float
+    estimated_percent_s: float
+    first_percent: int
+    first_s: float
+
+    def update(self, percent: int, now_s: float) -> None:
+        """Records a further report."""
+        if percent != self.percent:
+            self.percent = percent
+            self.since_s = now_s
+
+    @property
+    def percent_s(self) -> float:
+        """Time for one percent, as estimated or as it took on average."""
+        gained = self.percent - self.first_percent
+        if gained <= 0:
+            return self.estimated_percent_s
+        average_s = (self.since_s - self.first_s) / gained
+        return max(self.estimated_percent_s, average_s)
+
+
 @dataclasses.dataclass(slots=True)
 class _WorkerStats:
     """Recent results of one worker.
 
-    `progress` holds for each run its percentage and the time since which it is
-    unchanged; `ejection_s` is the length of the next ejection, and `penalty`
-    is the rank penalty for recent failures.
+    `progress` holds the progress of each run; `ejection_s` is the length of the
+    next ejection, and `penalty` is the rank penalty for recent failures.
     """
 
     recent_ends: deque[tuple[bool, str]] = dataclasses.field(
@@ -40,8 +82,8 @@
     ejected_until_s: float = 0.0
     last_report_s: float = 0.0
     ejection_s: float = _EJECTION_S
-    progress: dict[tuple[model.TaskKey, int], tuple[int, float]] = (
-        dataclasses.field(default_factory=dict)
+    progress: dict[tuple[model.TaskKey, int], _Progress] = dataclasses.field(
+        default_factory=dict
     )
 
 
@@ -51,6 +93,8 @@
     def __init__(self) -> None:
         """Creates a tracker that considers every worker healthy."""
         self._stats: dict[str, _WorkerStats] = {}
+        # How often tasks were stopped because they were stuck.
+        self._stuck_counts: dict[model.TaskKey, int] = {}
         # When a worker ended last, by instance.
         self._crashes: dict[str, float] = {}
 
@@ -59,6 +103,7 @@
         is_failure = run_end.ending is commands.Ending.FAILED
         if not is_failure and run_end.ending is not commands.Ending.DONE:
             return
+        self._stuck_counts.pop(run_end.task, None)
         stats = self._stats_of(run_end.worker_id)
         stats.recent_ends.append((is_failure, run_end.task.job_id))
         failures = sum(failed for failed, _ in stats.recent_ends)
@@ -109,11 +154,15 @@
                 continue
             if located[1].definition.gang:
                 continue
-            previous = stats.progress.get(run_id)
-            since_s = now_s
-            if previous is not None and previous[0] == running_task.percent:
-                since_s = previous[1]
-            progress[run_id] = (running_task.percent, since_s)
+            percent = running_task.percent
+            known = stats.progress.get(run_id)
+            if known is None:
+                estimate_s = located[1].definition.estimated_ms / _MS_PER_S
+                known = _Progress(
+                    percent, now_s, estimate_s / _PERCENT, percent, now_s
+                )
+            known.update(percent, now_s)
+            progress[run_id] = known
         stats.progress = progress
         stats.last_report_s = now_s
 
@@ -128,10 +177,21 @@
             return []
         return [
             run_id
-            for run_id, (_, since_s) in stats.progress.items()
-            if stats.last_report_s - since_s > _STUCK_S
+            for run_id, progress in stats.progress.items()
+            if stats.last_report_s - progress.since_s
+            > self._allowed_s(run_id[0], progress)
         ]
 
+    def record_stuck(self, task: model.TaskKey) -> None:
+        """Records that a task's run is stopped because it is stuck."""
+        count = self._stuck_counts.get(task, 0) + 1
+        self._stuck_counts[task] = min(count, _MAX_STUCK_DOUBLINGS)
+
+    def _allowed_s(self, task: model.TaskKey, progress: _Progress) -> float:
+        """Returns for how long a run may make no progress."""
+        allowed_s = max(_STUCK_S, _STUCK_PERCENTS * progress.percent_s)
+        return allowed_s * 2 ** self._stuck_counts.get(task, 0)
+
     def is_ejected(self, worker_id: str, now_s: float) -> bool:
         """Whether a worker must not get tasks now."""
         stats = self._stats.get(worker_id)
