Let all members of a gang resume from one checkpoint

After a crash of one worker the members of its gang were started with different checkpoints, or some with none. The protocol: "all must carry the same value", and that of any member is valid.

Cause: each task kept what its own run had saved.

Change: what one member's end carries is recorded for all members.

Evidence: test_members_start_again_from_one_checkpoint fails on the commit before ("Items in the first set but not the second") and passes now.

--- a/tarragoncleat/batch/replicated/jobs.py
+++ b/tarragoncleat/batch/replicated/jobs.py
@@ -133,6 +133,15 @@
             return 1 + max(task.run for task in self.tasks)
         return self.tasks[position].run + 1
 
+    def save_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Records the progress that a run of a task has saved.
+
+        The members of a gang resume from one checkpoint; that of any member is
+        valid for all.
+        """
+        for member in self.tasks if self.definition.gang else (task,):
+            member.checkpoint = checkpoint
+
     def mark_done(self, task: Task) -> None:
         """Records that a task is done."""
         task.state = TaskState.DONE
@@ -358,6 +367,8 @@
         self.revision += 1
         if run_end.ending is not commands.Ending.REJECTED:
             self._has_begun = True
+        if run_end.checkpoint:
+            step.save_checkpoint(task, run_end.checkpoint)
         released_tasks = [task]
         if run_end.ending is commands.Ending.DONE and step.definition.gang:
             released_tasks = step.unfinished_members(run_end.run)
@@ -433,8 +444,6 @@
         now_ms: int,
     ) -> None:
         long_running = step.definition.long_running
-        if run_end.checkpoint:
-            task.checkpoint = run_end.checkpoint
         if run_end.ending is commands.Ending.DONE and not long_running:
             step.mark_done(task)
             self._complete_if_done(now_ms)
--- a/tests/test_gang_ends.py
+++ b/tests/test_gang_ends.py
@@ -81,6 +81,30 @@
         self._record(_DONE, 1, run=2)
         self.assertIs(self._job.state, jobs.JobState.COMPLETED)
 
+    def test_members_start_again_from_one_checkpoint(self) -> None:
+        """Guards against a gang whose members resume at different points.
+
+        A crash saves nothing of the member on its worker, and the others save
+        what they have.
+        """
+        keys = [
+            batch_builders.task_key(position=index)
+            for index in range(len(_WORKERS))
+        ]
+        self._record(_CRASH, 0)
+        for index, checkpoint in ((1, "first"), (2, "second")):
+            self.local.end(
+                keys[index],
+                commands.Ending.BROKEN,
+                worker_id=_WORKERS[index],
+                checkpoint=checkpoint,
+            )
+        tasks = self._job.occurrences[0].steps[0].tasks
+        self.assertEqual({task.checkpoint for task in tasks}, {"second"})
+        self.assertEqual(
+            {task.state for task in tasks}, {jobs.TaskState.WAITING}
+        )
+
     def test_stuck_gang_of_an_earlier_build_is_done_after_a_restart(
         self,
     ) -> None:
