Sync each removal of a log segment before the next one

After a loss of power a node could refuse to start: "does not continue the segment before it".

Cause: several covered segments were removed before one sync of the folder. If an earlier removal is undone and a later one isn't, the log has a gap.

Change: the folder is synced after each removal.

--- a/tarragoncleat/log/log_store.py
+++ b/tarragoncleat/log/log_store.py
@@ -374,13 +374,16 @@
             self._closed_segments.pop()
 
     def _remove_covered_segments(self, keep_from: int) -> None:
+        log_files.sync_folder(self._folder)
         while (
             self._closed_segments
             and self._closed_segments[0].last_index < keep_from
         ):
+            # Each removal is durable before the next one: a power loss that
+            # undoes only the earlier one would leave a gap.
             self._closed_segments[0].path.unlink(missing_ok=True)
+            log_files.sync_folder(self._folder)
             self._closed_segments.pop(0)
-        log_files.sync_folder(self._folder)
 
 
 def _segment_number(path: pathlib.Path) -> int:
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -12,6 +12,7 @@
 from tarragoncleat.kernel import ids
 from tarragoncleat.log import consensus
 from tarragoncleat.log import consensus_messages
+from tarragoncleat.log import log_files
 from tarragoncleat.log import log_store
 
 _REPLICAS = (ids.EntryId("a"), ids.EntryId("b"))
@@ -99,6 +100,36 @@
         self.assertLessEqual(saved.records[0].index, 16)
         self.assertEqual(saved.records[-1].index, 30)
 
+    def test_power_loss_while_covered_segments_are_removed_leaves_no_gap(
+        self,
+    ) -> None:
+        """Guards against a node that doesn't start after a power loss.
+
+        Removals that were not synced may be lost one by one, so that an earlier
+        segment is there again and a later one isn't.
+        """
+        with unittest.mock.patch.object(log_store, "_SEGMENT_BYTES", 300):
+            store, _ = self._open()
+            for index in range(1, 31):
+                self._write(store, index)
+        segments = {
+            path: path.read_bytes() for path in self.folder.glob("log-*.seg")
+        }
+        sync_folder = log_files.sync_folder
+
+        def lose_power(folder: pathlib.Path) -> None:
+            if not all(path.exists() for path in segments):
+                raise OSError(errno.EIO, "power loss")
+            sync_folder(folder)
+
+        with unittest.mock.patch.object(log_files, "sync_folder", lose_power):
+            self.assertIsNotNone(store.save_snapshot(_snapshot(20), 16))
+        first = min(segments)
+        self.assertFalse(first.exists())
+        first.write_bytes(segments[first])
+        _, saved = self._open()
+        self.assertEqual(saved.records[-1].index, 30)
+
     def test_crash_at_any_step_of_an_install_leaves_a_valid_log(self) -> None:
         """Guards against old and new records mixed by a crash.
 
