Tell at once that a leader which can't write leads no more

A leader whose disk takes no more bytes went on renewing leases and sending orders until a write succeeded.

Cause: the replica gave up the leadership, but told its listener only when it next processed output, which waits for that write.

Change: the listener is told with the first failure.

Evidence: test_leader_that_cannot_write_says_that_it_leads_no_more fails on the commit before in 2 of 2 runs (the listener still hears of the old leader after 3 s) and passes in 3 of 3 now.

--- a/tarragoncleat/log/replica.py
+++ b/tarragoncleat/log/replica.py
@@ -257,14 +257,18 @@
             self._write_failure = None
 
     def _on_write_failure(self, failure: errors.Failure) -> None:
-        if self._write_failure is None:
-            loguru.logger.error(
-                "can't write the log; the replica is blocked until it can",
-                kind=failure.kind.value,
-                reason=failure.reason,
-            )
-            self._core.resign(self._now())
+        is_first = self._write_failure is None
         self._write_failure = failure
+        if not is_first:
+            return
+        loguru.logger.error(
+            "can't write the log; the replica is blocked until it can",
+            kind=failure.kind.value,
+            reason=failure.reason,
+        )
+        self._core.resign(self._now())
+        # While the disk stays full nothing else tells of the lost leadership.
+        self._on_change()
 
     async def _write_snapshot(self) -> None:
         snapshot = self._unsaved_snapshot
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -4,6 +4,7 @@
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
 import anyio
 
@@ -15,6 +16,7 @@
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import ids
 from tarragoncleat.kernel import timer as timer_module
+from tarragoncleat.log import log_store
 from tests import builders
 
 _SCENARIO_TIMEOUT_S = 30.0
@@ -56,6 +58,7 @@
         self.state_machine = _PayloadList()
         self.cancel_scope = anyio.CancelScope()
         self.has_stopped = anyio.Event()
+        self.on_change: Callable[[], None] = lambda: None
 
     def open(self, seeds: list[tuple[str, int]], is_first: bool) -> None:
         self.seeds = seeds
@@ -81,7 +84,7 @@
             self.links,
             self.state_machine,
             1,
-            lambda: None,
+            lambda: self.on_change(),
         )
         initial_replicas = [node_ids.bootstrap_id(*seed) for seed in seeds]
         failure = self.node.open(
@@ -193,6 +196,40 @@
         while self._members(await self._leader()) != expected:
             await anyio.sleep(0.02)
 
+    def test_leader_that_cannot_write_says_that_it_leads_no_more(self) -> None:
+        """Guards against leases that a deposed leader goes on renewing.
+
+        It was told only by the next write that succeeded, and a full disk may
+        stay full.
+        """
+        told: list[ids.EntryId | None] = []
+        write = log_store.LogStore.write
+
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            await self._write(b"first")
+            leader = await self._leader()
+
+            def write_unless_leader(
+                store: log_store.LogStore, batch: log_store.WriteBatch
+            ) -> errors.Failure | None:
+                if leader.folder in store._folder.parents:
+                    return errors.Failure(errors.ErrorKind.STORAGE, "full")
+                return write(store, batch)
+
+            leader.on_change = lambda: told.append(leader.node.leader_id)
+            with unittest.mock.patch.object(
+                log_store.LogStore, "write", write_unless_leader
+            ):
+                self.tasks.start_soon(leader.node.propose, b"second", 0.5)
+                with anyio.move_on_after(3):
+                    await self._wait_until(lambda: told[-1:] == [None])
+                self.assertEqual(leader.node.dump()["blocked"], "full")
+
+        self._run_scenario(scenario)
+        self.assertEqual(told[-1:], [None])
+
     def test_reads_and_proposals_are_decided_in_the_order_of_arrival(
         self,
     ) -> None:
