Refuse a job whose id another queue holds

Cause: jobs were found by their id alone. Workers know tasks by the job's id, so both can't be stored.

Change: the submission is refused with 409, as for an id of another customer's job; reading and cancelling at that path know no such job. caller_refused names other_queue.

A repeated submission has the same path, and so the same queue.

--- a/tarragoncleat/administration/explain.py
+++ b/tarragoncleat/administration/explain.py
@@ -19,6 +19,7 @@
     "none": "the caller presented no key, and the queue needs one",
     "unknown": "no customer had the caller's key",
     "other_customer": "a job of another customer has the id",
+    "other_queue": "a job of another queue has the id",
 }
 _REFUSED_ORDERS = {"start_refused": "start", "stop_refused": "stop"}
 _HEAD_FIELDS = ("time_ms", "node", "level", "event")
--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -348,8 +348,8 @@
         queue: Name of the queue.
         version: The configuration that decided.
         term: Term of the leader.
-        key: "none" or "unknown"; "other_customer" if a job of another customer
-            has the id.
+        key: "none" or "unknown"; "other_customer" or "other_queue" if a job of
+            another customer or of another queue has the id.
         waited_ms: Time from the request's arrival at the leader.
     """
 
--- a/tarragoncleat/batch/leader/job_routing.py
+++ b/tarragoncleat/batch/leader/job_routing.py
@@ -41,17 +41,20 @@
 
     @property
     def visible_job(self) -> jobs.Job | None:
-        """The job, if the caller may see it.
-
-        A queue that lets anonymous callers in leads to no customer's job in
-        another queue, which may need a key.
-        """
+        """The job, if it is one of the queue and the caller may see it."""
         if self.queue is None or self.caller is None or self.job is None:
             return None
-        if not self.caller.customer and self.job.caller.customer:
-            return self.job if self.job.queue == self.queue.key else None
+        if self.is_other_queues_job:
+            return None
         return self.job if self.caller.may_see(self.job.caller) else None
 
+    @property
+    def is_other_queues_job(self) -> bool:
+        """Whether the job with the path's id was submitted to another queue."""
+        if self.queue is None or self.job is None:
+            return False
+        return self.job.queue != self.queue.key
+
     def has_queue(self, queue: model.QueuePolicy | None) -> bool:
         """Whether the path leads to this queue."""
         if self.queue is None or queue is None:
--- a/tarragoncleat/batch/leader/job_service.py
+++ b/tarragoncleat/batch/leader/job_service.py
@@ -138,7 +138,13 @@
             if target.queue is None or target.caller is None:
                 return self._refuse(request, target, arrived_s)
             job_id = job_routing.job_id_of(target.queue, request.path)
-            decision = await self._commit(self._cancel_command(request, job_id))
+            if target.is_other_queues_job:
+                # The command would find the job by its id alone.
+                decision = await self._decide_unknown_job(request, target)
+            else:
+                decision = await self._commit(
+                    self._cancel_command(request, job_id)
+                )
             if isinstance(decision, errors.Failure):
                 return decision
             if decision is commands.JobDecision.STORED:
@@ -153,6 +159,17 @@
                 return messages.JobReply(None)
         return _unstable_route()
 
+    async def _decide_unknown_job(
+        self, request: messages.CancelRequest, target: job_routing.Target
+    ) -> commands.JobDecision | errors.Failure:
+        """Decides on a path that leads to no job by the latest state."""
+        latest = await self._router.read(request)
+        if isinstance(latest, errors.Failure):
+            return latest
+        if not latest.has_queue(target.queue):
+            return commands.JobDecision.NO_QUEUE
+        return commands.JobDecision.UNKNOWN_JOB
+
     def _cancel_command(
         self, request: messages.CancelRequest, job_id: str
     ) -> commands.CancelJob | commands.CancelCustomerJob:
@@ -173,6 +190,8 @@
             return commands.JobDecision.NO_QUEUE
         if latest.caller is None:
             return commands.JobDecision.UNAUTHORIZED
+        if target.is_other_queues_job:
+            return commands.JobDecision.ID_TAKEN
         if latest.caller.may_see(target.job.caller):
             return commands.JobDecision.ALREADY_STORED
         return commands.JobDecision.ID_TAKEN
@@ -235,7 +254,10 @@
         target: job_routing.Target,
         arrived_s: float,
     ) -> errors.Failure:
-        self._log_refused_caller(request, target, "other_customer", arrived_s)
+        cause = "other_customer"
+        if self._router.find(request).is_other_queues_job:
+            cause = "other_queue"
+        self._log_refused_caller(request, target, cause, arrived_s)
         return errors.Failure(
             errors.ErrorKind.CONFLICT, "the id belongs to another job"
         )
--- a/tarragoncleat/batch/replicated/state.py
+++ b/tarragoncleat/batch/replicated/state.py
@@ -260,7 +260,7 @@
             return commands.JobDecision.UNAUTHORIZED
         stored = self._jobs.get(job_id)
         if stored is not None:
-            if caller.may_see(stored.caller):
+            if stored.queue == key and caller.may_see(stored.caller):
                 return commands.JobDecision.ALREADY_STORED
             return commands.JobDecision.ID_TAKEN
         customer = self.customers.get(caller.customer)
--- a/tests/test_leader_service.py
+++ b/tests/test_leader_service.py
@@ -1,16 +1,20 @@
 """Tests of the leader's answers while its leadership may have ended."""
 
+import dataclasses
 from typing import Any
 import unittest
 
 import anyio
 import hypothesis
 from hypothesis import strategies
+import msgpack
 
 from tarragoncleat.batch import events
 from tarragoncleat.batch.leader import leader_service
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import messages
+from tarragoncleat.batch.replicated import model
+from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import event_log
 from tests import batch_builders
@@ -89,6 +93,60 @@
         self.assertEqual(len(stored), 1)
 
 
+class SameIdTest(_LeaderServiceTest):
+    """Guards against jobs of two queues that are taken for one another.
+
+    A job belongs to the queue at whose path it was submitted, but its id must
+    be unique among all queues: workers know tasks by it.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        first = batch_builders.build_configuration(2)
+        second = batch_builders.build_configuration(
+            2, name="alerts", path_prefix="/alerts/"
+        )
+        self._handle(
+            messages.PutRequest(
+                dataclasses.replace(first, queues=first.queues + second.queues)
+            )
+        )
+        self._submit()
+
+    def _other(self, request_type: type, *fields: object) -> Any:
+        host, path = batch_builders.QUEUE.host, "/alerts/job-1"
+        return self._handle(request_type(host, path, *fields))
+
+    def test_submission_with_the_id_of_another_queues_job_is_refused(
+        self,
+    ) -> None:
+        """Guards against a success for a job that was never stored."""
+        definition = batch_builders.build_job()
+        reply = self._other(messages.SubmitRequest, definition)
+        self.assertEqual(reply.kind, errors.ErrorKind.CONFLICT)
+
+    def test_record_of_such_a_submission_is_refused(self) -> None:
+        """Guards against two submissions at once, of which one is decided."""
+        other = model.QueueKey(batch_builders.QUEUE.host, "/alerts/")
+        command = commands.SubmitJob("job-1", other, batch_builders.build_job())
+        result = self.local.state.apply(9, 1_000_000, codec.encode(command))
+        self.assertEqual(
+            msgpack.unpackb(result), commands.JobDecision.ID_TAKEN.value
+        )
+
+    def test_path_of_another_queue_does_not_lead_to_the_job(self) -> None:
+        """Guards against a state or a cancellation of somebody else's job."""
+        self.assertEqual(
+            self._other(messages.ReadRequest), messages.JobReply(None)
+        )
+        self.assertEqual(
+            self._other(messages.CancelRequest), messages.JobReply(None)
+        )
+        job = self.local.state.job("job-1")
+        assert job is not None
+        self.assertFalse(job.has_ended)
+
+
 class RecordAheadTest(_LeaderServiceTest):
     """Guards against decisions that a record ahead in the log has overtaken.
 
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -84,7 +84,7 @@
             self.links,
             self.state_machine,
             1,
-            lambda: self.on_change(),
+            self._on_change,
         )
         initial_replicas = [node_ids.bootstrap_id(*seed) for seed in seeds]
         failure = self.node.open(
@@ -100,6 +100,9 @@
             return self.node.on_announcement(request)
         return messages.NotLeader(self.node.leader_id)
 
+    def _on_change(self) -> None:
+        self.on_change()
+
     def _on_lost(self, address: tuple[str, int]) -> None:
         self.node.on_link_lost(address)
 
