Add a model of a leader and its workers with random faults

Change: tarragoncleat_model plays the product's dispatcher, sessions, waves and state in simulated time, without sockets, against workers written from the protocol: refused, lost and late orders, cuts, lapses on clocks that are 2% off, pages of ends, gangs, checkpoints, crashes, changed and frozen leaders, waves. The event loop in simulated time moves there from the tests.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 RUFF = $(VENV)/bin/ruff
-SOURCES = tarragoncleat tarragoncleat_bench tarragoncleat_soak platform tests tools
+SOURCES = tarragoncleat tarragoncleat_bench tarragoncleat_model tarragoncleat_soak platform tests tools
 
-.PHONY: install check test demo bench soak
+.PHONY: install check test demo bench soak model
 
 SEEDS ?= 3
+WORLDS ?= 500
 
 install: $(VENV)/installed
 
@@ -31,3 +32,6 @@
 
 soak: install
 	$(PYTHON) -m tarragoncleat_soak.main --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST))
+
+model: install
+	$(PYTHON) -m tarragoncleat_model.main --worlds $(WORLDS) --trace $(if $(FIRST),--first $(FIRST))
--- a/tarragoncleat_model/virtual_time.py
+++ b/tarragoncleat_model/virtual_time.py
@@ -1,7 +1,7 @@
 """An event loop whose time passes only while every task waits.
 
-Tests of leases and timeouts run on it without sockets or threads: a busy
-machine can't make a lease of such a test expire.
+Leases and timeouts are played on it without sockets or threads: a busy machine
+can't make a lease expire.
 """
 
 import asyncio
@@ -22,15 +22,19 @@
     """The time of a virtual event loop, with the interface of module `time`."""
 
     def __init__(self) -> None:
+        """Creates a clock."""
         self._now_s = _START_S
 
     def monotonic(self) -> float:
+        """Returns the simulated time in seconds."""
         return self._now_s
 
     def time(self) -> float:
+        """Returns the simulated time since the Unix epoch, in seconds."""
         return _EPOCH_OFFSET_S + self._now_s
 
     def advance(self, seconds: float) -> None:
+        """Lets time pass."""
         self._now_s += seconds
 
 
@@ -38,13 +42,16 @@
     """A timer service for tasks on a virtual event loop."""
 
     def __init__(self, clock: Clock) -> None:
+        """Creates a timer service on a clock."""
         super().__init__()
         self._clock = clock
 
     def monotonic_s(self) -> float:
+        """Returns the simulated time in seconds."""
         return self._clock.monotonic()
 
     def wall_time_ms(self) -> int:
+        """Returns the simulated time since the Unix epoch, in ms."""
         return int(self._clock.time() * _MS_PER_S)
 
 
@@ -52,6 +59,7 @@
     """Advances the clock instead of waiting."""
 
     def __init__(self, clock: Clock) -> None:
+        """Creates a timer service on a clock."""
         super().__init__()
         self._clock = clock
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -17,9 +17,9 @@
 from tarragoncleat.state import pools
 from tarragoncleat.state import profiles
 from tarragoncleat.state import waves
+from tarragoncleat_model import virtual_time
 from tests import builders
 from tests import standin_worker
-from tests import virtual_time
 
 _STATE = pools.InstanceState
 _DEADLINE_S = 25.0
