Let all scenarios beside a dispatcher use one rig

Cause: four test modules started a dispatcher beside a scenario each in its own way; the newest had brought a module for it.

Change: test_departures, test_resized_workers and test_worker_incarnations use dispatcher_rig.run_beside. Checks are unchanged.

--- a/tests/dispatcher_rig.py
+++ b/tests/dispatcher_rig.py
@@ -10,7 +10,7 @@
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
 
-__all__ = ["DispatcherTestCase", "wait_until"]
+__all__ = ["DispatcherTestCase", "run_beside", "wait_until"]
 
 _TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.005
@@ -22,6 +22,22 @@
         await anyio.sleep(_POLL_INTERVAL_S)
 
 
+def run_beside(
+    dispatcher: dispatcher_module.Dispatcher,
+    scenario: Callable[[], Awaitable[None]],
+) -> None:
+    """Runs a scenario beside a dispatcher, and ends both after it."""
+
+    async def main() -> None:
+        with anyio.fail_after(_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(dispatcher.run)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 class DispatcherTestCase(unittest.TestCase):
     """Runs scenarios during a leader's term; one worker is registered."""
 
@@ -41,22 +57,14 @@
         term: int = 1,
     ) -> None:
         """Runs a scenario beside the dispatcher of a term."""
-
-        async def main() -> None:
-            self.dispatcher, self.log = batch_builders.build_dispatcher(
-                self.local,
-                [self.worker, *self.other_workers],
-                timer or timer_module.TimerService(),
-                self.instances,
-                term,
-            )
-            with anyio.fail_after(_TIMEOUT_S):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self.dispatcher.run)
-                    await scenario()
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
+        self.dispatcher, self.log = batch_builders.build_dispatcher(
+            self.local,
+            [self.worker, *self.other_workers],
+            timer or timer_module.TimerService(),
+            self.instances,
+            term,
+        )
+        run_beside(self.dispatcher, scenario)
 
     def add_worker(self, worker_id: str) -> batch_builders.FakeWorker:
         """Registers a further worker."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,14 +7,13 @@
 import unittest
 import unittest.mock
 
-import anyio
-
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import jobs
 from tarragoncleat.batch.workers import clients
 from tarragoncleat.batch.workers import departures
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
+from tests import dispatcher_rig
 
 _NOTICE_MS = 2_000
 _NOW_S = 100.0
@@ -107,25 +106,20 @@
         )
         key = batch_builders.task_key("job-1")
 
-        async def main() -> None:
-            dispatcher, _ = batch_builders.build_dispatcher(
-                local, [leaving, staying], timer_module.TimerService()
-            )
-            with anyio.fail_after(20):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(dispatcher.run)
-                    while not leaving.running:
-                        await anyio.sleep(0.005)
-                    run = next(iter(leaving.running.values()))
-                    run.checkpoint, run.percent = "saved", 30
-                    local.register("w-2")
-                    local.apply(commands.DrainWorker("w-1"))
-                    dispatcher.record_departure("w-1", _NOTICE_MS)
-                    while not staying.running:
-                        await anyio.sleep(0.005)
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
+        dispatcher, _ = batch_builders.build_dispatcher(
+            local, [leaving, staying], timer_module.TimerService()
+        )
+
+        async def scenario() -> None:
+            await dispatcher_rig.wait_until(lambda: leaving.running)
+            run = next(iter(leaving.running.values()))
+            run.checkpoint, run.percent = "saved", 30
+            local.register("w-2")
+            local.apply(commands.DrainWorker("w-1"))
+            dispatcher.record_departure("w-1", _NOTICE_MS)
+            await dispatcher_rig.wait_until(lambda: staying.running)
+
+        dispatcher_rig.run_beside(dispatcher, scenario)
         self.assertEqual(staying.starts[0].checkpoint, "saved")
         located = local.state.task(key)
         assert located is not None
--- a/tests/test_resized_workers.py
+++ b/tests/test_resized_workers.py
@@ -19,8 +19,7 @@
 from tarragoncleat.batch.workers import clients
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
-
-_TIMEOUT_S = 20.0
+from tests import dispatcher_rig
 
 
 class ResizedWorkerTest(unittest.TestCase):
@@ -151,29 +150,23 @@
 
     def test_stored_start_is_withdrawn(self) -> None:
         """A start is repeated for seconds while it gets no answer."""
+        dispatcher, _ = batch_builders.build_dispatcher(
+            self.local, [self.worker], timer_module.TimerService()
+        )
 
-        async def main() -> None:
-            dispatcher, _ = batch_builders.build_dispatcher(
-                self.local, [self.worker], timer_module.TimerService()
-            )
-            with anyio.fail_after(_TIMEOUT_S):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(dispatcher.run)
-                    self.worker.start_outcome = clients.OrderOutcome.UNANSWERED
-                    self.local.submit()
-                    dispatcher.notify_state_changed()
-                    while not self.worker.starts:
-                        await anyio.sleep(0.005)
-                    self._shrink()
-                    self.worker.start_outcome = None
-                    while not self.worker.stops:
-                        await anyio.sleep(0.005)
-                    sent = len(self.worker.starts)
-                    await anyio.sleep(0.5)
-                    self.assertEqual(len(self.worker.starts), sent)
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
+        async def scenario() -> None:
+            self.worker.start_outcome = clients.OrderOutcome.UNANSWERED
+            self.local.submit()
+            dispatcher.notify_state_changed()
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
+            self._shrink()
+            self.worker.start_outcome = None
+            await dispatcher_rig.wait_until(lambda: self.worker.stops)
+            sent = len(self.worker.starts)
+            await anyio.sleep(0.5)
+            self.assertEqual(len(self.worker.starts), sent)
+
+        dispatcher_rig.run_beside(dispatcher, scenario)
         self.assertEqual(self.worker.running, {})
 
     def test_free_room_is_negative_after_a_shrink(self) -> None:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -30,6 +30,7 @@
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import timer as timer_module
 from tests import batch_builders
+from tests import dispatcher_rig
 
 _INSTANCE = "m-1"
 _FIRST = "i-1@1000"
@@ -262,23 +263,12 @@
         scenario: Callable,
         timer: timer_module.TimerService | None = None,
     ) -> None:
-        async def main() -> None:
-            self.dispatcher, _ = batch_builders.build_dispatcher(
-                self.local,
-                [self.first, self.second, self.other],
-                timer or timer_module.TimerService(),
-            )
-            with anyio.fail_after(_TIMEOUT_S):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self.dispatcher.run)
-                    await scenario()
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
-
-    async def _wait_until(self, condition: Callable[[], object]) -> None:
-        while not condition():
-            await anyio.sleep(0.005)
+        self.dispatcher, _ = batch_builders.build_dispatcher(
+            self.local,
+            [self.first, self.second, self.other],
+            timer or timer_module.TimerService(),
+        )
+        dispatcher_rig.run_beside(self.dispatcher, scenario)
 
     def _has_first_ended(self) -> bool:
         return self.state.has_worker_ended(_FIRST)
@@ -289,15 +279,17 @@
         earlier = batch_builders.task_key("job-0")
 
         async def scenario() -> None:
-            await self._wait_until(lambda: len(self.first.running) == 2)
+            await dispatcher_rig.wait_until(
+                lambda: len(self.first.running) == 2
+            )
             self.first.end(earlier)
-            await self._wait_until(lambda: self.first.acknowledged)
+            await dispatcher_rig.wait_until(lambda: self.first.acknowledged)
             self.first.successor = self.second
-            await self._wait_until(self._has_first_ended)
+            await dispatcher_rig.wait_until(self._has_first_ended)
             self._register(_SECOND)
-            await self._wait_until(lambda: self.second.running)
+            await dispatcher_rig.wait_until(lambda: self.second.running)
             self.second.end(self.key, run=2)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: self.state.job("job-1").state is jobs.JobState.COMPLETED
             )
 
@@ -308,12 +300,12 @@
         """Guards against a wait for the lease; the call still hangs."""
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.running)
+            await dispatcher_rig.wait_until(lambda: self.first.running)
             self.first.max_poll_s = _TIMEOUT_S
             await anyio.sleep(0.05)
             self.first.successor = self.second
             self._register(_SECOND)
-            await self._wait_until(lambda: self.second.running)
+            await dispatcher_rig.wait_until(lambda: self.second.running)
 
         self._run_scenario(scenario)
         self.assertTrue(self._has_first_ended())
@@ -327,10 +319,10 @@
         self.first.lost_replies = 1
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.starts)
+            await dispatcher_rig.wait_until(lambda: self.first.starts)
             self.local.register("i-2@1000", instance="m-2")
             self.first.successor = self.second
-            await self._wait_until(lambda: self.other.running)
+            await dispatcher_rig.wait_until(lambda: self.other.running)
             await self.second.start(self.first.starts[0])
             self.assertFalse(self.second.running)
 
@@ -343,14 +335,14 @@
         stop = unittest.mock.AsyncMock(return_value=unanswered)
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.starts)
+            await dispatcher_rig.wait_until(lambda: self.first.starts)
             session = self.dispatcher.sessions[_FIRST]
             with unittest.mock.patch.object(self.second, "stop", stop):
                 self.first.successor = self.second
-                await self._wait_until(lambda: session.was_restarted)
+                await dispatcher_rig.wait_until(lambda: session.was_restarted)
                 await anyio.sleep(0.05)
                 sent = len(self.second.starts)
-                await self._wait_until(lambda: stop.await_count > 4)
+                await dispatcher_rig.wait_until(lambda: stop.await_count > 4)
             self.assertEqual(len(self.second.starts), sent)
             self.assertFalse(session.is_responsive)
 
@@ -364,11 +356,13 @@
         self.first.lost_replies = 1
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.running)
+            await dispatcher_rig.wait_until(lambda: self.first.running)
             self.first.end(self.key, ending=commands.Ending.STOPPED)
-            await self._wait_until(lambda: (self.key, 2) in self.first.running)
+            await dispatcher_rig.wait_until(
+                lambda: (self.key, 2) in self.first.running
+            )
             self.first.successor = self.second
-            await self._wait_until(self._has_first_ended)
+            await dispatcher_rig.wait_until(self._has_first_ended)
 
         self._run_scenario(scenario)
         self.assertEqual([stop.run for stop in self.second.stops], [1, 2])
@@ -380,11 +374,11 @@
         self.first.lost_replies = 1
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.starts)
+            await dispatcher_rig.wait_until(lambda: self.first.starts)
             lost = commands.MarkWorkersLost((_FIRST,), is_final=True)
             await self.dispatcher.commit(lost)
             self._register(_SECOND)
-            await self._wait_until(
+            await dispatcher_rig.wait_until(
                 lambda: 1 in [stop.run for stop in self.second.stops]
             )
 
@@ -398,16 +392,16 @@
         self.second.running[(self.key, 1)] = batch_builders.FakeRun()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.running)
+            await dispatcher_rig.wait_until(lambda: self.first.running)
             # The stops are accepted, and the run goes on.
             with unittest.mock.patch.object(self.second, "end"):
                 self.first.successor = self.second
                 self._register(_SECOND)
                 reports = self.second.acknowledgements
-                await self._wait_until(lambda: len(reports) > 4)
+                await dispatcher_rig.wait_until(lambda: len(reports) > 4)
                 await anyio.sleep(0.05)
                 self.assertFalse(self._has_first_ended())
-            await self._wait_until(self._has_first_ended)
+            await dispatcher_rig.wait_until(self._has_first_ended)
 
         self._run_scenario(scenario)
         self.assertNotIn((self.key, 1), self.second.running)
@@ -418,9 +412,11 @@
         self.first.has_ended = True
 
         async def scenario() -> None:
-            await self._wait_until(self._has_first_ended)
+            await dispatcher_rig.wait_until(self._has_first_ended)
             self._register(_SECOND)
-            await self._wait_until(lambda: (self.key, 2) in self.second.running)
+            await dispatcher_rig.wait_until(
+                lambda: (self.key, 2) in self.second.running
+            )
 
         self._run_scenario(scenario)
         self.assertIn(1, [stop.run for stop in self.second.stops])
@@ -433,16 +429,16 @@
         timer = batch_builders.ManualTimer()
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.running)
+            await dispatcher_rig.wait_until(lambda: self.first.running)
             self.second.is_unresponsive = True
             self.first.successor = self.second
             self._register(_SECOND)
             self.dispatcher.notify_state_changed()
             session = self.dispatcher.sessions[_FIRST]
-            await self._wait_until(lambda: session.was_restarted)
+            await dispatcher_rig.wait_until(lambda: session.was_restarted)
             self.assertTrue(self.state.is_current(self.key, 1, _FIRST))
             timer.advance(60.0)
-            await self._wait_until(self._has_first_ended)
+            await dispatcher_rig.wait_until(self._has_first_ended)
 
         self._run_scenario(scenario, timer)
 
@@ -453,7 +449,9 @@
         self.first.successor = self.second
 
         async def scenario() -> None:
-            await self._wait_until(lambda: (self.key, 2) in self.second.running)
+            await dispatcher_rig.wait_until(
+                lambda: (self.key, 2) in self.second.running
+            )
 
         self._run_scenario(scenario)
         self.assertEqual(self.second.stops[0].run, 1)
@@ -462,13 +460,17 @@
         """Guards against ends that a successor forgets before they are read."""
 
         async def scenario() -> None:
-            await self._wait_until(lambda: self.first.running)
+            await dispatcher_rig.wait_until(lambda: self.first.running)
             self.first.end(self.key)
-            await self._wait_until(lambda: self.first.acknowledged)
+            await dispatcher_rig.wait_until(lambda: self.first.acknowledged)
             self.first.is_unresponsive = True
-            await self._wait_until(lambda: not self.first.acknowledgements[-1])
+            await dispatcher_rig.wait_until(
+                lambda: not self.first.acknowledgements[-1]
+            )
             self.first.is_unresponsive = False
-            await self._wait_until(lambda: self.first.acknowledgements[-1])
+            await dispatcher_rig.wait_until(
+                lambda: self.first.acknowledgements[-1]
+            )
 
         self._run_scenario(scenario)
 
@@ -483,9 +485,11 @@
         self.first = worker
 
         async def scenario() -> None:
-            await self._wait_until(lambda: worker.running)
+            await dispatcher_rig.wait_until(lambda: worker.running)
             self.local.register("i-3@3000", instance="m-3")
-            await self._wait_until(lambda: self.state.has_worker_ended(old_id))
+            await dispatcher_rig.wait_until(
+                lambda: self.state.has_worker_ended(old_id)
+            )
             self.assertFalse(worker.running)
 
         self._run_scenario(scenario)
