Show lasting tasks under suspicion that restart one by one

Cause: a task that lasts and was on two workers that crashed takes a worker for itself for 5 s. Where no worker is vacant, a quarter of the workers, one at least, may be taken, so the tasks follow each other.

No product code.

The users' bound is 6 s and 3 s.

--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -18,6 +18,9 @@
 _FAILED = jobs.JobState.FAILED
 # The users' bound: three crashes, and no third start after them.
 _MAX_RUNS = 5
+# Until the successor of a crashed worker answers.
+_RETURN_S = 3.0
+_MAX_RESTART_S = 9.0
 
 
 class CrashingTaskTest(unittest.TestCase):
@@ -247,6 +250,38 @@
         ]
         self.assertEqual(failed, [])
 
+    def test_lasting_tasks_start_again_in_time_after_crashes(self) -> None:
+        """Guards against tasks that wait for each other beside idle workers.
+
+        Each takes a worker for itself for 5 s, as no worker is vacant. The
+        users' bound is 6 s from the last run, and 3 s beside room for it.
+        """
+        fleet = crash_fleet.CrashFleet(6)
+        small = batch_builders.build_step(
+            6, long_running=True, cpu_millicores=100, max_per_worker=1
+        )
+        fleet.local.submit("everywhere", small)
+        names = [f"suspect-{number}" for number in range(6)]
+        for name in names:
+            fleet.local.submit(
+                name,
+                batch_builders.build_step(
+                    1, long_running=True, cpu_millicores=500
+                ),
+            )
+        fleet.advance(1)
+        for _ in range(2):
+            keys = [batch_builders.task_key(name) for name in names]
+            for worker_id in {fleet.worker_of(key) for key in keys}:
+                fleet.crash(worker_id)
+            fleet.advance(_RETURN_S + _MAX_RESTART_S)
+        waiting = [
+            name
+            for name in names
+            if not fleet.worker_of(batch_builders.task_key(name))
+        ]
+        self.assertEqual(waiting, [])
+
     def test_long_runs_clear_a_task(self) -> None:
         """A task that lasts sees crashes of many workers in its life."""
         step = batch_builders.build_step(long_running=True)
