Keep no suspect for a worker that can't run it

What callers saw: a lasting task that had been on a crashed worker was never started again, beside workers with room, and a wave that waited for it never ended.

Cause: where no worker is vacant, a task under suspicion gets the worker with the fewest lasting tasks. On that one a task of its own step was at work, and the step allows one on a worker. The plan chose it each time, and started nothing.

Change: only workers are taken that can run the task now, or once their short tasks have ended.

--- a/tarragoncleat/batch/scheduling/isolation.py
+++ b/tarragoncleat/batch/scheduling/isolation.py
@@ -132,7 +132,7 @@
     candidates = [
         view
         for view in workers
-        if not view.isolated_job and placement_rank.suits_vacant(step, view)
+        if not view.isolated_job and _may_become_usable(step, position, view)
     ]
     return min(
         candidates,
@@ -146,6 +146,21 @@
     )
 
 
+def _may_become_usable(
+    step: jobs_module.Step, position: int, view: worker_views.WorkerView
+) -> bool:
+    """Whether a task can run on a worker, now or once its short tasks end."""
+    key = step.tasks[position].key
+    if view.task_count == view.long_running_tasks:
+        return placement_rank.can_run(key, step, view)
+    definition = step.definition
+    if definition.long_running and definition.max_per_worker:
+        same_step = view.tasks_by_step.get(key[:3], 0)
+        if same_step >= definition.max_per_worker:
+            return False
+    return placement_rank.suits_vacant(step, view)
+
+
 def _best(
     step: jobs_module.Step, position: int, workers: _Views
 ) -> worker_views.WorkerView | None:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -12,6 +12,8 @@
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import jobs
 from tarragoncleat.batch.replicated import model
+from tarragoncleat.batch.scheduling import planner
+from tarragoncleat.batch.scheduling import worker_views
 from tests import batch_builders
 from tests import crash_fleet
 
@@ -250,6 +252,40 @@
         ]
         self.assertEqual(failed, [])
 
+    def test_suspect_is_not_kept_for_a_worker_that_it_cannot_use(self) -> None:
+        """Guards against a task that never starts, beside a worker with room.
+
+        The worker with the fewest lasting tasks has one of the same step, of
+        which a worker may run only one (seed 1568 of the model).
+        """
+        local = batch_builders.LocalState()
+        local.register("w-1", "w-2", "w-3")
+        step = batch_builders.build_step(
+            2, long_running=True, cpu_millicores=500, max_per_worker=1
+        )
+        others = batch_builders.build_step(
+            2, long_running=True, cpu_millicores=500
+        )
+        local.submit("suspect", step)
+        local.submit("others", others)
+        local.start(batch_builders.task_key("suspect", 0), worker_id="w-1")
+        for position in range(2):
+            key = batch_builders.task_key("others", position)
+            local.start(key, worker_id="w-2")
+        crashed = batch_builders.task_key("suspect", 1)
+        local.start(crashed, worker_id="w-3")
+        local.apply(commands.EndWorker("w-3", ()))
+        local.time_ms += 60_000
+        state = local.state
+        views = worker_views.build_views(
+            state, dict.fromkeys(state.workers, 0.0), (), local.time_ms
+        )
+        starts = planner.plan(state, views, local.time_ms).starts
+        self.assertEqual(
+            [(start.task, start.worker_id) for start in starts],
+            [(crashed, "w-2")],
+        )
+
     def test_lasting_tasks_start_again_in_time_after_crashes(self) -> None:
         """Guards against tasks that wait for each other beside idle workers.
 
