Look at a run's pace only if it has made no progress for a while

Cause: the check for stuck runs worked out the allowed time for each run, four times a second; nearly all have made progress within 2.5 s, which no run may be denied.

Change: runs that changed within 2.5 s are passed over first. Nothing else changes.

--- a/tarragoncleat/batch/workers/worker_health.py
+++ b/tarragoncleat/batch/workers/worker_health.py
@@ -175,10 +175,13 @@
         stats = self._stats.get(worker_id)
         if stats is None:
             return []
+        changed_before_s = stats.last_report_s - _STUCK_S
         return [
             run_id
             for run_id, progress in stats.progress.items()
-            if stats.last_report_s - progress.since_s
+            # Nearly all runs have made progress lately.
+            if progress.since_s < changed_before_s
+            and stats.last_report_s - progress.since_s
             > self._allowed_s(run_id[0], progress)
         ]
 
