--- a/tarragoncleat/batch/scheduling/planner.py
+++ b/tarragoncleat/batch/scheduling/planner.py
@@ -18,7 +18,7 @@
 from tarragoncleat.batch.scheduling import cap_planning
 from tarragoncleat.batch.scheduling import placement
 from tarragoncleat.batch.scheduling import ready_steps
-from tarragoncleat.batch.scheduling import shortages as shortages_module
+from tarragoncleat.batch.scheduling import shortages
 from tarragoncleat.batch.scheduling import worker_views
 
 __all__ = ["Plan", "Planner", "plan"]
@@ -44,7 +44,7 @@
         state: state_module.BatchState,
         approval_cache: advice.ApprovalCache | None = None,
         controls_overload: bool = False,
-        shortages: shortages_module.ShortageClock | None = None,
+        give_way_clock: shortages.GiveWayClock | None = None,
     ) -> None:
         """Creates a planner that has made no plan yet.
 
@@ -53,11 +53,11 @@
             approval_cache: Source of the tickets that steps of queues with
                 advice need for each worker; missing ones are requested.
             controls_overload: Whether the order of jobs depends on their work.
-            shortages: Shortages so far; none by default.
+            give_way_clock: Late work that gives way so far; none by default.
         """
         self._state = state
         self._approval_cache = approval_cache
-        self._shortages = shortages or shortages_module.ShortageClock()
+        self._give_way_clock = give_way_clock or shortages.GiveWayClock()
         self._index = ready_steps.ReadyIndex(controls_overload)
         self._demands: dict[str, pool_sizing.Demand] = {}
         # Whether late work of a service gave way to others in the last plan.
@@ -220,20 +220,19 @@
     ) -> None:
         """Starts steps of late jobs, and updates the load of their services.
 
-        At the beginning of a shortage of another service they get only workers
-        with long-running tasks: the others can move there once they are idle.
+        While another service lacks instances they get only workers with
+        long-running tasks: the others can move there once they are idle. That
+        ends when none has moved for some time.
         """
-        self._shortages.update(self._lacking_services(), now_ms)
-        with_late_steps = [
-            service
-            for service, steps in self._index.services.items()
-            if steps.late
-        ]
-        if not with_late_steps:
-            return
-        lacking = self._shortages.recent(now_ms)
-        for service in with_late_steps:
-            gives_way = bool(lacking - {service})
+        self._give_way_clock.update(self._lacking_services())
+        for service, steps in self._index.services.items():
+            if not steps.late:
+                continue
+            gives_way = self._give_way_clock.gives_way(
+                service,
+                [view.record.worker_id for view in views.get(service, ())],
+                now_ms,
+            )
             if service in stale or self._gave_way.get(service) != gives_way:
                 self._gave_way[service] = gives_way
                 self._place_late(service, views, gives_way, starts)
@@ -324,10 +323,10 @@
     views: _Views,
     now_ms: int,
     approval_cache: advice.ApprovalCache | None = None,
-    shortages: shortages_module.ShortageClock | None = None,
+    give_way_clock: shortages.GiveWayClock | None = None,
 ) -> Plan:
     """Returns a plan that no earlier one precedes; see `Planner`."""
-    made = Planner(state, approval_cache, shortages=shortages)
+    made = Planner(state, approval_cache, give_way_clock=give_way_clock)
     return made.plan(views, views.keys(), now_ms)
 
 
