--- a/review/standins-2/small_fleet.py
+++ b/review/standins-2/small_fleet.py
@@ -269,7 +269,7 @@
         self.host = f"{fleet.processes.base}.{100 + number}"
         self.address = f"{self.host}:{WORKER_PORT}"
         self.service = service
-        self.rack = f"r1-{1 + number // 4}"
+        self.rack = f"r1-{1 + (number - 1) // 4}"
         self.cpu = cpu
         self.is_up = False
         self.hangs = False
