End a review script with 2 after an error of its own

Python's status after an error is 1, which a broken rule has too. A broken rule has a status of its own now, which run.sh turns into 1.

--- a/review/standins-2/small_fleet.py
+++ b/review/standins-2/small_fleet.py
@@ -27,6 +27,7 @@
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 6_000
 LASTS_S = 3_600
+BROKEN = 10
 # The bounds of the site file kcc-grid.
 _SETTINGS = """\
 node-name={name}
@@ -719,23 +720,27 @@
 
 
 def main(case, folder, workers):
-    """Plays a case; the exit status is 0 (held), 1 (broken) or 2."""
+    """Plays a case; the exit status is 0 (held), BROKEN, or 2 for an error.
+
+    Python's own status after an error is 1, so a broken rule has another one,
+    which run.sh turns into 1.
+    """
 
     async def play():
         fleet = Fleet(folder, workers)
         try:
             await fleet.start()
             broken = await case(fleet, os.environ.get("TROUBLE", "1") != "0")
-        except CannotRun as error:
-            fleet.record(f"the case could not run: {error}")
-            print(f"could not run: {error}")
+        except Exception as error:  # noqa: BLE001
+            fleet.record(f"the case could not run: {error!r}")
+            print(f"could not run: {error!r}")
             return 2
         finally:
             await fleet.close()
         verdict = f"BROKEN: {broken}" if broken else "held"
         fleet.record(f"rule: {verdict}")
         print(verdict)
-        return 1 if broken else 0
+        return BROKEN if broken else 0
 
     status = asyncio.run(play())
     sys.stdout.flush()
