Grant no lease to a worker whose loss is being stored

Cause: the leader proposes to queue the tasks of a silent worker again once its lease has expired for certain, and the record is applied when it is committed. Between the two a worker that could be reached again got a new lease, by a waiting start or by a renewal. The same held for the end of an earlier incarnation, after a commit's timeout, and for a session that was opened anew.

Change: WorkerLosses, taken out of the dispatcher, keeps the workers whose loss is proposed and not decided; sessions ask it before each grant, and no task is placed on them. A loss is proposed with commit_decision, in a task of its own, so that other checks go on. The event worker_losses_stored shows how long it took.

--- a/tarragoncleat/batch/events.py
+++ b/tarragoncleat/batch/events.py
@@ -40,6 +40,7 @@
     "TasksSuspected",
     "WaveAccepted",
     "WorkerChanged",
+    "WorkerLossesStored",
     "WorkerResized",
 ]
 
@@ -211,6 +212,20 @@
     runs: tuple[tuple[str, int], ...]
 
 
+@event_log.event("worker_losses_stored")
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerLossesStored:
+    """The losses of workers were committed, or refused.
+
+    No lease was granted to the workers in the `took_ms` since the proposal;
+    `refused` tells why the losses were not committed.
+    """
+
+    workers: tuple[str, ...]
+    took_ms: float
+    refused: str | None = None
+
+
 @event_log.event("tasks_suspected")
 @dataclasses.dataclass(frozen=True, slots=True)
 class TasksSuspected:
--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -11,6 +11,7 @@
 from tarragoncleat.batch import events
 from tarragoncleat.batch.leader import admission
 from tarragoncleat.batch.leader import customer_report
+from tarragoncleat.batch.leader import worker_losses
 from tarragoncleat.batch.pools import instance_orders
 from tarragoncleat.batch.pools import pool_rebalancer
 from tarragoncleat.batch.pools import pool_sizing
@@ -96,6 +97,9 @@
         )
         self._departures = departures.Departures()
         self._health = worker_health.WorkerHealth()
+        self._losses = worker_losses.WorkerLosses(
+            state, timer, self._health, self, self._start_soon
+        )
         self._run_ends = run_ends.RunEndCommitter(
             self, self._health, timer, self.notify_state_changed
         )
@@ -199,7 +203,7 @@
             self._start_soon(
                 self.commit, commands.RegisterWorker(worker.record)
             )
-        self._end_earlier_incarnations(session)
+        self._losses.end_earlier_incarnations(session, self.sessions)
         now_s = self._timer.monotonic_s()
         self._health.record_report(session, self._state, now_s)
         for task, run, percent in pacing.speed_changes(session, self._state):
@@ -208,34 +212,13 @@
                 events.TaskPaced(str(task), session.record.worker_id, percent)
             )
 
-    def _end_earlier_incarnations(
-        self, session: worker_session.WorkerSession
-    ) -> None:
-        """Marks earlier incarnations on the session's instance as lost."""
-        for worker in self._state.workers_on(session.record.instance):
-            worker_id = worker.record.worker_id
-            other = self.sessions.get(worker_id)
-            if other is None or other is session:
-                continue
-            has_lease_expired = (
-                worker.state is worker_state.WorkerState.LEASE_EXPIRED
-                or (other.has_lease_expired and not other.is_responsive)
-            )
-            is_superseded = worker_id in self._state.superseded_workers
-            if is_superseded and not has_lease_expired:
-                # It ends once its runs can't start on its successor.
-                other.end_by_restart()
-                continue
-            if has_lease_expired or session.supersedes(other):
-                self._log_lost_worker(worker_id, "followed")
-                self._start_soon(self.commit, other.end_command())
-
     def on_worker_ended(self, session: worker_session.WorkerSession) -> None:
         """Marks a worker whose incarnation has ended as lost."""
-        worker_id = session.record.worker_id
-        change = "restarted" if session.was_restarted else "gone"
-        self._log_lost_worker(worker_id, change)
-        self._start_soon(self.commit, session.end_command())
+        self._losses.end(session)
+
+    def may_grant_lease(self, worker_id: str) -> bool:
+        """Whether a worker may get a lease: its loss is not being stored."""
+        return not self._losses.is_pending(worker_id)
 
     def on_start_refused(
         self,
@@ -312,6 +295,7 @@
             if (
                 session.is_responsive_at(now_s)
                 and not health.is_ejected(worker_id, now_s)
+                and not self._losses.is_pending(worker_id)
                 and instance not in reserved
                 and not has_pending_move(instance)
             ):
@@ -386,32 +370,12 @@
 
     async def _run_periodic_checks(self) -> None:
         async for _ in self._timer.subscribe(_CHECK_INTERVAL_S):
-            await self._release_expired_leases()
+            self._losses.release_expired_leases(self.sessions)
             await self._open_due_occurrences()
             self._stop_runs_on_draining()
             self._stop_stuck_runs()
             self.notify_state_changed()
 
-    async def _release_expired_leases(self) -> None:
-        expired = tuple(
-            worker_id
-            for worker_id, session in self.sessions.items()
-            if session.has_lease_expired
-            and not session.is_responsive
-            and self._may_hold_tasks(worker_id)
-        )
-        if expired:
-            for worker_id in expired:
-                self._log_lost_worker(worker_id, "lapsed")
-            await self.commit(commands.MarkWorkersLost(expired, is_final=False))
-
-    def _may_hold_tasks(self, worker_id: str) -> bool:
-        worker = self._state.workers.get(worker_id)
-        if worker is None:
-            return False
-        is_up = worker.state is worker_state.WorkerState.UP
-        return is_up or bool(worker.tasks)
-
     async def _open_due_occurrences(self) -> None:
         now_ms = self._timer.wall_time_ms()
         for job in list(self._state.active_jobs.values()):
@@ -514,22 +478,6 @@
         if self._tasks is not None:
             self._tasks.start_soon(call, *args)
 
-    def _log_lost_worker(self, worker_id: str, change: str) -> None:
-        """Logs a loss with the runs that it ends."""
-        session = self.sessions.get(worker_id)
-        if session is not None and change != "lapsed":
-            self._health.record_crash(
-                session.record.instance, self._timer.monotonic_s()
-            )
-        self._log_worker_change(worker_id, change)
-        worker = self._state.workers.get(worker_id)
-        if worker is None or not worker.tasks:
-            return
-        runs = sorted(
-            (str(task.key), task.run) for task in self._state.tasks_on(worker)
-        )
-        event_log.emit(events.RunsLost(worker_id, change, tuple(runs)))
-
     def _log_worker_change(self, worker_id: str, change: str) -> None:
         session = self.sessions.get(worker_id)
         worker = self._state.workers.get(worker_id)
--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -60,6 +60,9 @@
     async def on_runs_ended(self, ends: list[commands.RunEnd]) -> bool:
         """Commits ended runs; returns whether they are stored."""
 
+    def may_grant_lease(self, worker_id: str) -> bool:
+        """Whether a lease may be granted to a worker now."""
+
     def on_report(self, session: "WorkerSession") -> None:
         """Called after each report."""
 
@@ -326,7 +329,7 @@
         self, order: _StartOrder
     ) -> clients.OrderReply | None:
         """Sends a start; returns None if no lease can be granted now."""
-        if self._consecutive_failures or not self._leases.has_clock:
+        if not self._may_grant_lease():
             return None
         until_ms = self._leases.reuse_or_grant(
             self._lease_ms, _MIN_START_LEASE_MS, self._timer.monotonic_s()
@@ -509,20 +512,31 @@
         if self._consecutive_failures and self._may_be_followed:
             acknowledged = 0
         if not self._consecutive_failures and self._leases.has_clock:
-            until_ms = self._leases.grant(self._lease_ms, now_s)
             wait_ms = _LONG_POLL_MS
             if self._needs_frequent_reports():
                 wait_ms = _SHORT_POLL_MS
+        if self._may_grant_lease():
+            until_ms = self._leases.grant(self._lease_ms, now_s)
         return clients.RenewLeaseOrder(
             until_ms, self._fence, acknowledged, wait_ms
         )
 
+    def _may_grant_lease(self) -> bool:
+        return (
+            not self._consecutive_failures
+            and self._leases.has_clock
+            and self._listener.may_grant_lease(self.record.worker_id)
+        )
+
     def _needs_frequent_reports(self) -> bool:
         """Whether decisions on the worker's tasks depend on their progress.
 
-        That is while it drains, while tasks are stopped or paced, and while
-        latency-sensitive and best-effort tasks share it.
+        That is while it drains or its loss is being stored, while tasks are
+        stopped or paced, and while latency-sensitive and best-effort tasks
+        share it.
         """
+        if not self._listener.may_grant_lease(self.record.worker_id):
+            return True
         worker = self._state.workers.get(self.record.worker_id)
         if worker is None:
             return False
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -255,6 +255,8 @@
         self.ahead: list[commands.Command] = []
         # Proposals wait for their commit while this is set.
         self.stall: anyio.Event | None = None
+        # Commands whose commit has stalled.
+        self.stalled: list[commands.Command] = []
 
     async def propose(
         self, payload: bytes, timeout_s: float
@@ -263,6 +265,7 @@
         await anyio.sleep(0)
         stall = self.stall
         if stall is not None:
+            self.stalled.append(codec.decode(payload))
             with anyio.move_on_after(timeout_s):
                 await stall.wait()
             if not stall.is_set():
