Replace a control node in the log before it stops as planned

Cause: the successor only waited. It took a place in the log when the stopped replica had been silent for 2 s, counted anew by the next leader; a control node that got SIGTERM just ended. Until then two of three replicas were gone or empty.

Change: on SIGTERM a control node asks the leader to be replaced (LeaveRequest, cluster.departure), and ends once it is no replica any more, nobody can take its place, or 2 s before grace-s is over. The leader adds a waiting node and then removes the leaving one, also itself.

--- a/tarragoncleat/batch/leader/nodes.py
+++ b/tarragoncleat/batch/leader/nodes.py
@@ -19,6 +19,7 @@
 from tarragoncleat.batch.workers import clients
 from tarragoncleat.batch.workers import heartbeats
 from tarragoncleat.batch.workers import session_registry
+from tarragoncleat.cluster import departure
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links as links_module
 from tarragoncleat.cluster import log_node
@@ -204,6 +205,19 @@
             tasks.start_soon(self._node.run)
             tasks.start_soon(self._run_terms)
 
+    async def leave(self, timeout_s: float) -> None:
+        """Gives up this node's place as a replica, before it stops.
+
+        Returns once another node has it, none can take it, or the time is over.
+        """
+        await departure.leave(
+            self._node,
+            self._finder,
+            self._timer,
+            self._settings.entry_id,
+            timeout_s,
+        )
+
     async def call(self, request: object, timeout_s: float) -> Any:
         """Handles a request if this node leads, or else forwards it."""
         is_undecided = False
@@ -296,6 +310,8 @@
             return self._node.on_announcement(request)
         if not self._node.is_leader:
             return cluster_messages.NotLeader(self._node.leader_id)
+        if isinstance(request, cluster_messages.LeaveRequest):
+            return self._node.on_leave(request)
         result = await self._service.handle(request)
         if isinstance(result, errors.Failure):
             if result.kind is errors.ErrorKind.NO_LEADER:
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -35,6 +35,8 @@
 # A standby becomes a replica when it lacks at most this many records.
 _MAX_MISSING_RECORDS = 128
 _ANNOUNCEMENT_VALID_S = 1.6
+# A node that leaves repeats that until it stops.
+_LEAVING_VALID_S = 3.0
 _READ_TIMEOUT_S = 1.0
 # Confirmations of the leadership in flight; each costs a message to and from
 # every follower.
@@ -133,6 +135,9 @@
             ids.EntryId, tuple[float, ids.AvailabilityZone]
         ] = {}
         self._zones = {settings.entry_id: settings.availability_zone}
+        # When each node asked for its replacement last.
+        self._leaving_s: dict[ids.EntryId, float] = {}
+        self._leads_since_s: float | None = None
         self._state_machine = state_machine
         self._applier_or_none: applier_module.Applier | None = None
         self._replica_or_none: replica_module.Replica | None = None
@@ -214,6 +219,11 @@
             and core.log.term_at(applied) == core.term
         )
 
+    @property
+    def has_left(self) -> bool:
+        """Whether this node knows that it is not a replica any more."""
+        return not self._core.is_member and self._is_configuration_committed()
+
     @property
     def leader_silence_s(self) -> float | None:
         """Time since the last message of a leader, or None before the first."""
@@ -268,6 +278,45 @@
             self.leader_id, self.is_leader, self.live_nodes()
         )
 
+    def on_leave(self, request: messages.LeaveRequest) -> messages.LeaveReply:
+        """Starts to replace a node that is about to stop, as the leader.
+
+        The node repeats the request until it is released or stays.
+        """
+        node_id = request.node_id
+        if not self._is_leaving(node_id):
+            loguru.logger.info("node {} is about to stop", node_id)
+        self._leaving_s[node_id] = self._timer.monotonic_s()
+        return messages.LeaveReply(self._leave_state(node_id))
+
+    def _leave_state(self, node_id: ids.EntryId) -> messages.LeaveState:
+        replicas = self._core.log.replicas
+        if not self._is_configuration_committed():
+            return messages.LeaveState.REPLACING
+        if node_id not in replicas:
+            return messages.LeaveState.RELEASED
+        is_spare = len(replicas) > 2 * self._tolerated_losses + 1
+        if is_spare or self._standbys() or not self._knows_live_nodes():
+            return messages.LeaveState.REPLACING
+        return messages.LeaveState.STAYS
+
+    def _is_configuration_committed(self) -> bool:
+        core = self._core
+        return core.log.configuration_index <= core.commit_index
+
+    def _knows_live_nodes(self) -> bool:
+        """Whether every live node has announced itself to this leader."""
+        if self._leads_since_s is None:
+            return False
+        led_s = self._timer.monotonic_s() - self._leads_since_s
+        return led_s >= _ANNOUNCEMENT_VALID_S
+
+    def _is_leaving(self, node_id: ids.EntryId) -> bool:
+        asked_s = self._leaving_s.get(node_id)
+        if asked_s is None:
+            return False
+        return self._timer.monotonic_s() - asked_s < _LEAVING_VALID_S
+
     async def propose(
         self, payload: bytes, timeout_s: float
     ) -> applier_module.AppliedProposal | errors.Failure:
@@ -391,12 +440,16 @@
 
     async def _maintain_replicas(self) -> None:
         async for _ in self._timer.subscribe(_SELECTION_INTERVAL_S):
-            if self.is_leader:
-                self._update_replicas()
+            if not self.is_leader:
+                self._leads_since_s = None
+                continue
+            if self._leads_since_s is None:
+                self._leads_since_s = self._timer.monotonic_s()
+            self._update_replicas()
 
     def _update_replicas(self) -> None:
         core = self._core
-        if core.log.configuration_index > core.commit_index:
+        if not self._is_configuration_committed():
             return
         replicas = replica_selection.next_replicas(
             self._replica_statuses(), self._standbys(), self._tolerated_losses
@@ -421,6 +474,7 @@
                 node_id,
                 self._zones.get(node_id),
                 max(0.0, now - contacts.get(node_id, now)),
+                self._is_leaving(node_id),
             )
             for node_id in self._core.log.replicas
         ]
@@ -433,4 +487,5 @@
             for node_id, (seen_s, zone) in self._announced.items()
             if node_id not in replicas
             and now_s - seen_s < _ANNOUNCEMENT_VALID_S
+            and not self._is_leaving(node_id)
         ]
--- a/tarragoncleat/cluster/messages.py
+++ b/tarragoncleat/cluster/messages.py
@@ -1,12 +1,21 @@
 """Messages with which nodes discover each other and the leader."""
 
 import dataclasses
+import enum
 
 from tarragoncleat.kernel import codec
 from tarragoncleat.kernel import errors
 from tarragoncleat.kernel import ids
 
-__all__ = ["Announcement", "Directory", "NotLeader", "Refusal"]
+__all__ = [
+    "Announcement",
+    "Directory",
+    "LeaveReply",
+    "LeaveRequest",
+    "LeaveState",
+    "NotLeader",
+    "Refusal",
+]
 
 
 @codec.message("announcement")
@@ -31,6 +40,34 @@
     nodes: tuple[ids.EntryId, ...]
 
 
+class LeaveState(enum.Enum):
+    """How far the replacement of a node that is about to stop has come.
+
+    RELEASED: It is not a replica any more. REPLACING: Another node is taking
+    its place. STAYS: No other node can take its place.
+    """
+
+    RELEASED = "released"
+    REPLACING = "replacing"
+    STAYS = "stays"
+
+
+@codec.message("leave_request")
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """Asks the leader to replace a node that is about to stop."""
+
+    node_id: ids.EntryId
+
+
+@codec.message("leave_reply")
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveReply:
+    """Answers a `LeaveRequest`."""
+
+    state: LeaveState
+
+
 @codec.message("not_leader")
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotLeader:
--- a/tarragoncleat/cluster/replica_selection.py
+++ b/tarragoncleat/cluster/replica_selection.py
@@ -25,11 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaStatus:
-    """A replica and the time since its last reply; 0 for the leader itself."""
+    """A replica and the time since its last reply; 0 for the leader itself.
+
+    `is_leaving` tells that it is about to stop, as planned.
+    """
 
     node_id: ids.EntryId
     availability_zone: ids.AvailabilityZone | None
     silent_s: float
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +62,9 @@
     """Returns the replicas after the next change, or None for no change.
 
     A replacement is added before the lost replica is removed. With fewer than
-    2f + 1 replicas, f lost disks could take the majority of the log.
+    2f + 1 replicas, f lost disks could take the majority of the log. One that
+    is about to stop is replaced while it still confirms records: nobody can
+    tell a stop from a removal for good, after which f disks may be lost too.
     """
     replica_ids = [replica.node_id for replica in replicas]
     standbys = [item for item in standbys if item.node_id not in replica_ids]
@@ -68,13 +74,17 @@
     lost = _lost_replicas(replicas, standbys)
     if 2 * len(lost) >= len(replicas):
         return None
+    leaving = {replica.node_id for replica in replicas if replica.is_leaving}
+    to_replace = lost | leaving
     may_remove_live = len(replicas) > 2 * tolerated_losses + 1
     if may_remove_live or (len(replicas) > target_count and lost):
         removed = _replica_to_remove(replicas, lost)
         return tuple(name for name in replica_ids if name != removed)
-    if not standbys or (len(replicas) >= target_count and not lost):
+    if not standbys or (len(replicas) >= target_count and not to_replace):
         return None
-    kept = [replica for replica in replicas if replica.node_id not in lost]
+    kept = [
+        replica for replica in replicas if replica.node_id not in to_replace
+    ]
     return (*replica_ids, _best_standby(kept, standbys).node_id)
 
 
@@ -100,10 +110,17 @@
 def _replica_to_remove(
     replicas: Sequence[ReplicaStatus], lost: set[ids.EntryId]
 ) -> ids.EntryId:
-    """Returns the lost replica, or else any, that is silent for longest."""
+    """Returns a lost replica, else one that leaves, else any.
+
+    Of several it is the one that is silent for longest.
+    """
     worst = max(
         replicas,
-        key=lambda replica: (replica.node_id in lost, replica.silent_s),
+        key=lambda replica: (
+            replica.node_id in lost,
+            replica.is_leaving,
+            replica.silent_s,
+        ),
     )
     return worst.node_id
 
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -121,13 +121,17 @@
 
 
 def build_replica_status(
-    name: str, silent_s: float = 0.0, zone: str | None = None
+    name: str,
+    silent_s: float = 0.0,
+    zone: str | None = None,
+    **fields: Any,
 ) -> replica_selection.ReplicaStatus:
     """Returns the status of a replica as its leader sees it."""
     return replica_selection.ReplicaStatus(
         ids.EntryId(name),
         ids.AvailabilityZone(zone) if zone else None,
         silent_s,
+        **fields,
     )
 
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -47,7 +48,7 @@
 region=kyushu
 internal-port-range=7060,7075
 seed-nodes={seeds}
-bootstrap=true
+bootstrap={is_first}
 fault-tolerance.machines=1
 {extra}
 """
@@ -128,6 +129,7 @@
         for number in range(1, entries + 1):
             self._hosts[f"front-{number}"] = f"{base}.{10 + number}"
         self._processes: dict[str, subprocess.Popen] = {}
+        self._seeds = ""
 
     @property
     def names(self) -> list[str]:
@@ -151,27 +153,57 @@
             f"{self._hosts[name]}:{_CONTROL_PORT}"
             for name in self.control_names
         )
-        for number, (name, host) in enumerate(self._hosts.items()):
+        self._seeds = seeds
+        for name in self._hosts:
+            self._write_settings(name, is_first=True)
+            self.start_process(name)
+
+    def _write_settings(self, name: str, is_first: bool) -> None:
+        host = self._hosts[name]
+        extra = (
+            f"bind-addresses.front={host}:{_ENTRY_PORT}\n"
+            f"bind-addresses.ready={host}:{_READY_PORT}"
+        )
+        if name in self.control_names:
             extra = (
-                f"bind-addresses.front={host}:{_ENTRY_PORT}\n"
-                f"bind-addresses.ready={host}:{_READY_PORT}"
-            )
-            if name in self.control_names:
-                extra = (
-                    f"bind-addresses.control={host}:{_CONTROL_PORT}\n"
-                    f"data-dir={self.data_folder(name)}"
-                )
-            self._settings_path(name).write_text(
-                _SETTINGS.format(
-                    name=name,
-                    host=host,
-                    number=number,
-                    seeds=seeds,
-                    extra=extra,
-                ),
-                encoding="utf-8",
+                f"bind-addresses.control={host}:{_CONTROL_PORT}\n"
+                f"data-dir={self.data_folder(name)}"
             )
-            self.start_process(name)
+        self._settings_path(name).write_text(
+            _SETTINGS.format(
+                name=name,
+                host=host,
+                number=list(self._hosts).index(name),
+                seeds=self._seeds,
+                is_first="true" if is_first else "false",
+                extra=extra,
+            ),
+            encoding="utf-8",
+        )
+
+    def add_control(self) -> str:
+        """Starts a further control node with an empty disk; returns its name.
+
+        It has a new address, and isn't one of the seeds.
+        """
+        number = len(self.control_names) + 1
+        base, _, _ = self._hosts["core-1"].rpartition(".")
+        name = f"core-{number}"
+        self._hosts[name] = f"{base}.{number}"
+        self._write_settings(name, is_first=False)
+        self.start_process(name)
+        return name
+
+    def remove(self, name: str) -> None:
+        """Forgets a process that was stopped, and its address."""
+        del self._hosts[name]
+
+    def lose_disk(self, name: str) -> None:
+        """Kills a control node, and starts it with an empty disk."""
+        self.kill(name)
+        shutil.rmtree(self.data_folder(name))
+        self._write_settings(name, is_first=False)
+        self.start_process(name)
 
     def _settings_path(self, name: str) -> pathlib.Path:
         return self._folder / f"{name}.conf"
--- a/tests/test_batch_leases.py
+++ b/tests/test_batch_leases.py
@@ -122,6 +122,46 @@
         after = replica_selection.next_replicas(replicas, [], 1)
         self.assertEqual(after, ("10.0.0.1-70", "10.0.0.2-70", "10.0.0.4-70"))
 
+    def test_replica_that_leaves_is_replaced_while_it_answers(self) -> None:
+        """Guards against a planned stop that costs the group a replica.
+
+        The leader itself may leave as well.
+        """
+        for silent_s in (0.0, 0.1):
+            leaving = batch_builders.build_replica_status(
+                "10.0.0.1-70", silent_s, is_leaving=True
+            )
+            replicas = [
+                leaving,
+                batch_builders.build_replica_status("10.0.0.2-70"),
+                batch_builders.build_replica_status("10.0.0.3-70", 0.2),
+            ]
+            self.assertIsNone(replica_selection.next_replicas(replicas, [], 1))
+            standbys = [self._standby("10.0.0.4-70-aa")]
+            after = replica_selection.next_replicas(replicas, standbys, 1)
+            assert after is not None
+            self.assertEqual(after[-1], "10.0.0.4-70-aa")
+            replicas.append(
+                batch_builders.build_replica_status("10.0.0.4-70-aa")
+            )
+            after = replica_selection.next_replicas(replicas, [], 1)
+            self.assertEqual(
+                after, ("10.0.0.2-70", "10.0.0.3-70", "10.0.0.4-70-aa")
+            )
+
+    def test_lost_replica_goes_before_one_that_leaves(self) -> None:
+        """Guards against a stop that keeps a lost disk in the group."""
+        replicas = [
+            batch_builders.build_replica_status("10.0.0.1-70", is_leaving=True),
+            batch_builders.build_replica_status("10.0.0.2-70"),
+            batch_builders.build_replica_status("10.0.0.3-70", silent_s=5.0),
+            batch_builders.build_replica_status("10.0.0.4-70-aa"),
+        ]
+        after = replica_selection.next_replicas(replicas, [], 1)
+        self.assertEqual(
+            after, ("10.0.0.1-70", "10.0.0.2-70", "10.0.0.4-70-aa")
+        )
+
     def test_group_without_a_majority_is_not_changed(self) -> None:
         """Guards against changes that can't be committed."""
         replicas = [
--- a/tests/test_log_node.py
+++ b/tests/test_log_node.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from tarragoncleat.cluster import departure
 from tarragoncleat.cluster import leader_finder
 from tarragoncleat.cluster import links
 from tarragoncleat.cluster import log_node
@@ -98,6 +99,8 @@
     async def _answer(self, request: object) -> object:
         if isinstance(request, messages.Announcement):
             return self.node.on_announcement(request)
+        if isinstance(request, messages.LeaveRequest) and self.node.is_leader:
+            return self.node.on_leave(request)
         return messages.NotLeader(self.node.leader_id)
 
     def _on_change(self) -> None:
@@ -328,6 +331,91 @@
 
         self._run_scenario(scenario)
 
+    async def _start_with_standby(self) -> _Node:
+        """Starts a group, with one node beside its three replicas."""
+        for number in (1, 2, 3):
+            self._start(number, is_first=True)
+        await self._write(b"kept")
+        standby = self._start(4)
+        leader = await self._leader()
+        await self._wait_until(
+            lambda: standby.node_id in leader.node.live_nodes()
+        )
+        return standby
+
+    async def _leave(self, node: _Node) -> messages.LeaveState:
+        return await departure.leave(
+            node.node, node.finder, timer_module.TimerService(), node.node_id
+        )
+
+    def _check_planned_stop(self, is_leader: bool) -> None:
+        async def scenario() -> None:
+            await self._start_with_standby()
+            leader = await self._leader()
+            number = next(
+                number
+                for number, node in self.nodes.items()
+                if number != 4 and (node is leader) is is_leader
+            )
+            leaving = self.nodes[number]
+            self.assertEqual(
+                await self._leave(leaving), messages.LeaveState.RELEASED
+            )
+            await self._stop(number)
+            # Of the three replicas now, one more disk is lost at once.
+            wiped = next(n for n in self.nodes if n != 4)
+            await self._stop(wiped)
+            await self._write(b"after")
+            leader = await self._leader()
+            self.assertEqual(leader.state_machine.payloads, [b"kept", b"after"])
+            self.assertNotIn(leaving.node_id, self._members(leader))
+
+        self._run_scenario(scenario)
+
+    def test_disk_may_be_lost_right_after_a_leader_has_left(self) -> None:
+        """Guards against a log that is lost for good (review/7)."""
+        self._check_planned_stop(is_leader=True)
+
+    def test_disk_may_be_lost_right_after_a_follower_has_left(self) -> None:
+        """Guards against a log that is lost for good, as with a leader."""
+        self._check_planned_stop(is_leader=False)
+
+    def test_replica_that_nobody_can_replace_is_told_at_once(self) -> None:
+        """Guards against a rolling restart that waits for a timeout each."""
+
+        async def scenario() -> None:
+            for number in (1, 2, 3):
+                self._start(number, is_first=True)
+            await self._write(b"kept")
+            for node in list(self.nodes.values()):
+                self.assertEqual(
+                    await self._leave(node), messages.LeaveState.STAYS
+                )
+            await self._write(b"after")
+            leader = await self._leader()
+            self.assertEqual(len(self._members(leader)), 3)
+
+        self._run_scenario(scenario)
+
+    def test_standby_that_leaves_takes_no_place(self) -> None:
+        """Guards against a place that is given to a node about to stop."""
+
+        async def scenario() -> None:
+            standby = await self._start_with_standby()
+            self.assertEqual(
+                await self._leave(standby), messages.LeaveState.RELEASED
+            )
+            follower = next(
+                node
+                for node in self.nodes.values()
+                if node is not standby and not node.node.is_leader
+            )
+            self.assertEqual(
+                await self._leave(follower), messages.LeaveState.STAYS
+            )
+
+        self._run_scenario(scenario)
+
     def test_all_nodes_restart_with_what_was_acknowledged(self) -> None:
         """Guards against acknowledged records lost when all nodes restart."""
 
