Grant leases only while the leadership is confirmed

What callers might have seen: a task on two workers at once, after a leader was suspended and cut off together with some workers.

Cause: a leader counts a majority's answers from their arrival. One that was on its way when the leader was suspended lets it lead for 1.3 s after it wakes, and the leases of that time outlast those that the next leader waits for.

Change: leases are granted only within a quarter of the longest lease of the time at which the last heartbeat that a majority answered was sent.

Tests of test_consensus, test_dispatcher, test_batch_leases, test_worker_losses and test_log_node pass.

--- a/tarragoncleat/batch/leader/dispatcher.py
+++ b/tarragoncleat/batch/leader/dispatcher.py
@@ -27,6 +27,7 @@
 from tarragoncleat.batch.scheduling import worker_views
 from tarragoncleat.batch.workers import clients
 from tarragoncleat.batch.workers import departures
+from tarragoncleat.batch.workers import leases
 from tarragoncleat.batch.workers import pacing
 from tarragoncleat.batch.workers import run_ends
 from tarragoncleat.batch.workers import session_registry
@@ -86,6 +87,7 @@
         self._timer = timer
         self._bounds = bounds
         self._fence = node.term
+        self._max_unconfirmed_s = leases.max_unconfirmed_s(bounds.max_lease_ms)
         self._sessions = session_registry.SessionRegistry(
             state,
             timer,
@@ -217,8 +219,13 @@
         self._losses.end(session)
 
     def may_grant_lease(self, worker_id: str) -> bool:
-        """Whether a worker may get a lease: its loss is not being stored."""
-        return not self._losses.is_pending(worker_id)
+        """Whether a worker may get a lease.
+
+        Not while its loss is being stored, nor after a time in which another
+        leader may have been elected.
+        """
+        is_confirmed = self._node.leadership_age_s() < self._max_unconfirmed_s
+        return is_confirmed and not self._losses.is_pending(worker_id)
 
     def on_start_refused(
         self,
--- a/tarragoncleat/batch/workers/leases.py
+++ b/tarragoncleat/batch/workers/leases.py
@@ -5,14 +5,31 @@
 worker.
 """
 
-__all__ = ["LeaseTracker"]
+__all__ = ["LeaseTracker", "granted_duration_ms", "max_unconfirmed_s"]
 
 _MS_PER_S = 1000
+# The last quarter of the longest lease covers the time in which a deposed
+# leader may still grant leases before it notices.
+_GRANTED_SHARE = 0.75
 # A worker's clock may be 2% slow.
 _MIN_CLOCK_RATE = 0.98
 _MARGIN_S = 0.1
 
 
+def granted_duration_ms(max_lease_ms: int) -> int:
+    """Returns how long a lease is granted for, of the longest possible one."""
+    return int(max_lease_ms * _GRANTED_SHARE)
+
+
+def max_unconfirmed_s(max_lease_ms: int) -> float:
+    """Returns for how long a leader may grant leases without a confirmation.
+
+    From its election on a next leader waits for the longest lease, which is
+    longer than the granted one by this time.
+    """
+    return (max_lease_ms - granted_duration_ms(max_lease_ms)) / _MS_PER_S
+
+
 class LeaseTracker:
     """Tracks granted leases and the worker's clock."""
 
--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -24,9 +24,6 @@
 __all__ = ["SessionListener", "Sessions", "WorkerSession"]
 
 _MS_PER_S = 1000
-# The last quarter of the longest lease covers the time in which a deposed
-# leader may still renew leases before it notices.
-_LEASE_DURATION_SHARE = 0.75
 # A start extends the lease only if less than this is left of it.
 _MIN_START_LEASE_MS = 1_000
 _LONG_POLL_MS = 2_000
@@ -116,7 +113,7 @@
         self._client = client
         self._listener = listener
         self._timer = timer
-        self._lease_ms = int(bounds.max_lease_ms * _LEASE_DURATION_SHARE)
+        self._lease_ms = leases.granted_duration_ms(bounds.max_lease_ms)
         self._fence = fence
         self._leases = leases.LeaseTracker(
             timer.monotonic_s(), bounds.max_lease_ms
--- a/tarragoncleat/cluster/log_node.py
+++ b/tarragoncleat/cluster/log_node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 import dataclasses
+import math
 import pathlib
 from typing import Any, TypeVar
 
@@ -219,6 +220,16 @@
             and core.log.term_at(applied) == core.term
         )
 
+    def leadership_age_s(self) -> float:
+        """Returns how long ago this node led for certain; infinite if unknown.
+
+        A leader that was suspended doesn't know yet that another one leads.
+        """
+        confirmed_s = self._core.leadership_confirmed_s()
+        if confirmed_s is None:
+            return math.inf
+        return self._timer.monotonic_s() - confirmed_s
+
     @property
     def has_left(self) -> bool:
         """Whether this node knows that it is not a replica any more."""
--- a/tarragoncleat/log/consensus.py
+++ b/tarragoncleat/log/consensus.py
@@ -124,6 +124,15 @@
             return {}
         return self._leadership.contact_times_s()
 
+    def leadership_confirmed_s(self) -> float | None:
+        """Returns until when this entry certainly led; None if it doesn't lead.
+
+        No later leader was elected before that time.
+        """
+        if self._leadership is None:
+            return None
+        return self._leadership.confirmed_s()
+
     @property
     def may_lead(self) -> bool:
         """Whether this entry may become a candidate.
--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -1,7 +1,9 @@
 """Replication from the leader to its followers."""
 
+from collections import deque
 from collections.abc import Callable, Collection
 import dataclasses
+from typing import NamedTuple
 
 from tarragoncleat.kernel import ids
 from tarragoncleat.log import consensus_log
@@ -46,6 +48,11 @@
     index: int
 
 
+class _SentHeartbeat(NamedTuple):
+    sequence: int
+    sent_s: float
+
+
 class Leadership:
     """The state of a leader during one term."""
 
@@ -69,6 +76,8 @@
         self._synced_index = 0
         self._sequence = 0
         self._reads: list[_Read] = []
+        self._unconfirmed: deque[_SentHeartbeat] = deque()
+        self._confirmed_s = now.monotonic_s
         self._first_index = log.last_index + 1
         self._started_s = now.monotonic_s
         self.update_members(now)
@@ -142,6 +151,22 @@
         )
         return 2 * alive > len(self._log.replicas)
 
+    def confirmed_s(self) -> float:
+        """Returns when the latest heartbeat that a majority answered was sent.
+
+        A reply proves nothing about the time after its heartbeat was sent: it
+        may have waited while this process was suspended.
+        """
+        confirmed = self._confirmed_sequence()
+        while self._unconfirmed and self._unconfirmed[0].sequence <= confirmed:
+            self._confirmed_s = self._unconfirmed.popleft().sent_s
+        return self._confirmed_s
+
+    def _confirmed_sequence(self) -> int:
+        return self._majority_value(
+            self._sequence, lambda progress: progress.acked_sequence
+        )
+
     def _majority_value(
         self, own: int, value_of: Callable[[_Progress], int]
     ) -> int:
@@ -165,9 +190,7 @@
 
     def release_reads(self) -> None:
         """Moves the reads that a majority has confirmed to the output."""
-        confirmed = self._majority_value(
-            self._sequence, lambda progress: progress.acked_sequence
-        )
+        confirmed = self._confirmed_sequence()
         for read in self._reads:
             if read.sequence <= confirmed:
                 self._output.reads.append(
@@ -182,6 +205,9 @@
     ) -> None:
         """Sends a heartbeat to every follower, with pending records if any."""
         self._sequence += 1
+        self._unconfirmed.append(
+            _SentHeartbeat(self._sequence, now.monotonic_s)
+        )
         for member, progress in self._progress.items():
             if progress.snapshot_index is None:
                 self._send_append(member, progress, commit_index, now)
--- a/tarragoncleat_model/log.py
+++ b/tarragoncleat_model/log.py
@@ -74,6 +74,10 @@
         self.on_commit()
         return applier.AppliedProposal(0, result)
 
+    def leadership_age_s(self) -> float:
+        """Returns 0: a frozen leader goes on as if it were confirmed."""
+        return 0.0
+
     async def read_barrier(self) -> bool:
         """Returns whether the term goes on."""
         await anyio.sleep(_COMMIT_S)
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -259,6 +259,7 @@
         self.ahead: list[commands.Command] = []
         # Proposals wait for their commit while this is set.
         self.stall: anyio.Event | None = None
+        self.confirmed_age_s = 0.0
         # Commands whose commit has stalled.
         self.stalled: list[commands.Command] = []
 
@@ -288,6 +289,10 @@
         self.committed.append(codec.decode(payload))
         return self.state.apply(len(self.committed), 1_000_000, payload)
 
+    def leadership_age_s(self) -> float:
+        """Returns how long ago the leadership was confirmed."""
+        return self.confirmed_age_s
+
     async def read_barrier(self) -> bool:
         """Returns whether the log still accepts commands."""
         await anyio.sleep(0)
--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -44,6 +44,7 @@
         self.network: list[tuple[ids.EntryId, consensus_output.Envelope]] = []
         self.disconnected: set[ids.EntryId] = set()
         self.leader_of_term: dict[int, ids.EntryId] = {}
+        self.elected_s: dict[int, float] = {}
         self.committed: dict[int, consensus_messages.Record] = {}
         self.seen_records: dict[tuple[int, int], tuple[Any, int | None]] = {}
         self.applied = dict.fromkeys(self.names, 0)
@@ -199,15 +200,25 @@
     ) -> None:
         if core.role is not consensus.Role.LEADER:
             return
+        self._check_confirmation(core)
         earlier = self.leader_of_term.get(core.term)
         assert earlier in (None, name), f"two leaders in term {core.term}"
         if earlier is None:
             self.leader_of_term[core.term] = name
+            self.elected_s[core.term] = self.now_s
             for index, record in self.committed.items():
                 is_missing = core.log.term_at(index) != record.term
                 is_covered = index <= core.log.snapshot.index
                 assert is_covered or not is_missing, f"leader lacks {index}"
 
+    def _check_confirmation(self, core: consensus.Consensus) -> None:
+        """Checks that no later leader was elected before the confirmed time."""
+        confirmed_s = core.leadership_confirmed_s()
+        assert confirmed_s is not None
+        for term, elected_s in self.elected_s.items():
+            is_later = term > core.term
+            assert not is_later or elected_s >= confirmed_s, "led no more"
+
     def _check_record(
         self, record: consensus_messages.Record, previous_term: int | None
     ) -> None:
--- a/tests/test_batch_leases.py
+++ b/tests/test_batch_leases.py
@@ -56,6 +56,29 @@
                 tracker.record_clock(int(clock_ms(now_s)), now_s)
         self.assertGreaterEqual(clock_ms(tracker.latest_expiry_s()), end_ms)
 
+    @hypothesis.given(
+        max_lease_ms=strategies.integers(2_000, 60_000),
+        clock_rate=strategies.floats(0.98, 1.02),
+    )
+    @hypothesis.settings(derandomize=True)
+    def test_last_lease_of_a_deposed_leader_ends_before_the_next_one_acts(
+        self, max_lease_ms: int, clock_rate: float
+    ) -> None:
+        """Guards against a task that runs under two leaders at once.
+
+        The next leader is elected right after the last confirmation.
+        """
+        elected_s = 100.0
+        granted_s = elected_s + leases.max_unconfirmed_s(max_lease_ms)
+        deposed = leases.LeaseTracker(0.0, max_lease_ms)
+        deposed.record_clock(1_000, granted_s)
+        duration_ms = leases.granted_duration_ms(max_lease_ms)
+        until_ms = deposed.grant(duration_ms, granted_s)
+        assert until_ms is not None
+        ends_s = granted_s + (until_ms - 1_000) / 1_000 / clock_rate
+        following = leases.LeaseTracker(elected_s, max_lease_ms)
+        self.assertLessEqual(ends_s, following.latest_expiry_s())
+
     def test_starts_do_not_extend_the_lease_of_a_silent_worker(self) -> None:
         """Guards against tasks that wait longer the more was started.
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from tarragoncleat.kernel import ids
+from tarragoncleat.log import consensus
 from tarragoncleat.log import consensus_leader
 from tarragoncleat.log import consensus_log
 from tarragoncleat.log import consensus_messages
@@ -113,6 +114,37 @@
             leadership.acknowledge_sync(match_index)
             self.assertEqual(leadership.commit_index(), committed)
 
+    def test_old_reply_confirms_no_leadership_after_a_suspension(self) -> None:
+        """Guards against leases that a leader grants after it was replaced.
+
+        A reply that waited while the leader was suspended tells nothing about
+        the time since.
+        """
+        simulation = consensus_simulation.Simulation(
+            ("a", "b", "c"), ("a", "b", "c")
+        )
+        simulation.run(60)
+        leader = simulation.leaders()[0]
+        core = simulation.cores[leader]
+        simulation.read(leader)
+        sent_s = simulation.now_s
+        while any(to.to != leader for _, to in simulation.network):
+            position = next(
+                number
+                for number, (_, to) in enumerate(simulation.network)
+                if to.to != leader
+            )
+            simulation.deliver(position)
+        simulation.now_s += 4.0
+        while simulation.network:
+            simulation.deliver(0)
+        self.assertIs(core.role, consensus.Role.LEADER)
+        self.assertEqual(core.leadership_confirmed_s(), sent_s)
+        simulation.run(10)
+        confirmed_s = core.leadership_confirmed_s()
+        assert confirmed_s is not None
+        self.assertGreaterEqual(confirmed_s, sent_s + 4.0)
+
     def test_disconnected_leader_confirms_no_read(self) -> None:
         """Guards against a stale read from a leader that was replaced."""
         simulation = consensus_simulation.Simulation(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -421,6 +421,29 @@
 
         self.run_scenario(scenario, timer)
 
+    def test_leader_that_may_be_deposed_grants_no_lease(self) -> None:
+        """Guards against a task that runs under two leaders at once.
+
+        The next one waits for the leases that were granted before its election.
+        """
+        self.local.submit()
+
+        async def scenario() -> None:
+            self.log.confirmed_age_s = 1.6
+            await dispatcher_rig.wait_until(
+                lambda: self.local.state.workers["w-1"].tasks
+            )
+            count = len(self.worker.acknowledgements)
+            await dispatcher_rig.wait_until(
+                lambda: len(self.worker.acknowledgements) > count + 3
+            )
+            self.assertEqual(self.worker.starts, [])
+            self.assertEqual(self.worker.renewed_until_ms, 0)
+            self.log.confirmed_age_s = 0.2
+            await dispatcher_rig.wait_until(lambda: self.worker.running)
+
+        self.run_scenario(scenario)
+
     def test_end_of_worker_requeues_its_tasks_at_once(self) -> None:
         """Tasks must not wait for the lease of an ended incarnation."""
         self.local.submit()
