Withdraw a start whose worker drains before it is sent

Cause: a start without an answer is sent again until it has one. Whether the run is current and has room is looked at before each attempt; whether the worker drains was not.

Change: it is looked at too, and the run is withdrawn as after a refusal.

--- a/tarragoncleat/batch/workers/worker_session.py
+++ b/tarragoncleat/batch/workers/worker_session.py
@@ -299,7 +299,7 @@
     async def _start(self, order: _StartOrder) -> None:
         was_unanswered = False
         while self._may_start(order):
-            if not self._has_room(order.task):
+            if self._is_draining() or not self._has_room(order.task):
                 await self._withdraw_start(order, was_unanswered)
                 return
             reply = await self._send_start(order)
@@ -393,6 +393,17 @@
                 return
             await self._timer.sleep_s(_MIN_RETRY_DELAY_S)
 
+    def _is_draining(self) -> bool:
+        """Whether the worker is about to leave.
+
+        It may have said so after a start was stored, and while the attempts to
+        send it got no answer.
+        """
+        worker = self._state.workers.get(self.record.worker_id)
+        if worker is None:
+            return False
+        return worker.state is worker_state.WorkerState.DRAINING
+
     def _has_room(self, task: model.TaskKey) -> bool:
         """Whether all tasks on the worker fit, as far as this one matters.
 
@@ -537,9 +548,7 @@
         worker = self._state.workers.get(self.record.worker_id)
         if worker is None:
             return False
-        if self._paces or self._stopping:
-            return True
-        if worker.state is worker_state.WorkerState.DRAINING:
+        if self._paces or self._stopping or self._is_draining():
             return True
         steps = []
         for key in worker.tasks:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -421,6 +421,58 @@
 
         self.run_scenario(scenario, timer)
 
+    def _check_start_while_draining(
+        self, outcome: clients.OrderOutcome
+    ) -> None:
+        """Repeats a start until its worker drains; then it starts elsewhere."""
+        other = self.add_worker("w-2")
+        self.local.submit()
+        self.local.start(self.key)
+        self.worker.start_outcome = outcome
+
+        async def scenario() -> None:
+            await dispatcher_rig.wait_until(lambda: self.worker.starts)
+            self.local.apply(commands.DrainWorker("w-1"))
+            await anyio.sleep(0.3)
+            count = len(self.worker.starts)
+            self.worker.start_outcome = None
+            await dispatcher_rig.wait_until(lambda: other.running)
+            self.assertEqual(len(self.worker.starts), count)
+            self.assertFalse(self.worker.running)
+
+        self.run_scenario(scenario)
+
+    def test_unanswered_start_is_not_repeated_once_its_worker_drains(
+        self,
+    ) -> None:
+        """Guards against a run that begins on a worker about to leave.
+
+        The worker didn't answer for seconds, and has begun to drain meanwhile
+        (review/10).
+        """
+        self._check_start_while_draining(clients.OrderOutcome.UNANSWERED)
+        self.assertTrue(self.worker.stops)
+
+    def test_late_start_is_not_repeated_once_its_worker_drains(self) -> None:
+        """Guards against a run that begins on a worker about to leave.
+
+        It refused the start because its lease had expired on the way.
+        """
+        self._check_start_while_draining(clients.OrderOutcome.EXPIRED)
+
+    def test_next_leader_starts_nothing_on_a_draining_worker(self) -> None:
+        """Guards against a stored start that a draining worker gets late."""
+        other = self.add_worker("w-2")
+        self.local.submit()
+        self.local.start(self.key)
+        self.local.apply(commands.DrainWorker("w-1"))
+
+        async def scenario() -> None:
+            await dispatcher_rig.wait_until(lambda: other.running)
+            self.assertEqual(self.worker.starts, [])
+
+        self.run_scenario(scenario, term=2)
+
     def test_leader_that_may_be_deposed_grants_no_lease(self) -> None:
         """Guards against a task that runs under two leaders at once.
 
