Forget answered heartbeats with each new one

Cause: keeps the heartbeats of a leader until the confirmed time is asked for. The leader of the product's own entries never asks, so its list grew by one entry with each heartbeat and each read of a term.

Change: what a majority has answered is dropped before the next heartbeat is sent.

Evidence: test_answered_heartbeats_are_forgotten fails on (193 not less than 5) and passes now. The control nodes of the platform ask with each lease, so nothing changes there.

--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -157,10 +157,13 @@
         A reply proves nothing about the time after its heartbeat was sent: it
         may have waited while this process was suspended.
         """
+        self._drop_confirmed()
+        return self._confirmed_s
+
+    def _drop_confirmed(self) -> None:
         confirmed = self._confirmed_sequence()
         while self._unconfirmed and self._unconfirmed[0].sequence <= confirmed:
             self._confirmed_s = self._unconfirmed.popleft().sent_s
-        return self._confirmed_s
 
     def _confirmed_sequence(self) -> int:
         return self._majority_value(
@@ -204,6 +207,7 @@
         self, commit_index: int, now: consensus_output.Now
     ) -> None:
         """Sends a heartbeat to every follower, with pending records if any."""
+        self._drop_confirmed()
         self._sequence += 1
         self._unconfirmed.append(
             _SentHeartbeat(self._sequence, now.monotonic_s)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import stateful
@@ -145,6 +146,22 @@
         assert confirmed_s is not None
         self.assertGreaterEqual(confirmed_s, sent_s + 4.0)
 
+    def test_answered_heartbeats_are_forgotten(self) -> None:
+        """Guards against a leader that needs more memory with each heartbeat.
+
+        Nobody may ask for the confirmed time.
+        """
+        simulation = consensus_simulation.Simulation(
+            ("a", "b", "c"), ("a", "b", "c")
+        )
+        with unittest.mock.patch.object(
+            consensus_simulation.Simulation, "_check_confirmation"
+        ):
+            simulation.run(400)
+        leadership = simulation.cores[simulation.leaders()[0]]._leadership
+        assert leadership is not None
+        self.assertLess(len(leadership._unconfirmed), 5)
+
     def test_disconnected_leader_confirms_no_read(self) -> None:
         """Guards against a stale read from a leader that was replaced."""
         simulation = consensus_simulation.Simulation(
