Let the model stall commits while workers return from a cut

The model gets a fourth theme: cuts that end about when the leases do, beside commits that stall for 0.8 to 2.5 s. The mutation LEASE_BESIDE_LOSS puts the fault back.

--- a/tarragoncleat_model/faults.py
+++ b/tarragoncleat_model/faults.py
@@ -20,6 +20,7 @@
     LEADER_FROZEN = "leader-frozen"
     PLATFORM_DOWN = "platform-down"
     WAVE = "wave"
+    COMMITS_STALLED = "commits-stalled"
 
 
 class Theme(enum.Enum):
@@ -29,6 +30,7 @@
     ORDERS = "orders"
     SILENCE = "silence"
     MAINTENANCE = "maintenance"
+    COMMITS = "commits"
 
 
 _KINDS = {
@@ -41,6 +43,12 @@
     ),
     Theme.SILENCE: (FaultKind.CUT, FaultKind.CRASH, FaultKind.LEADER_FROZEN),
     Theme.MAINTENANCE: (FaultKind.WAVE, FaultKind.CRASH),
+    Theme.COMMITS: (
+        FaultKind.COMMITS_STALLED,
+        FaultKind.LOSING,
+        FaultKind.CRASH,
+        FaultKind.LEADER_FROZEN,
+    ),
 }
 _DURATIONS_S = (0.5, 1.5, 3.0, 3.6, 4.5, 5.0, 7.0)
 
@@ -87,6 +95,8 @@
         faults += _draw_long_cuts(generator, instances, until_s)
     if theme is Theme.MAINTENANCE:
         faults += _draw_interrupted_wave(generator, instances, until_s)
+    if theme is Theme.COMMITS:
+        faults += _draw_returns_in_stalls(generator, instances, until_s)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -122,6 +132,33 @@
     ]
 
 
+def _draw_returns_in_stalls(
+    generator: random.Random, instances: Sequence[str], until_s: float
+) -> list[Fault]:
+    """Returns cuts that end about when the leases do, while commits stall."""
+    faults = []
+    for _ in range(3):
+        cut_s = generator.uniform(1.0, until_s)
+        lease_end_s = cut_s + generator.uniform(4.5, 4.9)
+        faults += [
+            Fault(
+                FaultKind.CUT,
+                cut_s,
+                generator.uniform(4.8, 5.6),
+                tuple(instances[1:]),
+                1.0,
+            ),
+            Fault(
+                FaultKind.COMMITS_STALLED,
+                lease_end_s,
+                generator.uniform(0.8, 2.5),
+                (),
+                1.0,
+            ),
+        ]
+    return faults
+
+
 def _draw_interrupted_wave(
     generator: random.Random, instances: Sequence[str], until_s: float
 ) -> list[Fault]:
--- a/tarragoncleat_model/log.py
+++ b/tarragoncleat_model/log.py
@@ -32,6 +32,7 @@
         self._timer = timer
         self._index = 0
         self._lock = anyio.Lock()
+        self._stalled_until_s = 0.0
 
     def apply(self, payload: bytes) -> bytes:
         """Appends a command and applies it."""
@@ -39,10 +40,18 @@
         now_ms = self._timer.wall_time_ms()
         return self.state.apply(self._index, now_ms, payload)
 
+    async def stall(self, for_s: float) -> None:
+        """Commits nothing for a time; what is proposed meanwhile waits."""
+        until_s = self._timer.monotonic_s() + for_s
+        self._stalled_until_s = max(self._stalled_until_s, until_s)
+        await self._timer.sleep_s(for_s)
+
     async def commit(self, payload: bytes, term: int) -> bytes | None:
         """Commits a proposal; returns None if its term is over."""
         async with self._lock:
             await self._timer.sleep_s(_COMMIT_S)
+            while (now_s := self._timer.monotonic_s()) < self._stalled_until_s:
+                await self._timer.sleep_s(self._stalled_until_s - now_s)
             return self.apply(payload) if term == self.term else None
 
 
--- a/tarragoncleat_model/mutations.py
+++ b/tarragoncleat_model/mutations.py
@@ -9,6 +9,7 @@
 from typing import Any
 import unittest.mock
 
+from tarragoncleat.batch.leader import dispatcher
 from tarragoncleat.batch.pools import wave_controller
 from tarragoncleat.batch.replicated import commands
 from tarragoncleat.batch.replicated import jobs
@@ -35,6 +36,7 @@
     LEASE_ENDED_EARLY = "a lease counts as expired a second too early"
     END_DROPPED = "ends are acknowledged without being stored"
     BUDGET_IGNORED = "a wave ignores how many tasks of a step are away"
+    LEASE_BESIDE_LOSS = "a lease is granted while a loss is stored (review/6)"
     CHECKPOINTS_APART = "each member of a gang keeps its own checkpoint"
 
 
@@ -169,6 +171,13 @@
             lambda self, step, task: True,
         ),
     ),
+    Mutation.LEASE_BESIDE_LOSS: (
+        (
+            dispatcher.Dispatcher,
+            "may_grant_lease",
+            lambda self, worker_id: True,
+        ),
+    ),
     Mutation.CHECKPOINTS_APART: ((jobs.Step, "save_checkpoint", _save_apart),),
 }
 
--- a/tarragoncleat_model/world.py
+++ b/tarragoncleat_model/world.py
@@ -43,12 +43,14 @@
     faults_module.Theme.ORDERS: ("plain", "burst", "chain", "gang"),
     faults_module.Theme.SILENCE: ("plain", "gang", "gang", "gang"),
     faults_module.Theme.MAINTENANCE: ("plain", "chain"),
+    faults_module.Theme.COMMITS: ("plain", "burst", "chain"),
 }
 _LASTING_JOBS = {
     faults_module.Theme.ALL: 1,
     faults_module.Theme.ORDERS: 0,
     faults_module.Theme.SILENCE: 0,
     faults_module.Theme.MAINTENANCE: 4,
+    faults_module.Theme.COMMITS: 0,
 }
 
 _Kind = faults_module.FaultKind
@@ -269,6 +271,8 @@
             await self._replace_leader(_FREEZE_S)
         elif fault.kind is _Kind.CRASH:
             await self._end_instance(fault.instances[0], fault.for_s)
+        elif fault.kind is _Kind.COMMITS_STALLED:
+            await self._log.stall(fault.for_s)
         elif fault.kind is _Kind.PLATFORM_DOWN:
             self._is_platform_down = True
             await self._timer.sleep_s(fault.for_s)
