Look at majorities only while a heartbeat is unanswered

Cause: each lease asks when the leadership was confirmed, and the answer was worked out anew each time though it changes with a heartbeat only. The leader's processor is the bound on the large sites.

Change: nothing is worked out when a majority has answered every heartbeat, which is so but for the few ms after each.

Tests of test_consensus pass.

--- a/tarragoncleat/log/consensus_leader.py
+++ b/tarragoncleat/log/consensus_leader.py
@@ -161,6 +161,8 @@
         return self._confirmed_s
 
     def _drop_confirmed(self) -> None:
+        if not self._unconfirmed:
+            return
         confirmed = self._confirmed_sequence()
         while self._unconfirmed and self._unconfirmed[0].sequence <= confirmed:
             self._confirmed_s = self._unconfirmed.popleft().sent_s
