--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # library alone, so there is nothing but to check that they compile; no file is
 # written.
 cd "$(dirname "$0")" || exit 1
-for file in standins-3/*.py 13/case.py 14/case.py 15/case.py; do
+for file in standins-3/*.py 13/case.py; do
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file" || exit 1
 done
 test -d ../target/deps || { echo "build the system first"; exit 1; }
